--- /dev/null
+++ b/crates/catkin-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Deterministic benchmarks of the decision code in virtual time.
+
+fn main() {}
--- /dev/null
+++ b/crates/catkin-gateway/src/main.rs
@@ -0,0 +1,3 @@
+//! Gateway of the catkinhub router.
+
+fn main() {}
--- /dev/null
+++ b/crates/catkin-load/src/main.rs
@@ -0,0 +1,3 @@
+//! Load and experiments against a running catkinhub.
+
+fn main() {}
--- /dev/null
+++ b/crates/catkin-net/src/http.rs
@@ -0,0 +1,73 @@
+//! An HTTP/1.1 server on the current thread.
+
+use {
+    actix_http::{HttpService, Request, Response, StatusCode, body::BoxBody},
+    actix_rt::net::TcpStream,
+    actix_service::{Service, ServiceFactory, fn_service},
+    catkin::{Code, Error},
+    serde::Serialize,
+    std::{future::Future, net::SocketAddr, time::Duration},
+    tokio::net::TcpListener,
+};
+
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// Opens a listener.
+///
+/// # Errors
+///
+/// `Code::BadValue` with the address if it can't be bound.
+pub async fn listen(addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|e| Error::new(Code::BadValue, format!("can't listen on {addr}: {e}")))
+}
+
+/// Answers requests of a listener until the future is dropped.
+///
+/// # Errors
+///
+/// `Code::Internal` if the service can't be made.
+pub async fn serve<F, Fut>(listener: TcpListener, handler: F) -> Result<(), Error>
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<BoxBody>> + 'static,
+{
+    let service = fn_service(move |request: Request| {
+        let answer = handler(request);
+        async move { Ok::<_, actix_http::Error>(answer.await) }
+    });
+    let factory =
+        HttpService::build().client_request_timeout(HEAD_TIMEOUT).keep_alive(KEEP_ALIVE).h1(service).tcp();
+    let http = factory.new_service(()).await.map_err(|()| Error::new(Code::Internal, "no HTTP service"))?;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Accepting fails while file descriptors are used up.
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let stream: TcpStream = stream;
+        actix_rt::spawn(http.call(stream));
+    }
+}
+
+/// Makes an answer with a JSON body.
+pub fn reply_json<T: Serialize>(status: u16, body: &T) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let text = serde_json::to_string(body).unwrap_or_default();
+    Response::build(status)
+        .insert_header(("content-type", "application/json"))
+        .body(text)
+        .map_into_boxed_body()
+}
+
+/// Makes an answer with a text body.
+pub fn reply_text(status: u16, body: impl Into<String>) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    Response::build(status)
+        .insert_header(("content-type", "text/plain"))
+        .body(body.into())
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/catkin-net/src/lib.rs
@@ -0,0 +1,18 @@
+//! HTTP server and platform clients shared by the catkinhub programs.
+//!
+//! - [`serve`] answers HTTP requests on one address, on the current thread.
+//! - [`Log`] appends to and reads from the platform's log service.
+//! - [`get`] and [`post`] exchange JSON over HTTP.
+//! - [`Monotonic`] reads the process's clock.
+
+mod clock;
+mod http;
+mod json;
+mod log;
+
+pub use {
+    clock::Monotonic,
+    http::{listen, reply_json, reply_text, serve},
+    json::{get, list_vms, post},
+    log::{Log, Read},
+};
--- /dev/null
+++ b/crates/catkin-net/src/log.rs
@@ -0,0 +1,76 @@
+//! Client of the platform's log service.
+
+use {
+    crate::json,
+    awc::Client,
+    base64::{Engine, prelude::BASE64_STANDARD},
+    catkin::{
+        Code, Error,
+        api::{Append, Appended, Page, path},
+        types::{Offset, Span},
+    },
+    std::net::SocketAddr,
+};
+
+const READ_SLACK: Span = Span::from_secs(1);
+
+/// Client of the log service.
+#[derive(Clone)]
+pub struct Log {
+    client: Client,
+    addr: SocketAddr,
+}
+
+/// Records as read.
+#[derive(Clone, Debug)]
+pub struct Read {
+    /// Oldest offset that is still kept.
+    pub first: Offset,
+    /// Offset that the next append gets.
+    pub head: Offset,
+    /// Records with their offsets.
+    pub records: Vec<(Offset, Vec<u8>)>,
+}
+
+impl Log {
+    /// Makes a client.
+    pub fn new(client: Client, addr: SocketAddr) -> Self {
+        Self { client, addr }
+    }
+
+    /// Appends a record and returns its offset.
+    ///
+    /// # Errors
+    ///
+    /// `Code::LogUnavailable` if nothing was appended, `Code::AppendUnknown`
+    /// if the record may have been appended.
+    pub async fn append(&self, record: &[u8], limit: Span) -> Result<Offset, Error> {
+        let body = Append { data: BASE64_STANDARD.encode(record) };
+        let answer: Result<Appended, Error> =
+            json::post(&self.client, self.addr, path::LOG, &body, limit).await;
+        match answer {
+            Ok(appended) => Ok(appended.offset),
+            Err(e) if matches!(e.code(), Code::ConnectFailed | Code::BadRequest) => {
+                Err(Error::new(Code::LogUnavailable, e.to_string()))
+            }
+            Err(e) => Err(Error::new(Code::AppendUnknown, e.to_string())),
+        }
+    }
+
+    /// Reads records from an offset on; waits up to a span for the first.
+    ///
+    /// # Errors
+    ///
+    /// `Code::LogUnavailable` if there is no answer.
+    pub async fn read(&self, from: Offset, max: u32, wait: Span) -> Result<Read, Error> {
+        let path = format!("{}?from={from}&wait_ms={}&max={max}", path::LOG, wait.as_millis());
+        let page: Page = json::get(&self.client, self.addr, &path, wait + READ_SLACK)
+            .await
+            .map_err(|e| Error::new(Code::LogUnavailable, e.to_string()))?;
+        let decode = |data: &str| {
+            BASE64_STANDARD.decode(data).map_err(|e| Error::new(Code::LogUnavailable, e.to_string()))
+        };
+        let records = page.records.iter().map(|entry| Ok((entry.offset, decode(&entry.data)?)));
+        Ok(Read { first: page.first, head: page.head, records: records.collect::<Result<_, Error>>()? })
+    }
+}
--- /dev/null
+++ b/crates/catkin/src/lease/holder.rs
@@ -0,0 +1,165 @@
+//! The side of a target.
+
+use {
+    crate::{
+        Code, Error,
+        api::{Command, Held, Order, Reply, Stamp},
+        types::{Fence, SliceId, TargetId, Time},
+    },
+    std::collections::BTreeMap,
+};
+
+/// What a target knows of its lease and its grants.
+///
+/// A slice is served only while the lease is valid and the request carries
+/// the fence of the grant.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Holder {
+    target: TargetId,
+    boot: u64,
+    stamp: Stamp,
+    until: Time,
+    grants: BTreeMap<SliceId, Fence>,
+    running: BTreeMap<Held, u32>,
+    draining: bool,
+}
+
+/// A request that was admitted under a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    held: Held,
+}
+
+impl Holder {
+    /// Makes the state of a new process, without a lease.
+    pub fn new(target: TargetId, boot: u64) -> Self {
+        Self {
+            target,
+            boot,
+            stamp: Stamp::default(),
+            until: Time::default(),
+            grants: BTreeMap::new(),
+            running: BTreeMap::new(),
+            draining: false,
+        }
+    }
+
+    /// Answers a command. A command for another process, or one that is not
+    /// newer than the newest accepted one, changes nothing.
+    pub fn command(&mut self, now: Time, command: &Command) -> Reply {
+        self.expire(now);
+        if command.boot != self.boot || command.stamp <= self.stamp {
+            return self.reply(now, false, true);
+        }
+        self.stamp = command.stamp;
+        match &command.order {
+            Order::Fence => self.reply(now, true, true),
+            Order::Renew { until } => {
+                self.until = *until;
+                self.reply(now, true, false)
+            }
+            Order::Grant { slices } => {
+                slices.iter().for_each(|held| self.grant(*held));
+                self.reply(now, true, true)
+            }
+            Order::Release { slices } => {
+                slices.iter().for_each(|held| self.release(*held));
+                self.reply(now, true, true)
+            }
+        }
+    }
+
+    /// Returns what the target holds, without a command.
+    pub fn status(&mut self, now: Time) -> Reply {
+        self.expire(now);
+        self.reply(now, true, true)
+    }
+
+    /// Starts to drain.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Returns whether the lease is valid.
+    pub fn is_leased(&self, now: Time) -> bool {
+        now < self.until
+    }
+
+    /// Admits a request for a slice.
+    ///
+    /// # Errors
+    ///
+    /// `Code::FenceRefused` if the lease has expired or the slice is not held
+    /// with this fence.
+    pub fn admit(&mut self, now: Time, held: Held) -> Result<Ticket, Error> {
+        self.expire(now);
+        self.check(now, held)?;
+        *self.running.entry(held).or_default() += 1;
+        Ok(Ticket { held })
+    }
+
+    /// Returns whether a request that ran may make its effects durable.
+    ///
+    /// # Errors
+    ///
+    /// `Code::FenceRefused` if the grant has ended since.
+    pub fn commit(&mut self, now: Time, ticket: Ticket) -> Result<(), Error> {
+        self.expire(now);
+        self.check(now, ticket.held)
+    }
+
+    /// Ends a request.
+    pub fn finish(&mut self, ticket: Ticket) {
+        if let Some(count) = self.running.get_mut(&ticket.held) {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(&ticket.held);
+            }
+        }
+    }
+
+    fn check(&self, now: Time, held: Held) -> Result<(), Error> {
+        if now >= self.until {
+            return Err(Error::new(Code::FenceRefused, "the lease has expired"));
+        }
+        match self.grants.get(&held.slice) {
+            Some(fence) if *fence == held.fence => Ok(()),
+            Some(fence) => {
+                Err(Error::new(Code::FenceRefused, format!("the slice is held with fence {fence}")))
+            }
+            None => Err(Error::new(Code::FenceRefused, "the slice is not held")),
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        if now >= self.until {
+            self.grants.clear();
+        }
+    }
+
+    fn grant(&mut self, held: Held) {
+        let fence = self.grants.entry(held.slice).or_insert(held.fence);
+        *fence = held.fence.max(*fence);
+    }
+
+    fn release(&mut self, held: Held) {
+        if self.grants.get(&held.slice).is_some_and(|fence| *fence <= held.fence) {
+            self.grants.remove(&held.slice);
+        }
+    }
+
+    fn reply(&self, now: Time, accepted: bool, full: bool) -> Reply {
+        let granted = self.grants.iter().map(|(slice, fence)| Held { slice: *slice, fence: *fence });
+        Reply {
+            target: self.target.clone(),
+            boot: self.boot,
+            clock: now,
+            accepted,
+            stamp: self.stamp,
+            until: self.until,
+            slices: if full { granted.collect() } else { Vec::new() },
+            running: if full { self.running.keys().copied().collect() } else { Vec::new() },
+            draining: self.draining,
+        }
+    }
+}
--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -1,1 +1,37 @@
-//! x
+//! Decision code and shared types of the catkinhub router.
+//!
+//! catkinhub routes requests to servers that each own keys exclusively. This
+//! crate holds every decision that the programs take: the fold of the log,
+//! leases, placement, membership, queueing and retries. It does no I/O and
+//! takes time as an argument, so that tests and benchmarks can drive it.
+//!
+//! # Where to start
+//!
+//! - [`types`] has the newtypes for ids, sizes, times and rates.
+//! - [`error`] has the opaque [`Error`] and the numbered [`Code`] table.
+//! - [`record`] encodes what is written to the log, [`fold`] reads it back.
+//! - [`config`] is what operators publish; [`settings`] is what one process
+//!   reads at its start.
+//! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
+//!   gateways.
+//!
+//! ```
+//! use catkin::types::Span;
+//!
+//! let ttl: Span = "400ms".parse()?;
+//! assert_eq!(ttl.as_micros(), 400_000);
+//! # Ok::<(), catkin::Error>(())
+//! ```
+
+pub mod api;
+pub mod config;
+pub mod error;
+pub mod fold;
+pub mod lease;
+pub mod logs;
+pub mod record;
+pub mod settings;
+pub mod types;
+pub mod wire;
+
+pub use error::{Code, Error, Result};
--- /dev/null
+++ b/crates/catkin/src/types/mod.rs
@@ -0,0 +1,11 @@
+//! Newtypes for ids, counters, times, sizes and rates.
+
+mod count;
+mod id;
+mod size;
+mod time;
+
+pub use count::{Fence, Offset, Revision, Sequence, SliceId, Version};
+pub use id::{CallerId, Key, RequestId, Service, TargetId, VmId, Zone};
+pub use size::{Rate, Share, Size};
+pub use time::{Span, Time};
--- /dev/null
+++ b/crates/catkin/src/types/size.rs
@@ -0,0 +1,144 @@
+//! Sizes, rates and shares.
+
+use {
+    crate::{Code, Error},
+    derive_more::Display,
+    serde::{Deserialize, Deserializer, Serialize, Serializer},
+    std::{fmt, str::FromStr},
+};
+
+const UNITS: [(&str, u64); 4] = [("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10), ("B", 1)];
+
+/// A size in bytes. It is written with a unit: `64KiB`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Size(u64);
+
+impl Size {
+    /// Makes a size from bytes.
+    pub const fn from_bytes(bytes: u64) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the size in bytes.
+    pub const fn as_bytes(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = UNITS.iter().find(|(_, bytes)| self.0 >= *bytes && self.0.is_multiple_of(*bytes));
+        match whole {
+            Some((unit, bytes)) => write!(f, "{}{unit}", self.0 / bytes),
+            None => write!(f, "0B"),
+        }
+    }
+}
+
+impl FromStr for Size {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let bad = || {
+            Error::new(Code::BadUnit, format!("{text:?} is not a size: use B, KiB, MiB or GiB, as in 64KiB"))
+        };
+        let split = text.find(|c: char| !c.is_ascii_digit()).ok_or_else(bad)?;
+        let (number, unit) = text.split_at(split);
+        let number: u64 = number.parse().map_err(|_| bad())?;
+        let (_, bytes) = UNITS.iter().find(|(name, _)| *name == unit).ok_or_else(bad)?;
+        number.checked_mul(*bytes).map(Self).ok_or_else(bad)
+    }
+}
+
+impl Serialize for Size {
+    fn serialize<S: Serializer>(&self, output: S) -> Result<S::Ok, S::Error> {
+        if output.is_human_readable() {
+            return output.collect_str(self);
+        }
+        output.serialize_u64(self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Size {
+    fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+        if !input.is_human_readable() {
+            return u64::deserialize(input).map(Self);
+        }
+        let text = String::deserialize(input)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// Events per second.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[display("{_0}/s")]
+#[serde(transparent)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// Makes a rate from events per second.
+    pub const fn from_per_second(events: f64) -> Self {
+        Self(events)
+    }
+
+    /// Returns the events per second.
+    pub const fn as_per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl FromStr for Rate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let bad = || Error::new(Code::BadUnit, format!("{text:?} is not a rate such as 200/s"));
+        let number = text.strip_suffix("/s").ok_or_else(bad)?;
+        let number: f64 = number.parse().map_err(|_| bad())?;
+        if !number.is_finite() || number < 0.0 {
+            return Err(bad());
+        }
+        Ok(Self(number))
+    }
+}
+
+/// A share between 0 and 1.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Share(f64);
+
+impl Share {
+    /// Checks the number and wraps it.
+    ///
+    /// # Errors
+    ///
+    /// `Code::BadValue` if the number is not between 0 and 1.
+    pub fn new(number: f64) -> Result<Self, Error> {
+        if !(0.0..=1.0).contains(&number) {
+            return Err(Error::new(Code::BadValue, format!("{number} is not a share between 0 and 1")));
+        }
+        Ok(Self(number))
+    }
+
+    /// Returns the number.
+    pub const fn as_f64(self) -> f64 {
+        self.0
+    }
+}
+
+impl FromStr for Share {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let number = text
+            .parse()
+            .map_err(|_| Error::new(Code::BadValue, format!("{text:?} is not a share between 0 and 1")))?;
+        Self::new(number)
+    }
+}
+
+impl<'de> Deserialize<'de> for Share {
+    fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+        let number = f64::deserialize(input)?;
+        Self::new(number).map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/catkinctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Command-line client for operators of catkinhub.
+
+fn main() {}
