Add catkinctl check and publish

An append whose answer is lost is settled by reading the log. The record is appended again with the same sequence only after a read to the head has not found it; the fold drops the second copy if the first one arrives late.

--- /dev/null
+++ b/crates/catkinctl/src/check.rs
@@ -0,0 +1,41 @@
+//! `catkinctl check`: checks a configuration file.
+
+use {
+    crate::output::Report,
+    catkin::{Code, Error, config},
+    derive_more::Display,
+    serde::Serialize,
+    std::path::Path,
+};
+
+/// What a valid configuration holds.
+#[derive(Clone, Debug, Display, Serialize)]
+#[display("valid: {services} services, {exceptions} exceptions")]
+pub struct Checked {
+    /// Number of services.
+    pub services: usize,
+    /// Number of exceptions.
+    pub exceptions: usize,
+}
+
+impl Report for Checked {}
+
+/// Reads a configuration file.
+///
+/// # Errors
+///
+/// `Code::UnreadableFile` with the name of the file.
+pub fn read(file: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(file)
+        .map_err(|e| Error::new(Code::UnreadableFile, format!("{}: {e}", file.display())))
+}
+
+/// Checks a configuration file.
+///
+/// # Errors
+///
+/// `Code::UnreadableFile`, or a code of group 2 with the path of the field.
+pub fn check(file: &Path) -> Result<Checked, Error> {
+    let fleet = config::parse(&read(file)?)?;
+    Ok(Checked { services: fleet.services.len(), exceptions: fleet.exceptions.len() })
+}
--- a/crates/catkinctl/src/main.rs
+++ b/crates/catkinctl/src/main.rs
@@ -1,3 +1,7 @@
 //! Command-line client for operators of catkinhub.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    catkinctl::run()
+}
--- /dev/null
+++ b/crates/catkinctl/tests/publish.rs
@@ -0,0 +1,63 @@
+//! Publishing against a log whose answers get lost.
+
+mod common;
+
+use {
+    catkin::{Code, Result, types::Span},
+    catkinctl::{
+        publish::{Published, publish},
+        reader::Reader,
+    },
+    common::{FLEET, Fault},
+};
+
+const LIMIT: Span = Span::from_secs(60);
+
+fn run(faults: &[Fault], limit: Span) -> (Result<Published>, u32, usize) {
+    actix_rt::System::new().block_on(async {
+        let (addr, log) = common::start().await;
+        log.borrow_mut().faults.extend(faults);
+        let published = publish(Reader::new(addr), FLEET, "ana", limit).await;
+        let log = log.borrow();
+        (published, log.appends, log.records.len())
+    })
+}
+
+/// Guards against an accepted configuration that is reported otherwise.
+#[test]
+fn reports_revision_and_offset() {
+    let (published, ..) = run(&[], LIMIT);
+    assert_eq!(published.unwrap(), Published::Accepted { revision: 1.into(), offset: 0.into() });
+}
+
+/// Guards against a second append although the first one took effect.
+#[test]
+fn settles_a_lost_answer_by_reading() {
+    let (published, appends, records) = run(&[Fault::LoseAnswer], LIMIT);
+    assert_eq!(published.unwrap(), Published::Accepted { revision: 1.into(), offset: 0.into() });
+    assert_eq!((appends, records), (1, 1));
+}
+
+/// Guards against a configuration that is given up or doubled when the append
+/// never took effect.
+#[test]
+fn appends_again_when_the_record_is_not_there() {
+    let (published, appends, records) = run(&[Fault::LoseRequest, Fault::LoseRequest], LIMIT);
+    assert_eq!(published.unwrap(), Published::Accepted { revision: 1.into(), offset: 0.into() });
+    assert_eq!((appends, records), (3, 1));
+}
+
+/// Guards against two winners of a race, with and without the answer.
+#[test]
+fn a_race_has_one_winner() {
+    let (published, ..) = run(&[Fault::Race], LIMIT);
+    let Published::Refused { offset, code, .. } = published.unwrap() else { panic!("accepted") };
+    assert_eq!((offset.0, code), (1, Code::ConfigConflict.number()));
+}
+
+/// Guards against "refused" or "accepted" when nothing is known.
+#[test]
+fn says_unknown_when_the_limit_ends_first() {
+    let (published, ..) = run(&[Fault::LoseRequest], Span::ZERO);
+    assert_eq!(published.unwrap_err().code(), Code::AppendUnknown);
+}
