--- /dev/null
+++ b/crates/catkin/src/event/mod.rs
@@ -0,0 +1,28 @@
+//! Events of one process, and their order across processes.
+//!
+//! Each process has a [`Ring`]. Its hybrid logical [`Clock`] follows the wall
+//! clock and never falls behind a timestamp that came with a message, so that
+//! an effect is always stamped after its cause, however far apart the wall
+//! clocks are. Every message between gateways carries [`Ring::stamp`], and the
+//! receiver passes it to [`Ring::observe`].
+//!
+//! ```
+//! use catkin::event::{Kind, Ring, Wall};
+//!
+//! let mut ring = Ring::new("vm-1".parse()?, 1, 100);
+//! ring.push(Wall::from_micros(5_000_000), 7.into(), Kind::LogDown);
+//! assert_eq!(ring.page(0, 10).events[0].number, 0);
+//! # Ok::<(), catkin::Error>(())
+//! ```
+
+mod clock;
+mod kind;
+mod merge;
+mod ring;
+
+pub use {
+    clock::{Clock, Timestamp, Wall},
+    kind::Kind,
+    merge::merge,
+    ring::{Event, Page, Ring},
+};
--- /dev/null
+++ b/crates/catkin/src/event/ring.rs
@@ -0,0 +1,97 @@
+//! A bounded ring of events.
+
+use {
+    super::{Clock, Kind, Timestamp, Wall},
+    crate::types::{Offset, VmId},
+    derive_more::Display,
+    serde::{Deserialize, Serialize},
+    std::collections::VecDeque,
+};
+
+/// An event.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{at} {vm} boot {boot} offset {offset}: {kind}")]
+pub struct Event {
+    /// When it happened.
+    pub at: Timestamp,
+    /// VM of the process.
+    pub vm: VmId,
+    /// Number of the process.
+    pub boot: u64,
+    /// Number of the event in the process, from 0.
+    pub number: u64,
+    /// Offset of the next record that the process reads.
+    pub offset: Offset,
+    /// What happened.
+    #[serde(flatten)]
+    pub kind: Kind,
+}
+
+/// Part of a ring.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// Number of the oldest event that the ring holds. All before it were
+    /// dropped.
+    pub first: u64,
+    /// Number that the next event gets.
+    pub next: u64,
+    /// Events in the order of their numbers.
+    pub events: Vec<Event>,
+}
+
+/// The newest events of a process.
+#[derive(Clone, Debug)]
+pub struct Ring {
+    vm: VmId,
+    boot: u64,
+    limit: usize,
+    clock: Clock,
+    dropped: u64,
+    events: VecDeque<Event>,
+}
+
+impl Ring {
+    /// Makes a ring that holds up to `limit` events.
+    pub fn new(vm: VmId, boot: u64, limit: usize) -> Self {
+        Self { vm, boot, limit, clock: Clock::new(), dropped: 0, events: VecDeque::new() }
+    }
+
+    /// Adds an event. A full ring drops its oldest one.
+    pub fn push(&mut self, wall: Wall, offset: Offset, kind: Kind) -> Timestamp {
+        let at = self.clock.stamp(wall);
+        let event = Event { at, vm: self.vm.clone(), boot: self.boot, number: self.next(), offset, kind };
+        self.events.push_back(event);
+        if self.events.len() > self.limit {
+            self.events.pop_front();
+            self.dropped += 1;
+        }
+        at
+    }
+
+    /// Returns the timestamp of a message to send.
+    pub fn stamp(&mut self, wall: Wall) -> Timestamp {
+        self.clock.stamp(wall)
+    }
+
+    /// Takes in the timestamp of a message that arrived.
+    pub fn observe(&mut self, remote: Timestamp) {
+        self.clock.observe(remote);
+    }
+
+    /// Returns the number of events that were dropped.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Returns the number that the next event gets.
+    pub fn next(&self) -> u64 {
+        self.dropped + self.events.len() as u64
+    }
+
+    /// Returns up to `max` events from a number on.
+    pub fn page(&self, from: u64, max: usize) -> Page {
+        let skip = usize::try_from(from.saturating_sub(self.dropped)).unwrap_or(usize::MAX);
+        let events = self.events.iter().skip(skip).take(max).cloned().collect();
+        Page { first: self.dropped, next: self.next(), events }
+    }
+}
--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -13,7 +13,8 @@
 //! - [`config`] is what operators publish; [`settings`] is what one process
 //!   reads at its start.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
-//!   gateways.
+//!   gateways; [`admin`] has the JSON bodies for operators.
+//! - [`event`] has the events of the time line and their clock.
 //!
 //! ```
 //! use catkin::types::Span;
@@ -23,9 +24,11 @@
 //! # Ok::<(), catkin::Error>(())
 //! ```
 
+pub mod admin;
 pub mod api;
 pub mod config;
 pub mod error;
+pub mod event;
 pub mod fold;
 pub mod lease;
 pub mod logs;
