Add catkin-standin with log service, VM list and targets

The gateway and catkinctl need a platform and targets to run against. Faults of targets are typed but not in force yet.

--- /dev/null
+++ b/crates/catkin-standin/src/lib.rs
@@ -0,0 +1,32 @@
+//! Stand-ins for the platform and for targets, for tests and the demo.
+//!
+//! [`start`] runs, on the current thread, a log service and a VM list on one
+//! address and any number of targets, each on its own address. Every one of
+//! them takes faults over HTTP while it runs (`POST /faults`).
+//!
+//! - [`LogService`] appends and reads records and forgets the oldest.
+//! - [`VmTable`] is the VM list, which lags.
+//! - [`Target`] accepts the commands of a keeper and runs work.
+//! - [`Ledger`] counts what a target ran and when it owned which slice.
+//! - [`PlatformFaults`] and [`TargetFaults`] are the bodies of `/faults`.
+
+mod body;
+mod echo;
+mod faults;
+mod ledger;
+mod list;
+mod log;
+mod platform;
+mod start;
+mod target;
+mod work;
+
+pub use {
+    echo::{Echo, checksum, header},
+    faults::{Cold, PlatformFaults, TargetFaults},
+    ledger::{Counts, Interval, Ledger, Run},
+    list::{Removal, VmTable},
+    log::LogService,
+    start::{Running, start},
+    target::Target,
+};
--- /dev/null
+++ b/crates/catkin-standin/src/list.rs
@@ -0,0 +1,65 @@
+//! The VM list.
+
+use {
+    catkin::{
+        api::{Listed, VmList},
+        types::{Span, Time},
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// Body of `POST /vms/remove`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Removal {
+    /// Id of the VM.
+    pub id: Arc<str>,
+}
+
+/// A VM list that shows changes only after a span.
+pub struct VmTable {
+    lag: Span,
+    shown: Vec<Listed>,
+    changes: VecDeque<(Time, Change)>,
+}
+
+enum Change {
+    Set(Listed),
+    Remove(Arc<str>),
+}
+
+impl VmTable {
+    /// Makes a list that shows the given rows from the start.
+    pub fn new(lag: Span, rows: Vec<Listed>) -> Self {
+        Self { lag, shown: rows, changes: VecDeque::new() }
+    }
+
+    /// Adds a row, or replaces the one with the same id.
+    pub fn set(&mut self, now: Time, row: Listed) {
+        self.changes.push_back((now.after(self.lag), Change::Set(row)));
+    }
+
+    /// Removes a row.
+    pub fn remove(&mut self, now: Time, removal: Removal) {
+        self.changes.push_back((now.after(self.lag), Change::Remove(removal.id)));
+    }
+
+    /// Returns the rows that are shown.
+    pub fn list(&mut self, now: Time) -> VmList {
+        while let Some((_, change)) = self.changes.pop_front_if(|(due, _)| *due <= now) {
+            self.show(change);
+        }
+        VmList { vms: self.shown.clone() }
+    }
+
+    fn show(&mut self, change: Change) {
+        match change {
+            Change::Remove(id) => self.shown.retain(|row| row.id != id),
+            Change::Set(new) => match self.shown.iter_mut().find(|row| row.id == new.id) {
+                Some(row) => *row = new,
+                None => self.shown.push(new),
+            },
+        }
+    }
+}
--- a/crates/catkin-standin/src/main.rs
+++ b/crates/catkin-standin/src/main.rs
@@ -1,3 +1,57 @@
-//! Stand-ins for the platform and for targets, for tests and the demo.
+//! Runs stand-ins for the platform and for targets, for tests and the demo.
 
-fn main() {}
+use {
+    bpaf::Bpaf,
+    catkin::{Error, logs, settings},
+    std::{path::PathBuf, process::ExitCode},
+};
+
+const USAGE_EXIT: u8 = 2;
+
+/// Runs stand-ins for the platform and for targets.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct Options {
+    /// Settings file, in YAML
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Checks the settings and exits
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    match run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("catkin-standin: {e}");
+            ExitCode::from(if e.is_usage() { USAGE_EXIT } else { 1 })
+        }
+    }
+}
+
+fn run(options: &Options) -> Result<(), Error> {
+    let settings: settings::Standin = settings::read(&options.settings)?;
+    if options.check {
+        return Ok(());
+    }
+    logs::init(settings.logs);
+    actix_rt::System::new().block_on(async {
+        let running = catkin_standin::start(&settings).await?;
+        log::info!(targets = running.targets.len(); "stand-ins are running");
+        wait_signal().await;
+        Ok(())
+    })
+}
+
+/// Waits for an interrupt or a termination signal.
+async fn wait_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut term) = signal(SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- /dev/null
+++ b/crates/catkin-standin/src/start.rs
@@ -0,0 +1,59 @@
+//! Runs the stand-ins of one settings file.
+
+use {
+    crate::{platform::Platform, target::Target},
+    actix_http::{Request, Response, body::BoxBody},
+    actix_rt::task::JoinHandle,
+    catkin::{Error, settings::Standin},
+    catkin_net::{listen, serve},
+    std::{future::Future, net::SocketAddr, rc::Rc},
+};
+
+/// Stand-ins that run until this is dropped.
+pub struct Running {
+    /// Address of log service and VM list.
+    pub platform: Option<SocketAddr>,
+    /// Addresses of the targets in the order of the settings.
+    pub targets: Vec<SocketAddr>,
+    tasks: Vec<JoinHandle<Result<(), Error>>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Starts the stand-ins on the current thread.
+///
+/// # Errors
+///
+/// `Code::BadValue` if an address can't be bound.
+pub async fn start(settings: &Standin) -> Result<Running, Error> {
+    let mut running = Running { platform: None, targets: Vec::new(), tasks: Vec::new() };
+    if let Some(platform) = &settings.platform {
+        let service = Rc::new(Platform::new(platform));
+        let handler = move |request| service.clone().handle(request);
+        running.platform = Some(running.spawn(platform.addr, handler).await?);
+    }
+    for target in &settings.targets {
+        let service = Rc::new(Target::new(target));
+        let handler = move |request| service.clone().handle(request);
+        let addr = running.spawn(target.addr, handler).await?;
+        running.targets.push(addr);
+    }
+    Ok(running)
+}
+
+impl Running {
+    async fn spawn<F, Fut>(&mut self, addr: SocketAddr, handler: F) -> Result<SocketAddr, Error>
+    where
+        F: Fn(Request) -> Fut + Clone + 'static,
+        Fut: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let listener = listen(addr).await?;
+        let bound = listener.local_addr().unwrap_or(addr);
+        self.tasks.push(actix_rt::spawn(serve(listener, handler)));
+        Ok(bound)
+    }
+}
