--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`record`] encodes what is written to the log, [`fold`] reads it back.
 //! - [`config`] is what operators publish; [`settings`] is what one process
 //!   reads at its start.
+//! - [`dispatch`] queues requests for targets.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
 //!   gateways; [`admin`] has the JSON bodies for operators.
 //! - [`event`] has the events of the time line and their clock.
@@ -27,6 +28,7 @@
 pub mod admin;
 pub mod api;
 pub mod config;
+pub mod dispatch;
 pub mod error;
 pub mod event;
 pub mod fold;
