--- /dev/null
+++ b/crates/catkin/src/config/services.rs
@@ -0,0 +1,85 @@
+//! Services and their routes.
+
+use {
+    crate::wire::Class,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+const IDEMPOTENT_METHODS: [&str; 4] = ["GET", "HEAD", "PUT", "DELETE"];
+
+/// A rule for requests whose path starts with a prefix.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Start of the path after the service's name.
+    pub prefix: Arc<str>,
+    /// Class of the requests.
+    #[serde(default)]
+    pub class: Class,
+    /// Whether they may be sent again; without it the method decides.
+    pub idempotent: Option<bool>,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Whether targets own keys.
+    #[serde(default)]
+    pub keyed: bool,
+    /// Number of slices of a service divided by key.
+    #[serde(default)]
+    pub slices: u32,
+    /// Whether the targets check fences.
+    #[serde(default = "yes")]
+    pub fenced: bool,
+    /// Rules for requests; the longest prefix wins.
+    #[serde(default)]
+    pub routes: Vec<Route>,
+}
+
+fn yes() -> bool {
+    true
+}
+
+impl Entry {
+    /// Returns the class of a request and whether it may be sent again. The
+    /// path is the part after the service's name.
+    pub fn route(&self, method: &str, path: &str) -> (Class, bool) {
+        let matching = self.routes.iter().filter(|route| path.starts_with(&*route.prefix));
+        let route = matching.max_by_key(|route| route.prefix.len());
+        let class = route.map(|route| route.class).unwrap_or_default();
+        let idempotent = route.and_then(|route| route.idempotent);
+        (class, idempotent.unwrap_or_else(|| is_idempotent(method)))
+    }
+
+    /// Returns the names of all fields with their values.
+    pub(super) fn values(&self) -> Vec<(String, String)> {
+        let mut values = vec![
+            ("keyed".to_owned(), self.keyed.to_string()),
+            ("slices".to_owned(), self.slices.to_string()),
+            ("fenced".to_owned(), self.fenced.to_string()),
+        ];
+        values.extend(self.routes.iter().map(|route| (format!("routes {}", route.prefix), route.value())));
+        values
+    }
+}
+
+impl Route {
+    fn value(&self) -> String {
+        let class = match self.class {
+            Class::Short => "short",
+            Class::Long => "long",
+        };
+        match self.idempotent {
+            Some(true) => format!("{class}, idempotent"),
+            Some(false) => format!("{class}, not idempotent"),
+            None => format!("{class}, by method"),
+        }
+    }
+}
+
+pub(super) fn is_idempotent(method: &str) -> bool {
+    IDEMPOTENT_METHODS.contains(&method)
+}
--- a/crates/catkin/src/error.rs
+++ b/crates/catkin/src/error.rs
@@ -84,7 +84,7 @@
     ConfigReason = 203, None, 400, "An exception has no reason or no author.";
     ConfigRange = 204, None, 400, "A configuration value is outside its range.";
     ConfigConflict = 205, None, 409, "Another configuration was published first.";
-    ConfigTwice = 206, None, 400, "Two exceptions set the same field of the same service.";
+    ConfigTwice = 206, None, 400, "A field or a route of a service is set twice.";
     StaleVersion = 301, None, 409, "The expected version of a record is not the current one.";
     Duplicate = 302, None, 200, "A record with this writer and sequence was read before.";
     NotKeeper = 303, None, 409, "Only the keeper of the owner may move a slice.";
--- a/crates/catkin/src/types/mod.rs
+++ b/crates/catkin/src/types/mod.rs
@@ -3,6 +3,7 @@
 mod count;
 mod id;
 mod size;
+mod text;
 mod time;
 
 pub use count::{Fence, Offset, Revision, Sequence, SliceId, Version};
--- a/crates/catkin/src/types/size.rs
+++ b/crates/catkin/src/types/size.rs
@@ -1,10 +1,11 @@
 //! Sizes, rates and shares.
 
 use {
+    super::text::WithUnit,
     crate::{Code, Error},
     derive_more::Display,
     serde::{Deserialize, Deserializer, Serialize, Serializer},
-    std::{fmt, str::FromStr},
+    std::{fmt, marker::PhantomData, str::FromStr},
 };
 
 const UNITS: [(&str, u64); 4] = [("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10), ("B", 1)];
@@ -64,8 +65,7 @@
         if !input.is_human_readable() {
             return u64::deserialize(input).map(Self);
         }
-        let text = String::deserialize(input)?;
-        text.parse().map_err(serde::de::Error::custom)
+        input.deserialize_str(WithUnit(PhantomData))
     }
 }
 
@@ -119,6 +119,12 @@
         Ok(Self(number))
     }
 
+    /// Makes a share from a percentage; more than 100 counts as 100.
+    pub const fn from_percent(percent: u32) -> Self {
+        let percent = if percent > 100 { 100 } else { percent };
+        Self(percent as f64 / 100.0)
+    }
+
     /// Returns the number.
     pub const fn as_f64(self) -> f64 {
         self.0
@@ -138,7 +144,8 @@
 
 impl<'de> Deserialize<'de> for Share {
     fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+        // Shares occur only in fleet configurations.
         let number = f64::deserialize(input)?;
-        Self::new(number).map_err(serde::de::Error::custom)
+        Self::new(number).map_err(|e| serde::de::Error::custom(Error::new(Code::ConfigRange, e.detail())))
     }
 }
--- /dev/null
+++ b/crates/catkin/src/types/text.rs
@@ -0,0 +1,35 @@
+//! Reads a value that is written with a unit.
+
+use {
+    crate::Error,
+    serde::de::{self, Visitor},
+    std::{fmt, marker::PhantomData, str::FromStr},
+};
+
+/// Passes text, and a bare number as its text, to the type's `FromStr`, so
+/// that a missing unit is reported like a wrong one.
+pub(super) struct WithUnit<T>(pub(super) PhantomData<T>);
+
+impl<T: FromStr<Err = Error>> Visitor<'_> for WithUnit<T> {
+    type Value = T;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a number with a unit")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<T, E> {
+        text.parse().map_err(E::custom)
+    }
+
+    fn visit_u64<E: de::Error>(self, number: u64) -> Result<T, E> {
+        self.visit_str(&number.to_string())
+    }
+
+    fn visit_i64<E: de::Error>(self, number: i64) -> Result<T, E> {
+        self.visit_str(&number.to_string())
+    }
+
+    fn visit_f64<E: de::Error>(self, number: f64) -> Result<T, E> {
+        self.visit_str(&number.to_string())
+    }
+}
--- a/crates/catkin/src/types/time.rs
+++ b/crates/catkin/src/types/time.rs
@@ -1,10 +1,11 @@
 //! Points in time and spans of time.
 
 use {
+    super::text::WithUnit,
     crate::{Code, Error},
     derive_more::{Add, AddAssign, Display, Sub},
     serde::{Deserialize, Deserializer, Serialize, Serializer},
-    std::{fmt, str::FromStr, time::Duration},
+    std::{fmt, marker::PhantomData, str::FromStr, time::Duration},
 };
 
 const MICROS_PER_MILLI: u64 = 1_000;
@@ -169,7 +170,6 @@
         if !input.is_human_readable() {
             return u64::deserialize(input).map(Self);
         }
-        let text = String::deserialize(input)?;
-        text.parse().map_err(serde::de::Error::custom)
+        input.deserialize_str(WithUnit(PhantomData))
     }
 }
--- /dev/null
+++ b/crates/catkin/tests/config.rs
@@ -0,0 +1,74 @@
+//! Routes, differences and successors of fleet configurations.
+
+use catkin::{
+    Code,
+    config::{Difference, Fleet, check_change, diff, parse},
+    types::Service,
+    wire::Class,
+};
+
+const BASE: &str = "
+services:
+  a:
+    keyed: true
+    slices: 8
+    routes:
+      - {prefix: /, class: long}
+      - {prefix: /scan/state, class: short, idempotent: true}
+      - {prefix: /scan, class: long, idempotent: false}
+  b: {}
+";
+
+fn fleet(more: &str) -> Fleet {
+    parse(&format!("{BASE}{more}")).unwrap()
+}
+
+fn service(name: &str) -> Service {
+    name.parse().unwrap()
+}
+
+/// Guards against a request that is sent again although its route forbids it,
+/// and against a general route that hides a longer one.
+#[test]
+fn the_longest_prefix_decides_and_then_the_method() {
+    let fleet = fleet("");
+    let route = |method, path| fleet.route(&service("a"), method, path);
+    assert_eq!(route("POST", "/scan/state"), (Class::Short, true));
+    assert_eq!(route("PUT", "/scan/9"), (Class::Long, false));
+    assert_eq!(route("GET", "/other"), (Class::Long, true));
+    let idempotent = |method| fleet.route(&service("b"), method, "/x").1;
+    assert!(["GET", "HEAD", "PUT", "DELETE"].into_iter().all(idempotent));
+    assert!(!["POST", "PATCH", "get", ""].into_iter().any(idempotent));
+    assert_eq!(fleet.route(&service("c"), "GET", "/x"), (Class::Short, true));
+}
+
+/// Guards against a difference that is in force and not shown, or shown and
+/// not in force.
+#[test]
+fn a_diff_compares_what_is_in_force() {
+    let old = fleet("defaults: {deadline: 2s, slots: 4}\n");
+    let moved = "exceptions: [{service: b, reason: r, author: a, set: {slots: 4, deadline: 3s}}]\n";
+    let new = fleet(&format!("defaults: {{slots: 4}}\n{moved}"));
+    let expected = Difference {
+        service: service("b"),
+        field: "deadline".to_owned(),
+        old: Some("2s".to_owned()),
+        new: Some("3s".to_owned()),
+    };
+    assert_eq!(diff(&old, &new), [expected]);
+    let fewer = parse("services: {b: {routes: [{prefix: /x, class: long}]}}").unwrap();
+    let shown: Vec<_> = diff(&fleet(""), &fewer).iter().map(ToString::to_string).collect();
+    assert!(shown.contains(&"a slices: 8 -> none".to_owned()), "{shown:?}");
+    assert!(shown.contains(&"b routes /x: none -> long, by method".to_owned()), "{shown:?}");
+}
+
+/// Guards against one key in two slices while gateways take up a revision at
+/// different moments.
+#[test]
+fn a_revision_keeps_the_slices_of_a_service() {
+    let new = parse("services: {a: {keyed: true, slices: 16}}").unwrap();
+    let error = check_change(&fleet(""), &new).unwrap_err();
+    assert_eq!((error.code(), error.path()), (Code::ConfigRange, Some("services.a.slices")));
+    check_change(&new, &parse("services: {b: {}}").unwrap()).unwrap();
+    check_change(&Fleet::default(), &new).unwrap();
+}
