Add lease::Keeper and the append table

Keeper is one table of all targets that a VM keeps; it returns actions and does no I/O.

Changes that others see: - wire: AskKeeper and KeeperNoted announce a new keeper to the keepers of the standbys and to earlier keepers. Without them an old keeper that has not read the log could hand a slice over provisionally while the new keeper renews its owner. Stopped returns the fences that were asked about. - fold: a Keeper row names the process of the claim and the earlier keepers, and only that process may move slices of the target. An append of a dead process that takes effect late is thereby refused.

--- a/crates/catkin/src/fold.rs
+++ b/crates/catkin/src/fold.rs
@@ -18,6 +18,10 @@
 pub struct Keeper {
     /// The VM.
     pub vm: VmId,
+    /// Process of the VM that wrote the record; 0 if another VM wrote it.
+    pub boot: u64,
+    /// Earlier keepers, oldest first, each once.
+    pub prior: Vec<VmId>,
     /// Version of the row.
     pub version: Version,
     /// Offset of the record that named it, which is its fence.
@@ -146,7 +150,7 @@
         *last = record.sequence;
         let refused = match record.change {
             Change::Config(publish) => self.publish(offset, publish).err().into_iter().collect(),
-            Change::Keeper(claim) => self.claim(offset, claim).err().into_iter().collect(),
+            Change::Keeper(claim) => self.claim(offset, &record.writer, claim).err().into_iter().collect(),
             Change::Assign(assign) => self.assign(offset, &record.writer, &assign.service, assign.moves),
             Change::Carve(_) | Change::Intents(_) | Change::Chunk(_) => Vec::new(),
         };
@@ -170,10 +174,13 @@
         Ok(())
     }
 
-    fn claim(&mut self, offset: Offset, claim: Claim) -> Result<(), Error> {
-        let version = self.keepers.get(&claim.target).map(|k| k.version).unwrap_or_default();
+    fn claim(&mut self, offset: Offset, writer: &Writer, claim: Claim) -> Result<(), Error> {
+        let row = self.keepers.get(&claim.target);
+        let version = row.map(|k| k.version).unwrap_or_default();
         expect(claim.expects, version)?;
-        let keeper = Keeper { vm: claim.keeper, version: version.next(), fence: offset };
+        let boot = if writer.id == claim.keeper { writer.boot } else { 0 };
+        let prior = row.map(|k| k.prior_after(&claim.keeper, boot)).unwrap_or_default();
+        let keeper = Keeper { vm: claim.keeper, boot, prior, version: version.next(), fence: offset };
         self.keepers.insert(claim.target, keeper);
         Ok(())
     }
@@ -209,10 +216,25 @@
 
     fn check_keeper(&self, owner: &TargetId, writer: &Writer) -> Result<(), Error> {
         let keeper = self.keepers.get(owner);
-        if keeper.is_some_and(|k| k.vm == writer.id) {
+        if keeper.is_some_and(|k| k.vm == writer.id && k.boot == writer.boot) {
             return Ok(());
         }
-        Err(Error::new(Code::NotKeeper, format!("{} is not the keeper of {owner}", writer.id)))
+        let detail = format!("process {} of {} is not the keeper of {owner}", writer.boot, writer.id);
+        Err(Error::new(Code::NotKeeper, detail))
+    }
+}
+
+impl Keeper {
+    /// A second record of the same process says that it has taken the target
+    /// over, so that earlier keepers no longer matter.
+    fn prior_after(&self, next: &VmId, boot: u64) -> Vec<VmId> {
+        if self.vm == *next && self.boot == boot && boot != 0 {
+            return Vec::new();
+        }
+        let mut prior: Vec<VmId> = self.prior.iter().filter(|vm| *vm != &self.vm).cloned().collect();
+        prior.push(self.vm.clone());
+        prior.retain(|vm| vm != next);
+        prior
     }
 }
 
--- /dev/null
+++ b/crates/catkin/src/lease/moves.rs
@@ -0,0 +1,153 @@
+//! Moves of slices: to the log, and provisional ones while the log is down.
+
+use {
+    super::{
+        Action, Keeper,
+        kept::{Kept, Want},
+    },
+    crate::{
+        Code, Error,
+        record::{Assign, Change, Move},
+        types::{Service, SliceId, Span, TargetId, Time},
+    },
+};
+
+/// An append that has changed nothing after this time is made again.
+pub(super) const APPEND_AGAIN: Span = Span::from_secs(1);
+const MOVES_PER_RECORD: usize = 1_024;
+
+impl Keeper {
+    /// Asks for a move of a slice whose owner this VM keeps, and returns the
+    /// change to append.
+    ///
+    /// # Errors
+    ///
+    /// `Code::NotKeeper` if this VM does not keep the owner, has not taken it
+    /// over yet, or the owner's own predecessor may still serve the slice.
+    /// `Code::StaleVersion` if the row has changed or another move is on its
+    /// way.
+    pub fn shift(
+        &mut self,
+        now: Time,
+        service: &Service,
+        owner: &TargetId,
+        change: Move,
+    ) -> Result<Change, Error> {
+        let refuse = |code, detail: &str| Err(Error::new(code, format!("{owner}: {detail}")));
+        let Some(kept) = self.kept.get_mut(owner) else {
+            return refuse(Code::NotKeeper, "not kept by this gateway");
+        };
+        let Some(want) = kept.wants.get(&change.slice).filter(|want| want.version == change.expects) else {
+            return refuse(Code::StaleVersion, "the row has changed");
+        };
+        if !kept.may_move(change.slice, want) {
+            return refuse(Code::NotKeeper, "the slice is not settled");
+        }
+        if kept.moving.contains_key(&change.slice) || kept.handed.contains_key(&change.slice) {
+            return refuse(Code::StaleVersion, "a move is on its way");
+        }
+        kept.moving.insert(change.slice, Self::moving(now, &change.owner));
+        Ok(Change::Assign(Assign { service: service.clone(), moves: vec![change] }))
+    }
+
+    /// Moves the slices of lost targets to their standbys.
+    pub(super) fn move_slices(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let targets: Vec<TargetId> = self.kept.keys().cloned().collect();
+        for target in targets {
+            self.forget_moves(now, &target);
+            if self.log_up {
+                self.append_moves(now, &target, actions);
+            } else {
+                self.hand_over(now, &target);
+            }
+        }
+    }
+
+    /// Drops the marks of moves that have changed nothing, so that they are
+    /// made again. Both records expect the same version, so that only one of
+    /// them can be accepted. A move to another target than the standby keeps
+    /// its mark: its record may arrive late.
+    fn forget_moves(&mut self, now: Time, target: &TargetId) {
+        let (log_up, Some(kept)) = (self.log_up, self.kept.get_mut(target)) else { return };
+        let wants = &kept.wants;
+        kept.moving.retain(|slice, moving| {
+            let standby = wants.get(slice).and_then(|want| want.standby.as_ref());
+            !log_up || now.since(moving.at) < APPEND_AGAIN || standby != Some(&moving.to)
+        });
+    }
+
+    fn append_moves(&mut self, now: Time, target: &TargetId, actions: &mut Vec<Action>) {
+        let Some(service) = self.services.get(target).cloned() else { return };
+        let moves = self.due_moves(now, target);
+        let Some(kept) = self.kept.get_mut(target) else { return };
+        for change in &moves {
+            kept.moving.insert(change.slice, Self::moving(now, &change.owner));
+        }
+        for part in moves.chunks(MOVES_PER_RECORD) {
+            let assign = Assign { service: service.clone(), moves: part.to_vec() };
+            actions.push(Action::Append(Change::Assign(assign)));
+        }
+    }
+
+    fn due_moves(&self, now: Time, target: &TargetId) -> Vec<Move> {
+        let Some(kept) = self.kept.get(target) else { return Vec::new() };
+        let lost = kept.is_lost(now, &self.timings);
+        let moves = kept.wants.iter().filter_map(|(slice, want)| {
+            if kept.moving.contains_key(slice) || !kept.may_move(*slice, want) {
+                return None;
+            }
+            let handed = kept.handed.get(slice);
+            let standby = self.usable_standby(now, target, want).filter(|_| lost);
+            let owner = handed.map(|(to, _)| to).or(standby)?.clone();
+            let provisional = handed.map(|(_, fence)| *fence);
+            Some(Move { slice: *slice, expects: want.version, owner, standby: None, provisional })
+        });
+        moves.collect()
+    }
+
+    fn usable_standby<'a>(&self, now: Time, target: &TargetId, want: &'a Want) -> Option<&'a TargetId> {
+        let standby = want.standby.as_ref()?;
+        (standby != target && !self.is_gone(now, standby)).then_some(standby)
+    }
+
+    /// Hands slices of a lost target to the standby that the log names. A
+    /// move to another target that may reach the log rules this out.
+    fn hand_over(&mut self, now: Time, target: &TargetId) {
+        let Some(kept) = self.kept.get(target) else { return };
+        if !kept.is_lost(now, &self.timings) {
+            return;
+        }
+        let due: Vec<(SliceId, Want)> = kept
+            .wants
+            .iter()
+            .filter(|(slice, want)| !kept.handed.contains_key(*slice) && kept.may_move(**slice, want))
+            .filter(|(slice, want)| {
+                let moving = kept.moving.get(*slice);
+                moving.is_none_or(|moving| want.standby.as_ref() == Some(&moving.to))
+            })
+            .filter(|(_, want)| self.usable_standby(now, target, want).is_some())
+            .map(|(slice, want)| (*slice, want.clone()))
+            .collect();
+        let Some(kept) = self.kept.get_mut(target) else { return };
+        for (slice, want) in due {
+            kept.bar(now, slice, want.fence);
+            if !kept.has_stopped(now, &self.timings, slice, want.fence) {
+                continue;
+            }
+            if let Some(standby) = want.standby {
+                kept.handed.insert(slice, (standby, want.fence.with_next_step()));
+            }
+        }
+    }
+}
+
+impl Kept {
+    /// Returns whether the keeper may move a slice: its rivals are known to
+    /// the standbys, and nobody before the owner serves the slice.
+    fn may_move(&self, slice: SliceId, want: &Want) -> bool {
+        !self.superseded
+            && self.is_announced()
+            && self.clear.contains(&slice)
+            && self.wants.get(&slice) == Some(want)
+    }
+}
--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 
 pub mod api;
+pub mod append;
 pub mod config;
 pub mod error;
 pub mod fold;
--- a/crates/catkin/src/wire.rs
+++ b/crates/catkin/src/wire.rs
@@ -117,8 +117,8 @@
     Stopped {
         /// The target that owned the slices.
         target: TargetId,
-        /// The slices.
-        slices: Vec<SliceId>,
+        /// The slices with the fences that were asked about.
+        slices: Vec<(SliceId, Fence)>,
     },
     /// Asks the keeper of a standby to grant it slices provisionally.
     HandOver {
@@ -131,6 +131,29 @@
         /// The slices with their provisional fences.
         slices: Vec<(SliceId, Fence)>,
     },
+    /// Announces a new keeper of a target. Its receiver accepts nothing from
+    /// a keeper with a lower fence from now on.
+    AskKeeper {
+        /// The target.
+        target: TargetId,
+        /// Fence of the new keeper.
+        keeper: Offset,
+        /// Standby that the receiver keeps; without one the receiver is asked
+        /// as an earlier keeper of the target.
+        standby: Option<TargetId>,
+    },
+    /// The new keeper is known. An earlier keeper sends this only after it
+    /// has stopped.
+    KeeperNoted {
+        /// The target.
+        target: TargetId,
+        /// Fence of the new keeper.
+        keeper: Offset,
+        /// The standby, if the receiver was asked about one.
+        standby: Option<TargetId>,
+        /// Slices of the target that the standby may hold provisionally.
+        slices: Vec<(SliceId, Fence)>,
+    },
     /// The slices that were granted provisionally.
     HandedOver {
         /// The standby.
