dispatch: compute the run estimate once for each poll

Every waiting job looked up the quantiles of its class again, 128 buckets twice for up to 256 jobs at each poll. The estimate is now taken once for each class. Not measured yet.

--- a/crates/catkin/src/dispatch/queue.rs
+++ b/crates/catkin/src/dispatch/queue.rs
@@ -51,6 +51,38 @@
     due: Time,
 }
 
+impl Waiting {
+    fn expired(&self, now: Time, estimate: &Estimate, wait: Span) -> Option<Error> {
+        let waited = now.since(self.since);
+        let left = self.deadline.since(now);
+        let run = estimate.run(self.length, self.deadline.since(self.since));
+        if left.is_zero() || run > left {
+            let detail = format!("{left} left after {waited} in the queue, expected are {run} to run");
+            return Some(Error::new(Code::DeadlineTooShort, detail));
+        }
+        if waited > wait {
+            let detail = format!("{waited} in the queue, allowed are {wait}");
+            return Some(Error::new(Code::QueueFull, detail));
+        }
+        None
+    }
+}
+
+#[derive(Debug, Default)]
+struct Estimate {
+    median: Span,
+    tail: Span,
+}
+
+impl Estimate {
+    /// Returns the time to keep for the run of a job that has `whole` for
+    /// queue and run.
+    fn run(&self, length: Option<Span>, whole: Span) -> Span {
+        let tail = self.tail.min(whole.scale(RUN_SHARE_MAX));
+        length.unwrap_or(self.median.max(tail))
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     class: Class,
@@ -136,7 +168,7 @@
             return Err(Error::new(Code::QueueFull, detail));
         }
         let left = job.deadline.since(now);
-        let run = self.run(now, job.class, job.length, left);
+        let run = self.estimate(now, job.class).run(job.length, left);
         let wait = self.wait(now, job);
         if left.is_zero() || wait + run > left {
             let detail = format!("{left} left, expected are {wait} in the queue and {run} on {}", job.target);
@@ -149,21 +181,17 @@
         Ok(())
     }
 
-    /// Returns the time to keep for the run of a job that has some time left.
-    /// An idle target gets the benefit of the doubt, because only a run can
-    /// correct an estimate that is too high.
-    fn run(&mut self, now: Time, class: Class, length: Option<Span>, left: Span) -> Span {
-        if let Some(length) = length {
-            return length;
-        }
+    /// Estimates how long a job of a class runs. For an idle target nothing
+    /// is claimed, because only a run can correct an estimate that is too
+    /// high.
+    fn estimate(&mut self, now: Time, class: Class) -> Estimate {
         if self.running.is_empty() {
-            return Span::ZERO;
+            return Estimate::default();
         }
         let times = &mut self.lane(class).times;
         times.age(now);
-        let most = left.scale(RUN_SHARE_MAX);
-        let tail = times.quantile(RUN_QUANTILE).unwrap_or_default().min(most);
-        times.quantile(0.5).unwrap_or_default().max(tail)
+        let quantile = |share| times.quantile(share).unwrap_or_default();
+        Estimate { median: quantile(0.5), tail: quantile(RUN_QUANTILE) }
     }
 
     fn wait(&mut self, now: Time, job: &Job) -> Span {
@@ -206,32 +234,21 @@
 
     /// Refuses jobs that have waited too long or can't end in time any more.
     fn expire(&mut self, now: Time) -> Vec<Event> {
-        let mut events = Vec::new();
-        let ids: Vec<JobId> = self.waiting.keys().copied().collect();
-        for id in ids {
-            if let Some(error) = self.expired(now, id) {
-                self.cancel(id);
-                events.push(Event::Refuse(id, error));
-            }
-        }
-        events
-    }
-
-    fn expired(&mut self, now: Time, id: JobId) -> Option<Error> {
-        let job = self.waiting.get(&id)?;
-        let waited = now.since(job.since);
-        let left = job.deadline.since(now);
-        let (class, length, whole) = (job.class, job.length, job.deadline.since(job.since));
-        let run = self.run(now, class, length, whole);
-        if left.is_zero() || run > left {
-            let detail = format!("{left} left after {waited} in the queue, expected are {run} to run");
-            return Some(Error::new(Code::DeadlineTooShort, detail));
+        if self.waiting.is_empty() {
+            return Vec::new();
         }
-        if waited > self.rules.wait {
-            let detail = format!("{waited} in the queue, allowed are {}", self.rules.wait);
-            return Some(Error::new(Code::QueueFull, detail));
+        let short = self.estimate(now, Class::Short);
+        let long = self.estimate(now, Class::Long);
+        let wait = self.rules.wait;
+        let expired = |(id, job): (&JobId, &Waiting)| {
+            let estimate = if job.class == Class::Short { &short } else { &long };
+            Some((*id, job.expired(now, estimate, wait)?))
+        };
+        let expired: Vec<(JobId, Error)> = self.waiting.iter().filter_map(expired).collect();
+        for (id, _) in &expired {
+            self.cancel(*id);
         }
-        None
+        expired.into_iter().map(|(id, error)| Event::Refuse(id, error)).collect()
     }
 
     /// Returns the job that gets the next free slot.
