--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`record`] encodes what is written to the log, [`fold`] reads it back.
 //! - [`config`] is what operators publish; [`settings`] is what one process
 //!   reads at its start.
-//! - [`dispatch`] queues requests for targets.
+//! - [`choose`] picks a target, [`dispatch`] queues for it.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
 //!   gateways.
 //!
@@ -25,6 +25,7 @@
 //! ```
 
 pub mod api;
+pub mod choose;
 pub mod config;
 pub mod dispatch;
 pub mod error;
