--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -12,7 +12,8 @@
 //! - [`record`] encodes what is written to the log, [`fold`] reads it back.
 //! - [`config`] is what operators publish; [`settings`] is what one process
 //!   reads at its start.
-//! - [`choose`] picks a target, [`dispatch`] queues for it.
+//! - [`choose`] picks a target, [`dispatch`] queues for it, [`retry`] decides
+//!   about another try.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
 //!   gateways.
 //!
@@ -33,6 +34,7 @@
 pub mod lease;
 pub mod logs;
 pub mod record;
+pub mod retry;
 pub mod settings;
 pub mod types;
 pub mod wire;
