--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -13,7 +13,7 @@
 //! - [`config`] is what operators publish; [`settings`] is what one process
 //!   reads at its start.
 //! - [`choose`] picks a target, [`dispatch`] queues for it, [`retry`] decides
-//!   about another try.
+//!   about another try, [`intent`] keeps idempotency keys across VMs.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
 //!   gateways.
 //!
@@ -31,6 +31,7 @@
 pub mod dispatch;
 pub mod error;
 pub mod fold;
+pub mod intent;
 pub mod lease;
 pub mod logs;
 pub mod record;
