--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -12,7 +12,8 @@
 //! - [`record`] encodes what is written to the log, [`fold`] reads it back.
 //! - [`config`] is what operators publish; [`settings`] is what one process
 //!   reads at its start.
-//! - [`dispatch`] queues requests for targets.
+//! - [`choose`] picks a target, [`dispatch`] queues for it, [`retry`] decides
+//!   about another try, [`intent`] keeps idempotency keys across VMs.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
 //!   gateways; [`admin`] has the JSON bodies for operators.
 //! - [`event`] has the events of the time line and their clock.
@@ -27,14 +28,17 @@
 
 pub mod admin;
 pub mod api;
+pub mod choose;
 pub mod config;
 pub mod dispatch;
 pub mod error;
 pub mod event;
 pub mod fold;
+pub mod intent;
 pub mod lease;
 pub mod logs;
 pub mod record;
+pub mod retry;
 pub mod settings;
 pub mod types;
 pub mod wire;
