--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -12,8 +12,11 @@
 //! - [`record`] encodes what is written to the log, [`fold`] reads it back.
 //! - [`config`] is what operators publish; [`settings`] is what one process
 //!   reads at its start.
+//! - [`choose`] picks a target, [`dispatch`] queues for it, [`retry`] decides
+//!   about another try, [`intent`] keeps idempotency keys across VMs.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
-//!   gateways.
+//!   gateways; [`admin`] has the JSON bodies for operators.
+//! - [`event`] has the events of the time line and their clock.
 //!
 //! ```
 //! use catkin::types::Span;
@@ -23,14 +26,20 @@
 //! # Ok::<(), catkin::Error>(())
 //! ```
 
+pub mod admin;
 pub mod api;
 pub mod append;
+pub mod choose;
 pub mod config;
+pub mod dispatch;
 pub mod error;
+pub mod event;
 pub mod fold;
+pub mod intent;
 pub mod lease;
 pub mod logs;
 pub mod record;
+pub mod retry;
 pub mod settings;
 pub mod types;
 pub mod wire;
