--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -14,6 +14,8 @@
 //!   reads at its start.
 //! - [`choose`] picks a target, [`dispatch`] queues for it, [`retry`] decides
 //!   about another try, [`intent`] keeps idempotency keys across VMs.
+//! - [`member`] is the table of the entry VMs, [`place`] chooses keepers and
+//!   places slices.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
 //!   gateways; [`admin`] has the JSON bodies for operators.
 //! - [`event`] has the events of the time line and their clock.
@@ -38,6 +40,8 @@
 pub mod intent;
 pub mod lease;
 pub mod logs;
+pub mod member;
+pub mod place;
 pub mod record;
 pub mod retry;
 pub mod settings;
