--- a/crates/catkin/src/error.rs
+++ b/crates/catkin/src/error.rs
@@ -7,6 +7,8 @@
 /// Alias for results with the crate's [`Error`].
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+const RETRY_LATER_STATUS: u16 = 503;
+
 /// What a code says about the work that it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
@@ -193,6 +195,12 @@
         self.code().outcome() == Outcome::Unknown
     }
 
+    /// Returns whether the same request may succeed later, and certainly had
+    /// no effect so far.
+    pub fn is_retryable(&self) -> bool {
+        self.code().status() == RETRY_LATER_STATUS && self.code() != Code::AppendUnknown
+    }
+
     /// Returns whether the command line or the settings are at fault.
     pub fn is_usage(&self) -> bool {
         matches!(self.code().number(), 100..=199)
--- a/crates/catkinctl/src/publish.rs
+++ b/crates/catkinctl/src/publish.rs
@@ -71,13 +71,15 @@
 ///
 /// # Errors
 ///
-/// A code of group 2 if the text is not valid, `Code::LogUnavailable` if
+/// A code of group 2 if the text is not valid or must not follow the
+/// configuration in force, `Code::LogUnavailable` if
 /// nothing was appended, `Code::AppendUnknown` if the log could not be read
 /// within the limit, so that the record may yet be accepted.
 pub async fn publish(mut reader: Reader, text: &str, author: &str, limit: Span) -> Result<Published, Error> {
-    config::parse(text)?;
+    let fleet = config::parse(text)?;
     let end = Instant::now() + limit.as_duration();
     reader.catch_up(|_, _, _, _| ()).await?;
+    config::check_change(&reader.state().config().fleet, &fleet)?;
     let record = Record {
         writer: Writer { id: VmId::new(WRITER)?, boot: new_boot() },
         sequence: FIRST,
