Add catkinctl diff, history, status, owners and drain

status counts a live gateway that does not answer as not settled, and a leaving one as gone, because the VM list lags. drain asks again until the target reports that it drains, and succeeds when it holds and runs nothing.

--- a/crates/catkinctl/src/cli.rs
+++ b/crates/catkinctl/src/cli.rs
@@ -3,15 +3,26 @@
 use {
     crate::output::Output,
     bpaf::{Bpaf, Parser, long},
-    catkin::{Code, Error, types::Span},
+    catkin::{
+        Code, Error,
+        types::{Revision, Service, Span, TargetId},
+    },
     std::{net::SocketAddr, path::PathBuf},
 };
 
+const WAIT_LIMIT: Span = Span::from_secs(30);
 const PUBLISH_LIMIT: Span = Span::from_secs(30);
 
 /// Operates a fleet of catkinhub gateways.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options("catkinctl"), version, generate(command))]
+#[bpaf(
+    options("catkinctl"),
+    version,
+    generate(command),
+    footer(
+        "Shell completion for bash, zsh, fish and elvish:\n   source <(catkinctl --bpaf-complete-style-bash)"
+    )
+)]
 pub(crate) enum Command {
     /// Checks a fleet configuration file without publishing it.
     #[bpaf(
@@ -47,6 +58,102 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Shows by service and field what publishing a file would change.
+    #[bpaf(
+        command,
+        footer(
+            "Examples:\n   catkinctl diff fleet.yaml --log 10.0.0.5:7000\n   catkinctl diff new.yaml --with old.yaml\n Exit codes: 0 compared, 1 failed, 2 usage."
+        )
+    )]
+    Diff {
+        #[bpaf(external(base))]
+        base: Base,
+        #[bpaf(external(output))]
+        output: Output,
+        /// Fleet configuration, in YAML
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Lists all published configurations with author, offset and verdict.
+    #[bpaf(
+        command,
+        footer(
+            "Example:\n   catkinctl history --log 10.0.0.5:7000\n Exit codes: 0 listed, 1 failed, 2 usage."
+        )
+    )]
+    History {
+        #[bpaf(external(log))]
+        log: SocketAddr,
+        #[bpaf(external(output))]
+        output: Output,
+    },
+    /// Shows revision and offset of each gateway.
+    #[bpaf(
+        command,
+        footer(
+            "Examples:\n   catkinctl status --vms 10.0.0.6:7001\n   catkinctl status --vms 10.0.0.6:7001 --wait 42 --limit 10s\n Exit codes: 0 all gateways answer and the revision is in force, 1 not so, 2 usage."
+        )
+    )]
+    Status {
+        #[bpaf(external(vms))]
+        vms: SocketAddr,
+        /// Wait until this revision is in force on all gateways
+        #[bpaf(argument("REVISION"), optional)]
+        wait: Option<Revision>,
+        /// Longest time to wait, as in 30s
+        #[bpaf(argument("SPAN"), fallback(WAIT_LIMIT), display_fallback)]
+        limit: Span,
+        #[bpaf(external(output))]
+        output: Output,
+    },
+    /// Lists slices with owner, standby, keeper and fence.
+    #[bpaf(
+        command,
+        footer(
+            "Example:\n   catkinctl owners --log 10.0.0.5:7000 --service lookup-svc\n Exit codes: 0 listed, 1 failed, 2 usage."
+        )
+    )]
+    Owners {
+        #[bpaf(external(log))]
+        log: SocketAddr,
+        /// Only the slices of this service
+        #[bpaf(argument("SERVICE"), optional)]
+        service: Option<Service>,
+        #[bpaf(external(output))]
+        output: Output,
+    },
+    /// Asks a target to drain and waits until it holds and runs nothing.
+    #[bpaf(
+        command,
+        footer(
+            "Example:\n   catkinctl drain lookup-svc-3 --vms 10.0.0.6:7001 --limit 2min\n Exit codes: 0 drained, 1 failed or not yet, 2 usage."
+        )
+    )]
+    Drain {
+        #[bpaf(external(vms))]
+        vms: SocketAddr,
+        /// Longest time to wait, as in 30s
+        #[bpaf(argument("SPAN"), fallback(WAIT_LIMIT), display_fallback)]
+        limit: Span,
+        #[bpaf(external(output))]
+        output: Output,
+        /// Id of the target
+        #[bpaf(positional("TARGET"))]
+        target: TargetId,
+    },
+}
+
+/// What a configuration is compared with.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum Base {
+    /// Compare with the configuration in force
+    Log(#[bpaf(external(log))] SocketAddr),
+    /// Compare with another file
+    With(
+        /// Compare with this file instead of the configuration in force
+        #[bpaf(long("with"), argument("FILE"))]
+        PathBuf,
+    ),
 }
 
 fn output() -> impl Parser<Output> {
@@ -61,6 +168,10 @@
     long("log").help("Address of the log service").argument::<String>("IP:PORT").parse(address)
 }
 
+fn vms() -> impl Parser<SocketAddr> {
+    long("vms").help("Address of the VM list").argument::<String>("IP:PORT").parse(address)
+}
+
 fn address(text: String) -> Result<SocketAddr, Error> {
     text.parse().map_err(|_| {
         Error::new(Code::NotIp, format!("{text:?} is not an IP number with a port, as in 10.0.0.5:7000"))
--- /dev/null
+++ b/crates/catkinctl/src/diff.rs
@@ -0,0 +1,32 @@
+//! `catkinctl diff`: compares two configurations.
+
+use {
+    crate::{check, output::Rows, reader::Reader},
+    catkin::{
+        Error,
+        config::{self, Difference},
+    },
+    std::path::Path,
+};
+
+/// Compares a file with the configuration in force.
+///
+/// # Errors
+///
+/// As [`config::parse`] and [`Reader::catch_up`].
+pub async fn with_log(mut reader: Reader, file: &Path) -> Result<Rows<Difference>, Error> {
+    let new = config::parse(&check::read(file)?)?;
+    reader.catch_up(|_, _, _, _| ()).await?;
+    Ok(Rows(config::diff(&reader.state().config().fleet, &new)))
+}
+
+/// Compares a file with another one.
+///
+/// # Errors
+///
+/// As [`config::parse`].
+pub fn with_file(old: &Path, new: &Path) -> Result<Rows<Difference>, Error> {
+    let old = config::parse(&check::read(old)?)?;
+    let new = config::parse(&check::read(new)?)?;
+    Ok(Rows(config::diff(&old, &new)))
+}
--- a/crates/catkinctl/src/lib.rs
+++ b/crates/catkinctl/src/lib.rs
@@ -7,15 +7,23 @@
 
 pub mod check;
 mod cli;
+pub mod diff;
+pub mod drain;
+pub mod gateways;
+pub mod history;
 pub mod output;
+pub mod owners;
 pub mod publish;
 pub mod reader;
+pub mod status;
 
 use {
     bpaf::ParseFailure,
     catkin::Error,
-    cli::Command,
+    cli::{Base, Command},
+    gateways::Gateways,
     output::{Output, Report},
+    reader::Reader,
     std::process::ExitCode,
 };
 
@@ -47,12 +55,32 @@
         Command::Check { output, file } => emit(output, &check::check(&file)?),
         Command::Publish { log, author, limit, output, file } => {
             let text = check::read(&file)?;
-            let reader = reader::Reader::new(log);
-            emit(output, &publish::publish(reader, &text, &author, limit).await?)
+            emit(output, &publish::publish(Reader::new(log), &text, &author, limit).await?)
+        }
+        Command::Diff { base: Base::Log(log), output, file } => {
+            emit(output, &diff::with_log(Reader::new(log), &file).await?)
+        }
+        Command::Diff { base: Base::With(other), output, file } => {
+            emit(output, &diff::with_file(&other, &file)?)
+        }
+        Command::History { log, output } => emit(output, &history::history(Reader::new(log)).await?),
+        Command::Status { vms, wait, limit, output } => {
+            emit(output, &status::status(&Gateways::new(vms), wait, limit, show).await?)
+        }
+        Command::Owners { log, service, output } => {
+            emit(output, &owners::owners(Reader::new(log), service.as_ref()).await?)
+        }
+        Command::Drain { vms, limit, output, target } => {
+            emit(output, &drain::drain(&Gateways::new(vms), &target, limit, show).await?)
         }
     }
 }
 
+/// Shows progress on the standard error stream, apart from the report.
+fn show(progress: &str) {
+    eprintln!("{progress}");
+}
+
 fn emit<R: Report>(output: Output, report: &R) -> eyre::Result<bool> {
     output.print(report)?;
     Ok(report.is_success())
--- a/crates/catkinctl/src/output.rs
+++ b/crates/catkinctl/src/output.rs
@@ -4,7 +4,7 @@
     catkin::{Code, Error},
     serde::Serialize,
     std::{
-        fmt::Display,
+        fmt::{self, Display},
         io::{self, Write},
         str::FromStr,
     },
@@ -27,6 +27,23 @@
     }
 }
 
+/// Rows of a report, one line each.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(transparent)]
+pub struct Rows<T>(pub Vec<T>);
+
+impl<T: Display> Display for Rows<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (number, row) in self.0.iter().enumerate() {
+            let end = if number == 0 { "" } else { "\n" };
+            write!(f, "{end}{row}")?;
+        }
+        Ok(())
+    }
+}
+
+impl<T: Display + Serialize> Report for Rows<T> {}
+
 impl Output {
     /// Prints a report on the standard output.
     ///
--- /dev/null
+++ b/crates/catkinctl/tests/ctl/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the operators' commands.
+
+mod fake;
+mod operate;
+mod publish;
--- a/crates/catkinctl/tests/publish.rs
+++ b/crates/catkinctl/tests/ctl/publish.rs
@@ -1,21 +1,19 @@
 //! Publishing against a log whose answers get lost.
 
-mod common;
-
 use {
+    crate::fake::{self, FLEET, Fault},
     catkin::{Code, Result, types::Span},
     catkinctl::{
         publish::{Published, publish},
         reader::Reader,
     },
-    common::{FLEET, Fault},
 };
 
 const LIMIT: Span = Span::from_secs(60);
 
 fn run(faults: &[Fault], limit: Span) -> (Result<Published>, u32, usize) {
     actix_rt::System::new().block_on(async {
-        let (addr, log) = common::start().await;
+        let (addr, log) = fake::start().await;
         log.borrow_mut().faults.extend(faults);
         let published = publish(Reader::new(addr), FLEET, "ana", limit).await;
         let log = log.borrow();
