Add catkinctl timeline

Collects the event rings of all gateways, merges them by timestamp and filters by request, key, slice, server and time. A filter by slice keeps the lease events of its owners, because an expired lease ends ownership. The HTML page draws ownership and unavailable time of each slice. Dropped events, replaced processes and silent gateways are reported.

--- a/crates/catkinctl/src/cli.rs
+++ b/crates/catkinctl/src/cli.rs
@@ -1,13 +1,18 @@
 //! The command line.
 
 use {
-    crate::output::Output,
-    bpaf::{Bpaf, Parser, long},
+    crate::{
+        output::Output,
+        timeline::{Filter, Form},
+    },
+    bpaf::{Bpaf, Parser, construct, long},
     catkin::{
         Code, Error,
+        event::Wall,
         types::{Revision, Service, Span, TargetId},
     },
-    std::{net::SocketAddr, path::PathBuf},
+    jiff::Timestamp,
+    std::{net::SocketAddr, path::PathBuf, time::SystemTime},
 };
 
 const WAIT_LIMIT: Span = Span::from_secs(30);
@@ -141,6 +146,56 @@
         #[bpaf(positional("TARGET"))]
         target: TargetId,
     },
+    /// Merges the events of all gateways.
+    #[bpaf(
+        command,
+        footer(
+            "Examples:\n   catkinctl timeline --vms 10.0.0.6:7001 --slice lookup-svc/12 --since 5min\n   catkinctl timeline --vms 10.0.0.6:7001 --request 7f3a --follow\n   catkinctl timeline --vms 10.0.0.6:7001 --output html > failover.html\n Exit codes: 0 all live gateways answered, 1 not so or failed, 2 usage."
+        )
+    )]
+    Timeline {
+        #[bpaf(external(vms))]
+        vms: SocketAddr,
+        #[bpaf(external(filter))]
+        filter: Filter,
+        #[bpaf(external(view))]
+        view: View,
+    },
+}
+
+/// How the time line is shown.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct View {
+    pub(crate) form: Form,
+    pub(crate) follow: bool,
+}
+
+fn view() -> impl Parser<View> {
+    let form = long("output")
+        .help("Form of the output: text, json (one value a line) or html")
+        .argument::<Form>("FORM")
+        .fallback(Form::Text);
+    let follow = long("follow").help("Print new events until stopped").switch();
+    construct!(View { form, follow })
+        .guard(|view| !(view.follow && view.form == Form::Html), "--follow needs text or json")
+}
+
+fn filter() -> impl Parser<Filter> {
+    let request = long("request").help("Only this request").argument("ID").optional();
+    let key = long("key").help("Only requests with this key, and their slices").argument("KEY").optional();
+    let slice = long("slice").help("Only this slice, as in lookup-svc/12").argument("SLICE").optional();
+    let server = long("server").help("Only this target").argument("TARGET").optional();
+    let from = long("from").help("Earliest time, as in 2026-01-02T03:04:05Z").argument::<Timestamp>("TIME");
+    let from = from.map(wall).optional();
+    let since = long("since").help("Time before now, as in 5min").argument::<Span>("SPAN");
+    let since = since.map(|span| Wall::from(SystemTime::now() - span.as_duration())).optional();
+    let from = construct!([from, since]);
+    let to = long("to").help("Latest time").argument::<Timestamp>("TIME").map(wall).optional();
+    construct!(Filter { request, key, slice, server, from, to })
+}
+
+fn wall(time: Timestamp) -> Wall {
+    Wall::from_micros(u64::try_from(time.as_microsecond()).unwrap_or_default())
 }
 
 /// What a configuration is compared with.
--- a/crates/catkinctl/src/lib.rs
+++ b/crates/catkinctl/src/lib.rs
@@ -16,11 +16,12 @@
 pub mod publish;
 pub mod reader;
 pub mod status;
+pub mod timeline;
 
 use {
     bpaf::ParseFailure,
     catkin::Error,
-    cli::{Base, Command},
+    cli::{Base, Command, View},
     gateways::Gateways,
     output::{Output, Report},
     reader::Reader,
@@ -70,6 +71,12 @@
         Command::Owners { log, service, output } => {
             emit(output, &owners::owners(Reader::new(log), service.as_ref()).await?)
         }
+        Command::Timeline { vms, filter, view: View { form, follow: true } } => {
+            timeline::follow(&Gateways::new(vms), &filter, form).await
+        }
+        Command::Timeline { vms, filter, view: View { form, .. } } => {
+            timeline::print(&Gateways::new(vms), &filter, form).await
+        }
         Command::Drain { vms, limit, output, target } => {
             emit(output, &drain::drain(&Gateways::new(vms), &target, limit, show).await?)
         }
--- a/crates/catkinctl/tests/ctl/main.rs
+++ b/crates/catkinctl/tests/ctl/main.rs
@@ -3,3 +3,4 @@
 mod fake;
 mod operate;
 mod publish;
+mod timeline;
--- a/crates/catkinctl/tests/ctl/operate.rs
+++ b/crates/catkinctl/tests/ctl/operate.rs
@@ -51,7 +51,7 @@
     addr
 }
 
-async fn platform(rows: &[String]) -> (Running, Gateways) {
+pub(crate) async fn platform(rows: &[String]) -> (Running, Gateways) {
     let rows = rows.join(", ");
     let text = format!("platform: {{addr: '127.0.0.1:0', retention: 1h, lag: 0us, vms: [{rows}]}}");
     let running = start(&parse::<Standin>(&text).unwrap()).await.unwrap();
@@ -59,7 +59,7 @@
     (running, gateways)
 }
 
-fn entry(id: &str, admin: SocketAddr, state: &str) -> String {
+pub(crate) fn entry(id: &str, admin: SocketAddr, state: &str) -> String {
     format!("{{id: {id}, role: entry, zone: z-1, addr: '127.0.0.1:1', admin: '{admin}', state: {state}}}")
 }
 
