Add the gateway: accept, forward, queue and dispatch over the real path

Requests go from a caller through the accepting gateway to the one that keeps the target and back. Claims, leases, grants and heartbeats are driven from the decision code; the stand-in log starts at offset 0 so that a reader can tell an expired record from one that never was.

--- /dev/null
+++ b/crates/catkin-gateway/src/accept.rs
@@ -0,0 +1,289 @@
+//! Requests of callers: reading, retries and answers.
+
+use {
+    crate::{
+        body::{self, Body},
+        execute::{self, Reply},
+        node::Node,
+        peer, route,
+    },
+    actix_http::{
+        Request, Response, StatusCode,
+        body::BoxBody,
+        header::{HeaderMap, HeaderName, HeaderValue},
+    },
+    bytes::Bytes,
+    catkin::{
+        Code, Error,
+        api::header,
+        config::Policy,
+        event::Kind,
+        retry::{self, Budget, Decision, Failure, History},
+        types::{Key, RequestId, Revision, Service, Span, Time},
+        wire::{Class, Head},
+    },
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+const DEADLINE_MAX: Span = Span::from_secs(3_600);
+const MOVE_POLL: Duration = Duration::from_millis(10);
+
+/// What a request of a caller asks for.
+struct Ask {
+    id: RequestId,
+    service: Service,
+    key: Option<Key>,
+    class: Class,
+    is_idempotent: bool,
+    end: Time,
+    method: Arc<str>,
+    path: Arc<str>,
+    headers: Vec<(Arc<str>, Bytes)>,
+    policy: Policy,
+}
+
+/// Counts a request of a caller while it is in progress.
+struct Open(Rc<Node>);
+
+impl Open {
+    fn new(node: &Rc<Node>) -> Self {
+        node.metrics.open.inc();
+        Self(node.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.metrics.open.dec();
+    }
+}
+
+/// Serves callers until the listener fails.
+///
+/// # Errors
+///
+/// `Code::Internal` if the service can't be made.
+pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) -> Result<(), Error> {
+    catkin_net::serve(listener, move |request| handle(node.clone(), request)).await
+}
+
+async fn handle(node: Rc<Node>, request: Request) -> Response<BoxBody> {
+    let start = node.now();
+    let id = node.next_request();
+    let open = Open::new(&node);
+    let result = run(&node, &id, request).await;
+    let code = result.as_ref().map_or_else(|e| e.code(), |_| Code::Done);
+    node.metrics.answer(code, node.now().since(start));
+    match result {
+        Ok((fence, reply)) => {
+            let status = reply.answer.status;
+            node.record(Kind::Answered { request: id.clone(), target: reply.answer.target.clone(), status });
+            answer(&id, fence, reply, open)
+        }
+        Err(error) => {
+            node.record(Kind::Refused { request: id.clone(), target: None, code: code.number() });
+            refuse(&id, &error)
+        }
+    }
+}
+
+async fn run(node: &Rc<Node>, id: &RequestId, request: Request) -> Result<(Option<String>, Reply), Error> {
+    let (ask, mut body) = read(node, id, request).await?;
+    let mut history = History::new(ask.is_idempotent, ask.end);
+    loop {
+        let spare = body.copy();
+        let error = match send_once(node, &ask, body).await {
+            Ok((fence, reply)) => {
+                node.budget(&ask.service, &ask.policy, |budget| budget.succeed(node.now()));
+                return Ok((fence, reply));
+            }
+            Err(error) => error,
+        };
+        let Some(spare) = spare else { return Err(error) };
+        if !is_moving(&error) || node.now().after(Span::from(MOVE_POLL)) >= ask.end {
+            settle(node, &ask, &mut history, error)?;
+        }
+        node.metrics.retry();
+        body = spare;
+        actix_rt::time::sleep(MOVE_POLL).await;
+    }
+}
+
+/// Returns whether no target was asked because the key or its keeper moves.
+/// Waiting for the move puts no load on targets and needs no retry budget.
+fn is_moving(error: &Error) -> bool {
+    matches!(error.code(), Code::NoOwner | Code::PeerUnreachable | Code::Leaving)
+}
+
+/// Decides whether a failed request is sent again.
+fn settle(node: &Node, ask: &Ask, history: &mut History, error: Error) -> Result<(), Error> {
+    let failure = match error.code() {
+        Code::TargetRefused | Code::FenceRefused => Failure::Refused(error),
+        _ if error.is_not_run() => Failure::Unsent(error),
+        _ => Failure::Lost(error),
+    };
+    let now = node.now();
+    let decide = |budget: &mut Budget| retry::decide(now, &ask.policy, budget, history, failure);
+    match node.budget(&ask.service, &ask.policy, decide) {
+        Decision::Retry => Ok(()),
+        Decision::Stop(error) => Err(error),
+    }
+}
+
+async fn send_once(node: &Rc<Node>, ask: &Ask, body: Body) -> Result<(Option<String>, Reply), Error> {
+    let route = route::find(node, &ask.service, ask.key.as_ref())?;
+    let left = ask.end.since(node.now());
+    let head = Head {
+        request: ask.id.clone(),
+        service: ask.service.clone(),
+        target: route.target,
+        slice: route.slice,
+        key: ask.key.clone(),
+        class: ask.class,
+        idempotent: ask.is_idempotent,
+        left,
+        method: ask.method.clone(),
+        path: ask.path.clone(),
+        headers: ask.headers.clone(),
+        length: body.length(),
+    };
+    let fence = route.slice.map(|(_, fence)| fence.to_string());
+    if route.keeper == node.set.vm {
+        return execute::run(node, head, body).await.map(|reply| (fence, reply));
+    }
+    let addr = node.peer(&route.keeper).ok_or_else(|| {
+        Error::new(Code::PeerUnreachable, format!("{} is not in the VM list", route.keeper))
+    })?;
+    let sent = peer::forward(node, addr, head, body);
+    match actix_rt::time::timeout(left.as_duration(), sent).await {
+        Ok(result) => result.map(|reply| (fence, reply)),
+        Err(_) => Err(Error::new(Code::OutcomeUnknown, "no answer in time")),
+    }
+}
+
+async fn read(node: &Node, id: &RequestId, mut request: Request) -> Result<(Ask, Body), Error> {
+    let service = service(request.path())?;
+    let current = node.state.borrow().config().clone();
+    if current.revision == Revision::default() {
+        return Err(Error::new(Code::Starting, "no configuration is in force"));
+    }
+    let entry = current
+        .fleet
+        .services
+        .get(&service)
+        .ok_or_else(|| Error::new(Code::UnknownService, format!("no service {service}")))?;
+    let policy = current.fleet.policy(&service);
+    let head = request.head();
+    let key: Option<Key> =
+        text(&head.headers, header::KEY)?.map(str::parse).transpose().map_err(bad_request)?;
+    if entry.keyed && key.is_none() {
+        return Err(Error::new(Code::MissingKey, format!("{service} needs the header {}", header::KEY)));
+    }
+    let left = deadline(&head.headers, &policy)?;
+    let (class, is_idempotent) = classify(entry, head.method.as_str());
+    let class = text(&head.headers, header::CLASS)?.map_or(Ok(class), parse_class)?;
+    let mut ask = Ask {
+        id: id.clone(),
+        key: key.filter(|_| entry.keyed),
+        class,
+        is_idempotent,
+        end: node.now().after(left),
+        method: head.method.as_str().into(),
+        path: head.uri.path_and_query().map_or("/", |path| path.as_str()).into(),
+        headers: execute::pass(&head.headers),
+        service,
+        policy,
+    };
+    node.record(Kind::Received {
+        request: id.clone(),
+        service: ask.service.clone(),
+        class,
+        key: ask.key.clone(),
+    });
+    let length = length(&head.headers)?;
+    let payload = request.take_payload();
+    let body = body::read(payload, length, ask.policy.body_limit, node.set.limits.buffer).await?;
+    if body.length().is_none_or(|length| length >= ask.policy.long_size.as_bytes()) {
+        ask.class = Class::Long;
+    }
+    Ok((ask, body))
+}
+
+fn classify(_entry: &catkin::config::Entry, method: &str) -> (Class, bool) {
+    (Class::Short, matches!(method, "GET" | "HEAD" | "PUT" | "DELETE"))
+}
+
+fn bad_request(error: Error) -> Error {
+    Error::new(Code::BadRequest, error.detail())
+}
+
+fn service(path: &str) -> Result<Service, Error> {
+    let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+    name.parse().map_err(|_| Error::new(Code::UnknownService, format!("no service {name:?}")))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Error> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    value.to_str().map(Some).map_err(|_| Error::new(Code::BadRequest, format!("{name} is not plain text")))
+}
+
+fn deadline(headers: &HeaderMap, policy: &Policy) -> Result<Span, Error> {
+    let Some(text) = text(headers, header::DEADLINE)? else { return Ok(policy.deadline) };
+    let millis: u64 = text.parse().unwrap_or_default();
+    if millis == 0 || millis > DEADLINE_MAX.as_millis() {
+        let detail = format!("{text:?}: allowed are 1 to {} ms", DEADLINE_MAX.as_millis());
+        return Err(Error::new(Code::BadDeadline, detail));
+    }
+    Ok(Span::from_millis(millis))
+}
+
+fn parse_class(text: &str) -> Result<Class, Error> {
+    match text {
+        "short" => Ok(Class::Short),
+        "long" => Ok(Class::Long),
+        _ => Err(Error::new(Code::BadRequest, format!("{} is short or long, not {text:?}", header::CLASS))),
+    }
+}
+
+/// Returns the length of a request's body; `None` if it is chunked.
+fn length(headers: &HeaderMap) -> Result<Option<u64>, Error> {
+    if headers.contains_key("transfer-encoding") {
+        return Ok(None);
+    }
+    let Some(text) = text(headers, "content-length")? else { return Ok(Some(0)) };
+    text.parse().map(Some).map_err(|_| Error::new(Code::BadRequest, "content-length is not a number"))
+}
+
+fn answer(id: &RequestId, fence: Option<String>, reply: Reply, open: Open) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(reply.answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = Response::build(status);
+    for (name, value) in &reply.answer.headers {
+        builder.append_header((&**name, &**value));
+    }
+    builder
+        .insert_header((header::REQUEST, id.as_str()))
+        .insert_header((header::SERVER, reply.answer.target.as_str()))
+        .insert_header((header::CODE, Code::Done.number().to_string()))
+        .insert_header((header::OUTCOME, Code::Done.outcome().as_str()));
+    if let Some(fence) = fence {
+        builder.insert_header((header::FENCE, fence));
+    }
+    builder.body(reply.body.with_guard(open).into_http()).map_into_boxed_body()
+}
+
+fn refuse(id: &RequestId, error: &Error) -> Response<BoxBody> {
+    let code = error.code();
+    let body = serde_json::json!({ "code": code.number(), "name": code.name(), "detail": error.detail() });
+    let mut response = catkin_net::reply_json(code.status(), &body);
+    let texts = [
+        (header::REQUEST, id.to_string()),
+        (header::CODE, code.number().to_string()),
+        (header::OUTCOME, code.outcome().as_str().to_owned()),
+    ];
+    for (name, value) in texts {
+        let value = HeaderValue::from_str(&value).expect("ids and numbers are plain text");
+        response.headers_mut().insert(HeaderName::from_static(name), value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/catkin-gateway/src/admin.rs
@@ -0,0 +1,85 @@
+//! Metrics, status and events for operators.
+
+use {
+    crate::node::Node,
+    actix_http::{Request, Response, body::BoxBody},
+    catkin::admin::{Events, Health, Kept, Lease, Liveness, Peer, Status, path},
+    std::rc::Rc,
+    tokio::net::TcpListener,
+};
+
+const EVENTS_MAX: usize = 4_096;
+
+/// Serves operators until the process ends.
+pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let served = catkin_net::serve(listener, move |request| {
+        let answer = answer(&node, &request);
+        async move { answer }
+    });
+    if let Err(error) = served.await {
+        log::error!("the admin address is not served: {error}");
+    }
+}
+
+fn answer(node: &Node, request: &Request) -> Response<BoxBody> {
+    match request.path() {
+        path::METRICS => catkin_net::reply_text(200, &*node.metrics.encode()),
+        path::STATUS => catkin_net::reply_json(200, &status(node)),
+        path::EVENTS => catkin_net::reply_json(200, &events(node, request.uri().query().unwrap_or_default())),
+        page => {
+            let known = [path::METRICS, path::STATUS, path::EVENTS].join(", ");
+            catkin_net::reply_text(404, format!("no page {page}: use one of {known}\n"))
+        }
+    }
+}
+
+fn events(node: &Node, query: &str) -> Events {
+    let number = |name: &str| {
+        let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+        fields.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
+    };
+    let from = number("from").unwrap_or_default();
+    let max = number("max").and_then(|max| usize::try_from(max).ok()).unwrap_or(EVENTS_MAX);
+    let page = node.events.borrow().page(from, max.min(EVENTS_MAX));
+    Events { vm: node.set.vm.clone(), boot: node.boot, page }
+}
+
+fn status(node: &Node) -> Status {
+    let state = node.state.borrow();
+    Status {
+        vm: node.set.vm.clone(),
+        boot: node.boot,
+        zone: node.set.zone.clone(),
+        revision: state.config().revision,
+        offset: state.next(),
+        log: if node.log_up.get() { Health::Up } else { Health::Down },
+        leaving: node.leaving.get(),
+        targets: targets(node),
+        peers: peers(node),
+        uptime: node.now().since(Default::default()),
+    }
+}
+
+fn targets(node: &Node) -> Vec<Kept> {
+    let state = node.state.borrow();
+    let keeper = node.keeper.borrow();
+    let now = node.now();
+    let own = state.keepers().filter(|(_, row)| row.vm == node.set.vm);
+    own.map(|(target, row)| Kept {
+        target: target.clone(),
+        fence: row.fence,
+        lease: if keeper.admit(now, target, None).is_ok() { Lease::Valid } else { Lease::Fencing },
+        left: Default::default(),
+    })
+    .collect()
+}
+
+fn peers(node: &Node) -> Vec<Peer> {
+    let members = node.members.borrow();
+    let live = members.live().filter(|live| live.vm != node.set.vm);
+    live.map(|live| Peer {
+        liveness: if live.leaving { Liveness::Leaving } else { Liveness::Alive },
+        vm: live.vm,
+    })
+    .collect()
+}
--- a/crates/catkin-gateway/src/main.rs
+++ b/crates/catkin-gateway/src/main.rs
@@ -1,3 +1,99 @@
-//! Gateway of the catkinhub router.
+//! Gateway of the catkinhub router: one process on each entry VM.
+//!
+//! A gateway accepts requests of callers, forwards each to the gateway that
+//! keeps the chosen target, queues and dispatches the requests of the targets
+//! that it keeps, and maintains their leases.
+//!
+//! | module | responsibility |
+//! |---|---|
+//! | `accept` | requests of callers: reading, retries, answers |
+//! | `route` | which target gets a request, and who keeps it |
+//! | `execute` | requests of kept targets: queue, send, stream back |
+//! | `peer` | the TCP protocol between gateways |
+//! | `follow` | reads the log and the VM list |
+//! | `queue` | waiting for a slot of a kept target |
+//! | `append` | appends records to the log |
+//! | `control` | claims, assignments and lease commands |
+//! | `heartbeat` | UDP datagrams between gateways |
+//! | `shutdown` | graceful shutdown |
+//! | `admin` | metrics, status and events for operators |
 
-fn main() {}
+mod accept;
+mod admin;
+mod append;
+mod body;
+mod control;
+mod execute;
+mod follow;
+mod heartbeat;
+mod metrics;
+mod node;
+mod peer;
+mod queue;
+mod route;
+mod shutdown;
+
+use {
+    bpaf::Bpaf,
+    catkin::{Error, logs, settings},
+    node::Node,
+    std::{path::PathBuf, process::ExitCode, rc::Rc},
+    tokio::sync::mpsc,
+};
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+/// Gateway of the catkinhub router.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Settings of this process, in YAML
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Checks the settings and exits
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let settings: settings::Gateway = match settings::read(&options.settings) {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error),
+    };
+    if options.check {
+        println!("{}: ok", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    logs::init(settings.logs);
+    match actix_rt::System::new().block_on(run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &Error) -> ExitCode {
+    eprintln!("catkin-gateway: {error}");
+    ExitCode::from(if error.is_usage() { EXIT_USAGE } else { EXIT_FAILED })
+}
+
+async fn run(settings: settings::Gateway) -> Result<(), Error> {
+    let node = Rc::new(Node::new(settings));
+    let (changes, to_append) = mpsc::unbounded_channel();
+    let callers = catkin_net::listen(node.set.callers).await?;
+    let peers = catkin_net::listen(node.set.peers).await?;
+    let admin = catkin_net::listen(node.set.admin).await?;
+    let socket = heartbeat::bind(node.set.peers).await?;
+    log::info!(vm = node.set.vm.as_str(), callers:display = node.set.callers; "gateway started");
+    actix_rt::spawn(follow::records(node.clone()));
+    actix_rt::spawn(follow::list(node.clone()));
+    actix_rt::spawn(append::run(node.clone(), to_append));
+    actix_rt::spawn(control::run(node.clone(), changes));
+    actix_rt::spawn(heartbeat::run(node.clone(), socket));
+    actix_rt::spawn(peer::listen(node.clone(), peers));
+    actix_rt::spawn(admin::serve(node.clone(), admin));
+    tokio::select! {
+        result = accept::serve(node.clone(), callers) => result,
+        result = shutdown::wait(node) => result,
+    }
+}
--- /dev/null
+++ b/crates/catkin-gateway/src/peer.rs
@@ -0,0 +1,355 @@
+//! The TCP protocol between gateways.
+//!
+//! A connection carries one request at a time: `Request`, `Body`…, `End` one
+//! way; `Answer`, `Body`…, `End`, or `Failed` at any point, the other way. A
+//! side that gives up closes the connection.
+
+use {
+    crate::{
+        body::{Body, Part},
+        control,
+        execute::{self, Reply},
+        node::Node,
+    },
+    bytes::Bytes,
+    catkin::{
+        Code, Error,
+        wire::{self, BODY_BYTES_MAX, FRAME_BYTES_MAX, Frame, Head},
+    },
+    futures_util::{
+        SinkExt, StreamExt,
+        stream::{self, LocalBoxStream},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        net::{
+            TcpListener, TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+        sync::mpsc,
+    },
+    tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
+};
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+const DISCARD_LIMIT: Duration = Duration::from_secs(1);
+const PARTS_IN_FLIGHT: usize = 2;
+const IDLE_PER_PEER: usize = 256;
+
+type Reader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+type Writer = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
+struct Conn {
+    reader: Reader,
+    writer: Writer,
+}
+
+impl Conn {
+    fn new(stream: TcpStream) -> Self {
+        // Frames are written whole, so waiting for more data only adds delay.
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.into_split();
+        let codec = || {
+            let mut codec = LengthDelimitedCodec::new();
+            codec.set_max_frame_length(FRAME_BYTES_MAX);
+            codec
+        };
+        Self { reader: FramedRead::new(reader, codec()), writer: FramedWrite::new(writer, codec()) }
+    }
+
+    /// Returns whether nothing, not even an end of stream, waits to be read.
+    fn is_idle(&self) -> bool {
+        let mut byte = [0];
+        let read = self.reader.get_ref().try_read(&mut byte);
+        matches!(read, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Idle connections to other gateways.
+#[derive(Default)]
+pub(crate) struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Conn>>>,
+}
+
+impl Pool {
+    async fn take(&self, addr: SocketAddr) -> Result<Conn, Error> {
+        while let Some(conn) = self.pop(addr) {
+            if conn.is_idle() {
+                return Ok(conn);
+            }
+        }
+        let connect = TcpStream::connect(addr);
+        let stream = match actix_rt::time::timeout(CONNECT_LIMIT, connect).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(unreachable(addr, &e.to_string())),
+            Err(_) => return Err(unreachable(addr, "no connection in time")),
+        };
+        Ok(Conn::new(stream))
+    }
+
+    fn pop(&self, addr: SocketAddr) -> Option<Conn> {
+        self.idle.borrow_mut().get_mut(&addr)?.pop()
+    }
+
+    fn put(&self, addr: SocketAddr, conn: Conn) {
+        let mut idle = self.idle.borrow_mut();
+        let conns = idle.entry(addr).or_default();
+        if conns.len() < IDLE_PER_PEER {
+            conns.push(conn);
+        }
+    }
+}
+
+fn unreachable(addr: SocketAddr, detail: &str) -> Error {
+    Error::new(Code::PeerUnreachable, format!("{addr}: {detail}"))
+}
+
+async fn send(writer: &mut Writer, frame: &Frame) -> Result<(), Error> {
+    let bytes = wire::encode(frame, FRAME_BYTES_MAX)?;
+    writer.send(Bytes::from(bytes)).await.map_err(|e| lost(&e.to_string()))
+}
+
+async fn receive(reader: &mut Reader) -> Result<Frame, Error> {
+    match reader.next().await {
+        Some(Ok(bytes)) => wire::decode(&bytes),
+        Some(Err(e)) => Err(lost(&e.to_string())),
+        None => Err(lost("closed")),
+    }
+}
+
+fn lost(detail: &str) -> Error {
+    Error::new(Code::OutcomeUnknown, format!("the connection between gateways was lost: {detail}"))
+}
+
+async fn send_body(writer: &mut Writer, mut parts: LocalBoxStream<'static, Part>) -> Result<(), Error> {
+    while let Some(part) = parts.next().await {
+        let mut part = part?;
+        while part.len() > BODY_BYTES_MAX {
+            send(writer, &Frame::Body(part.split_to(BODY_BYTES_MAX))).await?;
+        }
+        send(writer, &Frame::Body(part)).await?;
+    }
+    send(writer, &Frame::End).await
+}
+
+/// Sends a request to the gateway that keeps its target.
+///
+/// # Errors
+///
+/// `Code::PeerUnreachable` if nothing was sent, the code that the other
+/// gateway gave, or `Code::OutcomeUnknown` if the connection was lost.
+pub(crate) async fn forward(
+    node: &Rc<Node>,
+    addr: SocketAddr,
+    head: Head,
+    body: Body,
+) -> Result<Reply, Error> {
+    let mut conn = node.pool.take(addr).await?;
+    send(&mut conn.writer, &Frame::Request(head)).await?;
+    let (frame, is_sent) = upload(&mut conn, body.into_stream()).await?;
+    match frame {
+        Frame::Answer(answer) => {
+            let length = answer.length;
+            let body = Body::Stream(length, read_answer(node.clone(), addr, conn));
+            Ok(Reply { answer, body })
+        }
+        Frame::Failed { code, detail } => {
+            if is_sent {
+                node.pool.put(addr, conn);
+            }
+            Err(Error::new(Code::from_number(code).unwrap_or(Code::OutcomeUnknown), detail))
+        }
+        _ => Err(lost("unexpected frame")),
+    }
+}
+
+/// Sends a body and reads the first frame of the answer, which may come
+/// before the body is sent. Returns whether the body was sent to its end.
+async fn upload(conn: &mut Conn, parts: LocalBoxStream<'static, Part>) -> Result<(Frame, bool), Error> {
+    let Conn { reader, writer } = conn;
+    let mut first = std::pin::pin!(receive(reader));
+    let sent = tokio::select! {
+        biased;
+        frame = &mut first => return Ok((frame?, false)),
+        sent = send_body(writer, parts) => sent,
+    };
+    match sent {
+        Ok(()) => Ok((first.await?, true)),
+        Err(e) if e.code() == Code::UploadCut => Err(e),
+        // The other side stops reading once it has failed the request; the
+        // reason is still to be read.
+        Err(e) => first.await.map(|frame| (frame, false)).map_err(|_| e),
+    }
+}
+
+fn read_answer(node: Rc<Node>, addr: SocketAddr, conn: Conn) -> LocalBoxStream<'static, Part> {
+    let cut = |detail: String| Error::new(Code::AnswerCut, detail);
+    let parts = stream::unfold(Some((node, conn)), move |state| async move {
+        let (node, mut conn) = state?;
+        match receive(&mut conn.reader).await {
+            Ok(Frame::Body(bytes)) => Some((Ok(bytes), Some((node, conn)))),
+            Ok(Frame::End) => {
+                node.pool.put(addr, conn);
+                None
+            }
+            Ok(Frame::Failed { detail, .. }) => Some((Err(cut(detail.to_string())), None)),
+            Ok(_) => Some((Err(cut("unexpected frame".into())), None)),
+            Err(e) => Some((Err(cut(e.to_string())), None)),
+        }
+    });
+    parts.boxed_local()
+}
+
+/// Exchanges one frame for another with a gateway.
+///
+/// # Errors
+///
+/// As [`forward`].
+pub(crate) async fn ask(node: &Node, addr: SocketAddr, frame: &Frame) -> Result<Frame, Error> {
+    let mut conn = node.pool.take(addr).await?;
+    send(&mut conn.writer, frame).await?;
+    let answer = receive(&mut conn.reader).await?;
+    node.pool.put(addr, conn);
+    Ok(answer)
+}
+
+/// Serves the connections of other gateways.
+pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve(node.clone(), Conn::new(stream)));
+            }
+            // Accepting fails while file descriptors are used up.
+            Err(_) => actix_rt::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve(node: Rc<Node>, mut conn: Conn) {
+    loop {
+        let frame = match receive(&mut conn.reader).await {
+            Ok(frame) => frame,
+            Err(e) => {
+                if e.code() == Code::BadFrame {
+                    node.metrics.drop("peer_frame");
+                }
+                return;
+            }
+        };
+        let served = match frame {
+            Frame::Request(head) => serve_request(&node, &mut conn, head).await,
+            other => serve_question(&node, &mut conn.writer, &other).await,
+        };
+        if served.is_err() {
+            return;
+        }
+    }
+}
+
+async fn serve_question(node: &Node, writer: &mut Writer, frame: &Frame) -> Result<(), Error> {
+    match control::answer(node, frame) {
+        Some(answer) => send(writer, &answer).await,
+        None => {
+            node.metrics.drop("peer_frame");
+            Err(Error::new(Code::BadFrame, "unexpected frame"))
+        }
+    }
+}
+
+/// Counts a request of another gateway while it is in progress.
+struct Forwarded(Rc<Node>);
+
+impl Forwarded {
+    fn new(node: &Rc<Node>) -> Self {
+        node.forwarded.set(node.forwarded.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for Forwarded {
+    fn drop(&mut self) {
+        self.0.forwarded.set(self.0.forwarded.get() - 1);
+    }
+}
+
+/// Runs one request. Its body is read at the same time, so that the loss of
+/// the connection cancels the request.
+async fn serve_request(node: &Rc<Node>, conn: &mut Conn, head: Head) -> Result<(), Error> {
+    let _open = Forwarded::new(node);
+    let (parts, body) = mpsc::channel::<Part>(PARTS_IN_FLIGHT);
+    let body = match head.length {
+        Some(0) => Body::Whole(Bytes::new()),
+        length => Body::Stream(length, receiver(body)),
+    };
+    let is_read = Cell::new(false);
+    let result = tokio::select! {
+        result = execute::run(node, head, body) => result,
+        lost = read_body(&mut conn.reader, parts, &is_read) => return Err(lost),
+    };
+    match result {
+        Ok(reply) => {
+            send(&mut conn.writer, &Frame::Answer(reply.answer)).await?;
+            send_answer(&mut conn.writer, reply.body.into_stream()).await?;
+        }
+        Err(e) => send_failed(&mut conn.writer, &e).await?,
+    }
+    if !is_read.get() {
+        discard(&mut conn.reader).await;
+        return Err(lost("the body was not read to its end"));
+    }
+    Ok(())
+}
+
+/// Passes a body on and then waits for the loss of the connection.
+async fn read_body(reader: &mut Reader, parts: mpsc::Sender<Part>, is_read: &Cell<bool>) -> Error {
+    let mut parts = Some(parts);
+    loop {
+        match (receive(reader).await, &parts) {
+            (Ok(Frame::Body(bytes)), Some(sender)) => {
+                // The target may answer before it has read the whole body.
+                let _ = sender.send(Ok(bytes)).await;
+            }
+            (Ok(Frame::End), Some(_)) => {
+                is_read.set(true);
+                parts = None;
+            }
+            (Ok(_), _) => return lost("unexpected frame"),
+            (Err(e), _) => return e,
+        }
+    }
+}
+
+/// Reads until the other side closes. Closing with unread data would reset
+/// the connection and lose the answer that was just written.
+async fn discard(reader: &mut Reader) {
+    let read = async { while receive(reader).await.is_ok() {} };
+    let _ = actix_rt::time::timeout(DISCARD_LIMIT, read).await;
+}
+
+fn receiver(body: mpsc::Receiver<Part>) -> LocalBoxStream<'static, Part> {
+    stream::unfold(body, |mut body| async move {
+        let part = body.recv().await?;
+        Some((part, body))
+    })
+    .boxed_local()
+}
+
+async fn send_answer(writer: &mut Writer, body: LocalBoxStream<'static, Part>) -> Result<(), Error> {
+    match send_body(writer, body).await {
+        Err(e) if e.code() == Code::AnswerCut => send_failed(writer, &e).await,
+        result => result,
+    }
+}
+
+async fn send_failed(writer: &mut Writer, error: &Error) -> Result<(), Error> {
+    let frame = Frame::Failed { code: error.code().number(), detail: error.detail().into() };
+    send(writer, &frame).await
+}
--- a/crates/catkin-net/src/http.rs
+++ b/crates/catkin-net/src/http.rs
@@ -38,8 +38,12 @@
         let answer = handler(request);
         async move { Ok::<_, actix_http::Error>(answer.await) }
     });
-    let factory =
-        HttpService::build().client_request_timeout(HEAD_TIMEOUT).keep_alive(KEEP_ALIVE).h1(service).tcp();
+    let factory = HttpService::build()
+        .client_request_timeout(HEAD_TIMEOUT)
+        .keep_alive(KEEP_ALIVE)
+        .h1_allow_half_closed(false)
+        .h1(service)
+        .tcp();
     let http = factory.new_service(()).await.map_err(|()| Error::new(Code::Internal, "no HTTP service"))?;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/crates/catkin-standin/src/log.rs
+++ b/crates/catkin-standin/src/log.rs
@@ -43,10 +43,9 @@
 }
 
 impl LogService {
-    /// Makes an empty log. Its first record gets offset 1, because offset 0
-    /// stands for the state before the first record.
+    /// Makes an empty log. Its first record gets offset 0.
     pub fn new(clock: Monotonic, retention: Span) -> Self {
-        let rows = Rows { first: Offset(1), records: VecDeque::new() };
+        let rows = Rows { first: Offset(0), records: VecDeque::new() };
         Self { clock, retention, rows: RefCell::new(rows), grown: Notify::new() }
     }
 
