gateway: read a forwarded body to its end before the connection is used again

Cause: when the target answered before the gateway had read the End frame, the keeping gateway waited for the connection to close, while the accepting one had put it back into its pool and sent the next request on it. That request was read and dropped, and its caller got code 501 after the whole deadline. Ruled out: stale connections to targets (the error came from the accepting gateway) and the queue (no request was waiting). Before: 4 of about 5,700 lookups without any fault ended with 501. After: 0 of about 11,000 in the same trial (debug build, 12 callers).

--- a/crates/catkin-gateway/src/peer.rs
+++ b/crates/catkin-gateway/src/peer.rs
@@ -301,11 +301,7 @@
         }
         Err(e) => send_failed(&mut conn.writer, &e).await?,
     }
-    if !is_read.get() {
-        discard(&mut conn.reader).await;
-        return Err(lost("the body was not read to its end"));
-    }
-    Ok(())
+    if is_read.get() { Ok(()) } else { discard(&mut conn.reader).await }
 }
 
 /// Passes a body on and then waits for the loss of the connection.
@@ -327,11 +323,21 @@
     }
 }
 
-/// Reads until the other side closes. Closing with unread data would reset
-/// the connection and lose the answer that was just written.
-async fn discard(reader: &mut Reader) {
-    let read = async { while receive(reader).await.is_ok() {} };
-    let _ = actix_rt::time::timeout(DISCARD_LIMIT, read).await;
+/// Reads the rest of a body that nobody needs. The other side uses the
+/// connection again once it has sent the end, and closing with unread data
+/// would reset the connection and lose the answer that was just written.
+async fn discard(reader: &mut Reader) -> Result<(), Error> {
+    let read = async {
+        loop {
+            match receive(reader).await? {
+                Frame::Body(_) => {}
+                Frame::End => return Ok(()),
+                _ => return Err(lost("unexpected frame")),
+            }
+        }
+    };
+    let in_time = actix_rt::time::timeout(DISCARD_LIMIT, read).await;
+    in_time.unwrap_or_else(|_| Err(lost("the body was not sent to its end")))
 }
 
 fn receiver(body: mpsc::Receiver<Part>) -> LocalBoxStream<'static, Part> {
