--- a/crates/catkin/src/error.rs
+++ b/crates/catkin/src/error.rs
@@ -7,6 +7,8 @@
 /// Alias for results with the crate's [`Error`].
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+const RETRY_LATER_STATUS: u16 = 503;
+
 /// What a code says about the work that it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
@@ -84,7 +86,7 @@
     ConfigReason = 203, None, 400, "An exception has no reason or no author.";
     ConfigRange = 204, None, 400, "A configuration value is outside its range.";
     ConfigConflict = 205, None, 409, "Another configuration was published first.";
-    ConfigTwice = 206, None, 400, "Two exceptions set the same field of the same service.";
+    ConfigTwice = 206, None, 400, "A field or a route of a service is set twice.";
     StaleVersion = 301, None, 409, "The expected version of a record is not the current one.";
     Duplicate = 302, None, 200, "A record with this writer and sequence was read before.";
     NotKeeper = 303, None, 409, "Only the keeper of the owner may move a slice.";
@@ -193,6 +195,12 @@
         self.code().outcome() == Outcome::Unknown
     }
 
+    /// Returns whether the same request may succeed later, and certainly had
+    /// no effect so far.
+    pub fn is_retryable(&self) -> bool {
+        self.code().status() == RETRY_LATER_STATUS && self.code() != Code::AppendUnknown
+    }
+
     /// Returns whether the command line or the settings are at fault.
     pub fn is_usage(&self) -> bool {
         matches!(self.code().number(), 100..=199)
