fold: complete carved keys, intents, bounded writers and the encoding

- A carved key gets a slice above the configured ones and the slice that held it gets a new fence: a reader that has not read the record sends the key under the old fence and must be refused once the new slice has moved.
The keeper attests the end of a carved slice only together with its parent.
- The number of slices of a service never changes, because readers at two revisions would map one key to two slices.
- Tables of intents and writers are bounded by count, oldest first, so that every reader drops the same rows.
- A record after a gap changes nothing.
Zone rules stay out of the fold: the VM list lags, so readers would differ.
- A keeper remembers every destination of a move that may still reach the log and hands nothing over provisionally elsewhere.
A second claim of the same process lets the log forget earlier keepers.

--- a/crates/catkin/src/fold.rs
+++ b/crates/catkin/src/fold.rs
@@ -1,20 +1,34 @@
 //! The fold of the log: the same state for every reader at the same offset.
 
+mod intents;
+mod slices;
+mod store;
+mod writers;
+
+pub use {
+    intents::{INTENTS_MAX, Taken},
+    slices::{CARVED_MAX, Row},
+    writers::WRITERS_MAX,
+};
+
 use {
     crate::{
         Code, Error,
         config::{self, Fleet},
-        record::{self, Change, Claim, Move, Publish, Record, Writer},
-        types::{Fence, Key, Offset, Revision, Sequence, Service, SliceId, TargetId, Version, VmId},
+        record::{self, Change, Claim, Publish, Record, Writer},
+        types::{Key, Offset, Revision, Sequence, Service, SliceId, TargetId, Version, VmId},
     },
+    intents::Intents,
+    serde::{Deserialize, Serialize},
+    slices::Slices,
     std::{collections::BTreeMap, sync::Arc},
-    xxhash_rust::xxh3::xxh3_64_with_seed,
+    writers::Writers,
 };
 
-const KEY_HASH_SEED: u64 = 0x6361_746b_696e;
+type Keepers = BTreeMap<TargetId, Keeper>;
 
 /// The keeper of a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Keeper {
     /// The VM.
     pub vm: VmId,
@@ -28,21 +42,6 @@
     pub fence: Offset,
 }
 
-/// Assignment of a slice.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Row {
-    /// The owner.
-    pub owner: TargetId,
-    /// The target that takes over when the owner is lost.
-    pub standby: Option<TargetId>,
-    /// Version of the row.
-    pub version: Version,
-    /// Fence of the owner.
-    pub fence: Fence,
-    /// The owner before, with its fence.
-    pub previous: Option<(TargetId, Fence)>,
-}
-
 /// The configuration in force.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Current {
@@ -58,14 +57,25 @@
     pub fleet: Arc<Fleet>,
 }
 
+/// Records that were counted and skipped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Skipped {
+    /// Records of another system or of an unknown kind.
+    pub foreign: u64,
+    /// Truncated or changed records.
+    pub torn: u64,
+}
+
 /// State of the fold.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
     next: Offset,
     config: Current,
-    keepers: BTreeMap<TargetId, Keeper>,
-    slices: BTreeMap<(Service, SliceId), Row>,
-    writers: BTreeMap<Writer, Sequence>,
+    keepers: Keepers,
+    slices: Slices,
+    intents: Intents,
+    writers: Writers,
+    skipped: Skipped,
 }
 
 /// What became of a record.
@@ -105,12 +115,12 @@
 
     /// Returns the assignment of a slice.
     pub fn row(&self, service: &Service, slice: SliceId) -> Option<&Row> {
-        self.slices.get(&(service.clone(), slice))
+        self.slices.row(service, slice)
     }
 
     /// Returns all assignments.
     pub fn rows(&self) -> impl Iterator<Item = (&Service, SliceId, &Row)> {
-        self.slices.iter().map(|((service, slice), row)| (service, *slice, row))
+        self.slices.rows()
     }
 
     /// Returns the slice of a key, or `None` for a service without slices.
@@ -119,42 +129,100 @@
         if !entry.keyed {
             return None;
         }
-        let hash = xxh3_64_with_seed(key.as_str().as_bytes(), KEY_HASH_SEED);
-        let slice = u32::try_from(hash % u64::from(entry.slices)).ok()?;
-        Some(SliceId(slice))
+        self.slices.slice(service, key)
+    }
+
+    /// Returns the keys of a service that have slices of their own.
+    pub fn carved(&self, service: &Service) -> impl Iterator<Item = (&Key, SliceId)> {
+        self.slices.carved(service)
     }
 
-    /// Applies the record at an offset. A record before [`State::next`] is
-    /// dropped.
+    /// Returns the first record of an idempotency key, unless
+    /// [`INTENTS_MAX`] later ones have displaced it.
+    pub fn intent(&self, digest: u128) -> Option<&Taken> {
+        self.intents.get(digest)
+    }
+
+    /// Returns the number of idempotency keys.
+    pub fn intents(&self) -> usize {
+        self.intents.len()
+    }
+
+    /// Returns the last sequence of a writer.
+    pub fn sequence(&self, writer: &Writer) -> Option<Sequence> {
+        self.writers.last(writer)
+    }
+
+    /// Returns the number of writers.
+    pub fn writers(&self) -> usize {
+        self.writers.len()
+    }
+
+    /// Returns the records that were counted and skipped.
+    pub fn skipped(&self) -> Skipped {
+        self.skipped
+    }
+
+    /// Applies the record at an offset.
+    ///
+    /// A record before [`State::next`] is dropped with `Code::Duplicate`. One
+    /// after it is refused with `Code::LogExpired` and changes nothing,
+    /// because records are missing; only a new state may begin anywhere.
     pub fn apply(&mut self, offset: Offset, bytes: &[u8]) -> Verdict {
         if offset < self.next {
-            return Verdict::refuse(
-                None,
-                Error::new(Code::Duplicate, format!("offset {offset} was read before")),
-            );
+            let detail = format!("offset {offset} was read before");
+            return Verdict::refuse(None, Error::new(Code::Duplicate, detail));
+        }
+        if offset > self.next && self.next.0 > 0 || offset.0 == u64::MAX {
+            let detail = format!("offset {offset} follows a gap, next is {}", self.next);
+            return Verdict::refuse(None, Error::new(Code::LogExpired, detail));
         }
         self.next = offset.next();
         match record::decode(bytes) {
             Ok(record) => self.apply_record(offset, record),
-            Err(error) => Verdict::refuse(None, error),
+            Err(error) => {
+                self.skip(&error);
+                Verdict::refuse(None, error)
+            }
+        }
+    }
+
+    fn skip(&mut self, error: &Error) {
+        match error.code() {
+            Code::TornRecord => self.skipped.torn += 1,
+            _ => self.skipped.foreign += 1,
         }
     }
 
     fn apply_record(&mut self, offset: Offset, record: Record) -> Verdict {
-        let source = Some((record.writer.clone(), record.sequence));
-        let last = self.writers.entry(record.writer.clone()).or_default();
-        if record.sequence <= *last {
-            let detail = format!("sequence {} after {last}", record.sequence);
+        let Record { writer, sequence, change } = record;
+        let source = Some((writer.clone(), sequence));
+        if let Err(last) = self.writers.take(offset, &writer, sequence) {
+            let detail = format!("sequence {sequence} after {last}");
             return Verdict::refuse(source, Error::new(Code::Duplicate, detail));
         }
-        *last = record.sequence;
-        let refused = match record.change {
-            Change::Config(publish) => self.publish(offset, publish).err().into_iter().collect(),
-            Change::Keeper(claim) => self.claim(offset, &record.writer, claim).err().into_iter().collect(),
-            Change::Assign(assign) => self.assign(offset, &record.writer, &assign.service, assign.moves),
-            Change::Carve(_) | Change::Intents(_) | Change::Chunk(_) => Vec::new(),
-        };
-        Verdict { source, refused }
+        Verdict { source, refused: self.change(offset, &writer, change) }
+    }
+
+    fn change(&mut self, offset: Offset, writer: &Writer, change: Change) -> Vec<Error> {
+        match change {
+            Change::Config(publish) => refusals([self.publish(offset, publish)]),
+            Change::Keeper(claim) => refusals([self.claim(offset, writer, claim)]),
+            Change::Assign(assign) => {
+                let service = assign.service;
+                let moves = assign.moves.into_iter().enumerate();
+                refusals(moves.map(|(number, change)| {
+                    let result = self.slices.assign(offset, writer, &self.keepers, &service, change);
+                    result.map_err(|e| e.with_path(format!("moves[{number}]")))
+                }))
+            }
+            Change::Carve(carve) => refusals([self.slices.carve(offset, writer, &self.keepers, carve)]),
+            Change::Intents(intents) => refusals(intents.iter().enumerate().map(|(number, intent)| {
+                let result = self.intents.register(offset, writer, intent);
+                result.map_err(|e| e.with_path(format!("intents[{number}]")))
+            })),
+            Change::Chunk(_) => Vec::new(),
+        }
     }
 
     fn publish(&mut self, offset: Offset, publish: Publish) -> Result<(), Error> {
@@ -164,6 +232,8 @@
             return Err(Error::new(Code::ConfigConflict, detail));
         }
         let fleet = config::parse(&publish.text)?;
+        self.slices.check(&fleet)?;
+        self.slices.configure(&fleet);
         self.config = Current {
             revision: publish.expects.next(),
             offset,
@@ -184,44 +254,6 @@
         self.keepers.insert(claim.target, keeper);
         Ok(())
     }
-
-    fn assign(&mut self, offset: Offset, writer: &Writer, service: &Service, moves: Vec<Move>) -> Vec<Error> {
-        let results = moves.into_iter().map(|change| self.assign_one(offset, writer, service, change));
-        results.filter_map(Result::err).collect()
-    }
-
-    fn assign_one(
-        &mut self,
-        offset: Offset,
-        writer: &Writer,
-        service: &Service,
-        change: Move,
-    ) -> Result<(), Error> {
-        let row = self.slices.get(&(service.clone(), change.slice));
-        expect(change.expects, row.map(|r| r.version).unwrap_or_default())?;
-        let previous = row.map(|r| (r.owner.clone(), r.fence));
-        if let Some((owner, _)) = &previous {
-            self.check_keeper(owner, writer)?;
-        }
-        let row = Row {
-            owner: change.owner,
-            standby: change.standby,
-            version: change.expects.next(),
-            fence: Fence::new(offset),
-            previous,
-        };
-        self.slices.insert((service.clone(), change.slice), row);
-        Ok(())
-    }
-
-    fn check_keeper(&self, owner: &TargetId, writer: &Writer) -> Result<(), Error> {
-        let keeper = self.keepers.get(owner);
-        if keeper.is_some_and(|k| k.vm == writer.id && k.boot == writer.boot) {
-            return Ok(());
-        }
-        let detail = format!("process {} of {} is not the keeper of {owner}", writer.boot, writer.id);
-        Err(Error::new(Code::NotKeeper, detail))
-    }
 }
 
 impl Keeper {
@@ -238,6 +270,21 @@
     }
 }
 
+/// Only the process that claimed a target may move its slices, so that an
+/// append of a dead process that takes effect late changes nothing.
+fn check_keeper(keepers: &Keepers, owner: &TargetId, writer: &Writer) -> Result<(), Error> {
+    let keeper = keepers.get(owner);
+    if keeper.is_some_and(|keeper| keeper.vm == writer.id && keeper.boot == writer.boot) {
+        return Ok(());
+    }
+    let detail = format!("process {} of {} is not the keeper of {owner}", writer.boot, writer.id);
+    Err(Error::new(Code::NotKeeper, detail))
+}
+
+fn refusals(results: impl IntoIterator<Item = Result<(), Error>>) -> Vec<Error> {
+    results.into_iter().filter_map(Result::err).collect()
+}
+
 impl Verdict {
     fn refuse(source: Option<(Writer, Sequence)>, error: Error) -> Self {
         Self { source, refused: vec![error] }
--- /dev/null
+++ b/crates/catkin/src/fold/slices.rs
@@ -0,0 +1,191 @@
+//! Assignments of slices.
+
+use {
+    super::Keepers,
+    crate::{
+        Code, Error,
+        config::Fleet,
+        record::{Carve, Move, Writer},
+        types::{Fence, Key, Offset, Service, SliceId, TargetId, Version},
+    },
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+const KEY_HASH_SEED: u64 = 0x6361_746b_696e;
+
+/// Keys of one service that can have slices of their own.
+pub const CARVED_MAX: usize = 1_024;
+
+/// Assignment of a slice.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The owner.
+    pub owner: TargetId,
+    /// The target that takes over when the owner is lost.
+    pub standby: Option<TargetId>,
+    /// Version of the row.
+    pub version: Version,
+    /// Fence of the owner.
+    pub fence: Fence,
+    /// The owner before, with its fence.
+    pub previous: Option<(TargetId, Fence)>,
+    /// For the slice of a carved key: the slice that held the key before, with
+    /// the last fence under which it did.
+    pub parent: Option<(SliceId, Fence)>,
+}
+
+/// Slices of one service.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Layout {
+    /// Configured number of slices. It never changes, because readers at two
+    /// revisions would map one key to two slices.
+    count: u32,
+    carved: BTreeMap<Key, SliceId>,
+}
+
+/// All assignments.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct Slices {
+    layouts: BTreeMap<Service, Layout>,
+    rows: BTreeMap<(Service, SliceId), Row>,
+}
+
+impl Slices {
+    pub(super) fn row(&self, service: &Service, slice: SliceId) -> Option<&Row> {
+        self.rows.get(&(service.clone(), slice))
+    }
+
+    pub(super) fn rows(&self) -> impl Iterator<Item = (&Service, SliceId, &Row)> {
+        self.rows.iter().map(|((service, slice), row)| (service, *slice, row))
+    }
+
+    pub(super) fn carved(&self, service: &Service) -> impl Iterator<Item = (&Key, SliceId)> {
+        let keys = self.layouts.get(service).into_iter().flat_map(|layout| &layout.carved);
+        keys.map(|(key, slice)| (key, *slice))
+    }
+
+    pub(super) fn slice(&self, service: &Service, key: &Key) -> Option<SliceId> {
+        let layout = self.layouts.get(service)?;
+        if let Some(slice) = layout.carved.get(key) {
+            return Some(*slice);
+        }
+        let hash = xxh3_64_with_seed(key.as_str().as_bytes(), KEY_HASH_SEED);
+        let slice = hash.checked_rem(u64::from(layout.count))?;
+        u32::try_from(slice).ok().map(SliceId)
+    }
+
+    /// Returns whether a configuration keeps the number of slices of every
+    /// service that ever had one.
+    pub(super) fn check(&self, fleet: &Fleet) -> Result<(), Error> {
+        for (service, entry) in &fleet.services {
+            let count = self.layouts.get(service).map(|layout| layout.count);
+            if count.is_some_and(|count| entry.keyed && entry.slices != count) {
+                let detail =
+                    format!("{} slices, the service has {}", entry.slices, count.unwrap_or_default());
+                return Err(
+                    Error::new(Code::ConfigRange, detail).with_path(format!("services.{service}.slices"))
+                );
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn configure(&mut self, fleet: &Fleet) {
+        for (service, entry) in fleet.services.iter().filter(|(_, entry)| entry.keyed) {
+            let layout = self.layouts.entry(service.clone()).or_default();
+            layout.count = entry.slices;
+        }
+    }
+
+    pub(super) fn assign(
+        &mut self,
+        offset: Offset,
+        writer: &Writer,
+        keepers: &Keepers,
+        service: &Service,
+        change: Move,
+    ) -> Result<(), Error> {
+        self.check_slice(service, change.slice)?;
+        if change.standby.as_ref() == Some(&change.owner) {
+            return Err(Error::new(Code::BadValue, format!("{} is owner and standby", change.owner)));
+        }
+        let row = self.rows.get(&(service.clone(), change.slice));
+        super::expect(change.expects, row.map(|row| row.version).unwrap_or_default())?;
+        if let Some(row) = row {
+            super::check_keeper(keepers, &row.owner, writer)?;
+            check_provisional(row, &change)?;
+        }
+        let row = Row {
+            owner: change.owner,
+            standby: change.standby,
+            version: change.expects.next(),
+            fence: Fence::new(offset),
+            previous: row.map(|row| (row.owner.clone(), row.fence)),
+            parent: row.and_then(|row| row.parent),
+        };
+        self.rows.insert((service.clone(), change.slice), row);
+        Ok(())
+    }
+
+    fn check_slice(&self, service: &Service, slice: SliceId) -> Result<(), Error> {
+        let layout = self.layouts.get(service);
+        let count = layout.map(|layout| layout.count as usize + layout.carved.len()).unwrap_or_default();
+        if (slice.0 as usize) < count {
+            return Ok(());
+        }
+        Err(Error::new(Code::UnknownSlice, format!("slice {slice} of {service}, which has {count}")))
+    }
+
+    /// Makes a hot key a slice of its own with the same owner.
+    ///
+    /// The slice that held the key gets a new fence as well: a reader that
+    /// has not read this record sends the key under the old fence, and must
+    /// be refused once the new slice has moved.
+    pub(super) fn carve(
+        &mut self,
+        offset: Offset,
+        writer: &Writer,
+        keepers: &Keepers,
+        carve: Carve,
+    ) -> Result<(), Error> {
+        let service = carve.service;
+        let unknown =
+            || Error::new(Code::UnknownSlice, format!("no assigned slice of {service} has the key"));
+        let slice = self.slice(&service, &carve.key).ok_or_else(unknown)?;
+        let layout = self.layouts.get_mut(&service).ok_or_else(unknown)?;
+        let row = self.rows.get_mut(&(service.clone(), slice)).ok_or_else(unknown)?;
+        super::expect(carve.expects, row.version)?;
+        super::check_keeper(keepers, &row.owner, writer)?;
+        let number = layout.count as usize + layout.carved.len();
+        let number = u32::try_from(number).map_err(|_| unknown())?;
+        if layout.carved.contains_key(&carve.key) || layout.carved.len() >= CARVED_MAX {
+            let detail = format!("{service} has {} carved keys, at most {CARVED_MAX}", layout.carved.len());
+            return Err(Error::new(Code::UnknownSlice, detail));
+        }
+        let old = (row.owner.clone(), row.fence);
+        row.version = row.version.next();
+        row.fence = Fence::new(offset);
+        row.previous = Some(old.clone());
+        let carved = Row { version: Version(1), parent: Some((slice, old.1)), ..row.clone() };
+        layout.carved.insert(carve.key, SliceId(number));
+        self.rows.insert((service, SliceId(number)), carved);
+        Ok(())
+    }
+}
+
+/// A provisional move becomes durable only on top of the row that it was made
+/// from.
+fn check_provisional(row: &Row, change: &Move) -> Result<(), Error> {
+    match change.provisional {
+        Some(fence) if fence != row.fence.with_next_step() => {
+            let detail = format!("provisional fence {fence} on top of {}", row.fence);
+            Err(Error::new(Code::StaleVersion, detail))
+        }
+        Some(_) if row.standby.as_ref() != Some(&change.owner) => {
+            Err(Error::new(Code::StaleVersion, format!("{} is not the standby", change.owner)))
+        }
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/catkin/src/fold/writers.rs
@@ -0,0 +1,62 @@
+//! Highest sequence of each writer.
+
+use {
+    crate::{
+        record::Writer,
+        types::{Offset, Sequence},
+    },
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// Writers that the fold remembers; the one that was silent longest is
+/// dropped first. A writer that was dropped can't repeat a change, because
+/// the versions that its records expect are no longer current.
+pub const WRITERS_MAX: usize = 4_096;
+
+/// Highest sequence of each writer.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct Writers {
+    rows: BTreeMap<Writer, (Sequence, Offset)>,
+    order: BTreeMap<Offset, Writer>,
+}
+
+impl Writers {
+    pub(super) fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    pub(super) fn last(&self, writer: &Writer) -> Option<Sequence> {
+        self.rows.get(writer).map(|(sequence, _)| *sequence)
+    }
+
+    /// Returns whether rows and order name the same writers.
+    pub(super) fn is_sound(&self) -> bool {
+        self.rows.len() == self.order.len()
+            && self.rows.len() <= WRITERS_MAX
+            && self.rows.iter().all(|(writer, (_, offset))| self.order.get(offset) == Some(writer))
+    }
+
+    /// Takes a record. Returns the last sequence if the record is not newer.
+    pub(super) fn take(
+        &mut self,
+        offset: Offset,
+        writer: &Writer,
+        sequence: Sequence,
+    ) -> Result<(), Sequence> {
+        match self.rows.get(writer) {
+            Some((last, _)) if sequence <= *last => return Err(*last),
+            Some((_, old)) => {
+                self.order.remove(old);
+            }
+            None => {}
+        }
+        self.rows.insert(writer.clone(), (sequence, offset));
+        self.order.insert(offset, writer.clone());
+        while self.order.len() > WRITERS_MAX {
+            let oldest = self.order.pop_first();
+            oldest.and_then(|(_, writer)| self.rows.remove(&writer));
+        }
+        Ok(())
+    }
+}
--- a/crates/catkin/src/lease/keeper.rs
+++ b/crates/catkin/src/lease/keeper.rs
@@ -37,11 +37,7 @@
 //! so that the keeper knows which moves may be on their way to the log.
 
 use {
-    super::{
-        Action, Timings,
-        kept::{Kept, Moving, Want},
-        listing::Listing,
-    },
+    super::{Action, Timings, kept::Kept, listing::Listing, rows},
     crate::{
         Code, Error,
         api::{Reply, VmList},
@@ -102,16 +98,18 @@
     }
 
     fn sync_keepers(&mut self, now: Time, state: &State) {
-        let claims = std::mem::take(&mut self.claims);
         self.keepers = state.keepers().map(|(t, k)| (t.clone(), (k.vm.clone(), k.fence))).collect();
+        let vm = &self.vm;
+        self.claims.retain(|target, (version, _)| {
+            state.keeper(target).is_some_and(|keeper| keeper.vm == *vm && keeper.version == *version)
+        });
         self.fences.retain(|target, fence| self.keepers.get(target).is_none_or(|(_, known)| known < fence));
         for (target, keeper) in state.keepers() {
             if keeper.vm != self.vm {
                 continue;
             }
             if keeper.boot != self.boot {
-                let made = claims.get(target).filter(|(version, _)| *version == keeper.version);
-                self.claims.insert(target.clone(), (keeper.version, made.and_then(|(_, at)| *at)));
+                self.claims.entry(target.clone()).or_insert((keeper.version, None));
                 continue;
             }
             if self.fences.contains_key(target) {
@@ -155,22 +153,15 @@
     }
 
     fn sync_rows(&mut self, state: &State) {
-        let mut wants: BTreeMap<&TargetId, BTreeMap<SliceId, Want>> = BTreeMap::new();
-        let mut backs: BTreeMap<&TargetId, BTreeMap<SliceId, (TargetId, Fence)>> = BTreeMap::new();
-        for (service, slice, row) in state.rows() {
-            if self.kept.contains_key(&row.owner) {
-                wants.entry(&row.owner).or_default().insert(slice, Want::new(row));
-                self.services.entry(row.owner.clone()).or_insert_with(|| service.clone());
-            }
-            if let Some(standby) = row.standby.as_ref().filter(|standby| self.kept.contains_key(*standby)) {
-                backs.entry(standby).or_default().insert(slice, (row.owner.clone(), row.fence));
-            }
-        }
+        let mut rows = rows::collect(state, |target| self.kept.contains_key(target));
         for (target, kept) in &mut self.kept {
-            let service =
-                self.services.get(target).and_then(|service| state.config().fleet.services.get(service));
+            let rows = rows.remove(target).unwrap_or_default();
+            if let Some(service) = &rows.service {
+                self.services.insert(target.clone(), service.clone());
+            }
+            let service = self.services.get(target).and_then(|name| state.config().fleet.services.get(name));
             kept.fenced = service.is_none_or(|entry| entry.fenced);
-            kept.sync(wants.remove(target).unwrap_or_default(), backs.remove(target).unwrap_or_default());
+            kept.sync(rows);
         }
     }
 
@@ -213,11 +204,18 @@
     }
 
     /// A process acts only under a claim of its own: commands of an earlier
-    /// process of this VM may still be on their way.
+    /// process of this VM may still be on their way. A second claim lets the
+    /// log forget earlier keepers.
     fn append_claims(&mut self, now: Time, actions: &mut Vec<Action>) {
         if !self.log_up {
             return;
         }
+        for (target, kept) in &self.kept {
+            let made = self.claims.get(target).is_some_and(|(version, _)| *version == kept.version);
+            if !made && kept.is_settled(now, &self.timings) {
+                self.claims.insert(target.clone(), (kept.version, None));
+            }
+        }
         for (target, (version, made)) in &mut self.claims {
             if made.is_some_and(|at| now.since(at) < super::moves::APPEND_AGAIN) {
                 continue;
@@ -286,8 +284,4 @@
     pub(super) fn is_gone(&self, now: Time, target: &TargetId) -> bool {
         self.listing.is_gone(now, self.timings.lag, target.as_str())
     }
-
-    pub(super) fn moving(now: Time, to: &TargetId) -> Moving {
-        Moving { to: to.clone(), at: now }
-    }
 }
--- a/crates/catkin/src/lease/kept.rs
+++ b/crates/catkin/src/lease/kept.rs
@@ -1,7 +1,7 @@
 //! One target as its keeper sees it.
 
 use {
-    super::{Action, Timings, bounds::Bounds, link::Link},
+    super::{Action, Timings, bounds::Bounds, link::Link, rows::Rows},
     crate::{
         api::{Held, Order, Reply},
         fold,
@@ -21,10 +21,14 @@
     pub(super) previous: Option<(TargetId, Fence)>,
 }
 
-/// A move that was given to the log.
+/// Moves of one slice that were given to the log and may still arrive there.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Moving {
-    pub(super) to: TargetId,
+    /// Version that they expect.
+    pub(super) expects: Version,
+    /// Owners that they name.
+    pub(super) to: BTreeSet<TargetId>,
+    /// When the last of them was made.
     pub(super) at: Time,
 }
 
@@ -35,6 +39,9 @@
     pub(super) fence: Offset,
     pub(super) version: Version,
     pub(super) prior: Vec<VmId>,
+    /// Fence of the first claim of this time as the keeper.
+    began: Offset,
+    since: Time,
     /// Whether the target checks fences and commands.
     pub(super) fenced: bool,
     /// Whether the VM list says that the target's VM has gone.
@@ -56,6 +63,9 @@
     pub(super) wants: BTreeMap<SliceId, Want>,
     /// Slices that name the target as their standby, with owner and fence.
     pub(super) backs: BTreeMap<SliceId, (TargetId, Fence)>,
+    /// For slices of carved keys: the slice that held the key before, with
+    /// the last fence under which it did.
+    pub(super) parents: BTreeMap<SliceId, (SliceId, Fence)>,
     /// Slices taken over provisionally, with the lost owner.
     pub(super) lent: BTreeMap<SliceId, (TargetId, Fence)>,
     /// Fences up to which the target never gets a slice again, and since when.
@@ -82,6 +92,8 @@
             fence: keeper.fence,
             version: keeper.version,
             prior: keeper.prior.clone(),
+            began: keeper.fence,
+            since: now,
             fenced: true,
             gone: false,
             superseded: false,
@@ -94,6 +106,7 @@
             running: BTreeSet::new(),
             wants: BTreeMap::new(),
             backs: BTreeMap::new(),
+            parents: BTreeMap::new(),
             lent: BTreeMap::new(),
             barred: BTreeMap::new(),
             handed: BTreeMap::new(),
@@ -139,9 +152,17 @@
         self.version.0 <= 1 || self.standbys().all(|standby| self.noted.contains(standby))
     }
 
+    /// Returns the standbys that an earlier keeper may know. Rows that are
+    /// newer than the claim can only be read together with it.
     pub(super) fn standbys(&self) -> impl Iterator<Item = &TargetId> {
-        let standbys = self.wants.values().filter_map(|want| want.standby.as_ref());
-        standbys.filter(|standby| **standby != self.target)
+        let old = self.wants.values().filter(|want| want.fence.offset < self.began);
+        old.filter_map(|want| want.standby.as_ref()).filter(|standby| **standby != self.target)
+    }
+
+    /// Returns whether earlier keepers no longer matter, so that the log may
+    /// forget them.
+    pub(super) fn is_settled(&self, now: Time, timings: &Timings) -> bool {
+        !self.superseded && !self.prior.is_empty() && self.reported && self.is_ready(now, timings)
     }
 
     /// Returns since when all earlier keepers are known to have stopped.
@@ -160,13 +181,23 @@
 
     /// Returns whether the target may get renewals and grants.
     fn is_ready(&self, now: Time, timings: &Timings) -> bool {
-        let alone = self.prior.is_empty()
-            || self.alone_since().is_some_and(|since| now >= since.after(timings.deadline));
-        self.is_announced() && (self.fenced || alone)
+        let alone = || {
+            let since = self.alone_since().map(|since| since.max(self.since));
+            self.version.0 <= 1 || since.is_some_and(|since| now >= since.after(timings.deadline))
+        };
+        self.is_announced() && (self.fenced || alone())
     }
 
     /// Bars a slice: it is released and never granted again up to a fence.
+    /// The slice that held a carved key before is barred with it.
     pub(super) fn bar(&mut self, now: Time, slice: SliceId, fence: Fence) {
+        if let Some((parent, old)) = self.parents.get(&slice).copied() {
+            self.bar_one(now, parent, old);
+        }
+        self.bar_one(now, slice, fence);
+    }
+
+    fn bar_one(&mut self, now: Time, slice: SliceId, fence: Fence) {
         let entry = self.barred.entry(slice).or_insert((fence, now));
         if entry.0 < fence {
             *entry = (fence, now);
@@ -180,6 +211,12 @@
     /// Returns whether the target has stopped serving a barred slice up to a
     /// fence.
     pub(super) fn has_stopped(&self, now: Time, timings: &Timings, slice: SliceId, fence: Fence) -> bool {
+        let parent = self.parents.get(&slice);
+        self.has_stopped_one(now, timings, slice, fence)
+            && parent.is_none_or(|(parent, old)| self.has_stopped_one(now, timings, *parent, *old))
+    }
+
+    fn has_stopped_one(&self, now: Time, timings: &Timings, slice: SliceId, fence: Fence) -> bool {
         if self.gone {
             return true;
         }
@@ -377,11 +414,9 @@
     }
 
     /// Takes the rows of a newer state.
-    pub(super) fn sync(
-        &mut self,
-        wants: BTreeMap<SliceId, Want>,
-        backs: BTreeMap<SliceId, (TargetId, Fence)>,
-    ) {
+    pub(super) fn sync(&mut self, rows: Rows) {
+        let Rows { wants, backs, parents, .. } = rows;
+        self.parents = parents;
         let old = std::mem::replace(&mut self.wants, wants);
         self.backs = backs;
         let same = |slice: &SliceId| {
@@ -389,7 +424,8 @@
             fence(&old).is_some() && fence(&old) == fence(&self.wants)
         };
         self.clear.retain(same);
-        self.moving.retain(|slice, _| same(slice));
+        let wants = &self.wants;
+        self.moving.retain(|slice, moving| wants.get(slice).is_some_and(|w| w.version == moving.expects));
         self.handed.retain(|slice, _| same(slice));
         self.adopt();
         for (slice, (_, fence)) in &self.lent {
--- a/crates/catkin/src/lease/mod.rs
+++ b/crates/catkin/src/lease/mod.rs
@@ -14,6 +14,7 @@
 mod listing;
 mod moves;
 mod peers;
+mod rows;
 mod timings;
 
 pub use {
--- a/crates/catkin/src/lease/moves.rs
+++ b/crates/catkin/src/lease/moves.rs
@@ -3,13 +3,14 @@
 use {
     super::{
         Action, Keeper,
-        kept::{Kept, Want},
+        kept::{Kept, Moving, Want},
     },
     crate::{
         Code, Error,
-        record::{Assign, Change, Move},
-        types::{Service, SliceId, Span, TargetId, Time},
+        record::{Assign, Carve, Change, Move},
+        types::{Service, SliceId, Span, TargetId, Time, Version},
     },
+    std::collections::BTreeSet,
 };
 
 /// An append that has changed nothing after this time is made again.
@@ -43,18 +44,36 @@
         if !kept.may_move(change.slice, want) {
             return refuse(Code::NotKeeper, "the slice is not settled");
         }
-        if kept.moving.contains_key(&change.slice) || kept.handed.contains_key(&change.slice) {
+        if kept.is_moving(now, change.slice) || kept.handed.contains_key(&change.slice) {
             return refuse(Code::StaleVersion, "a move is on its way");
         }
-        kept.moving.insert(change.slice, Self::moving(now, &change.owner));
+        kept.note_move(now, change.slice, change.expects, &change.owner);
         Ok(Change::Assign(Assign { service: service.clone(), moves: vec![change] }))
     }
 
+    /// Asks for a slice of its own for a hot key of a slice whose owner this
+    /// VM keeps, and returns the change to append.
+    ///
+    /// # Errors
+    ///
+    /// As [`Keeper::shift`].
+    pub fn carve(
+        &mut self,
+        now: Time,
+        owner: &TargetId,
+        slice: SliceId,
+        carve: Carve,
+    ) -> Result<Change, Error> {
+        let same =
+            Move { slice, expects: carve.expects, owner: owner.clone(), standby: None, provisional: None };
+        self.shift(now, &carve.service.clone(), owner, same)?;
+        Ok(Change::Carve(carve))
+    }
+
     /// Moves the slices of lost targets to their standbys.
     pub(super) fn move_slices(&mut self, now: Time, actions: &mut Vec<Action>) {
         let targets: Vec<TargetId> = self.kept.keys().cloned().collect();
         for target in targets {
-            self.forget_moves(now, &target);
             if self.log_up {
                 self.append_moves(now, &target, actions);
             } else {
@@ -63,25 +82,12 @@
         }
     }
 
-    /// Drops the marks of moves that have changed nothing, so that they are
-    /// made again. Both records expect the same version, so that only one of
-    /// them can be accepted. A move to another target than the standby keeps
-    /// its mark: its record may arrive late.
-    fn forget_moves(&mut self, now: Time, target: &TargetId) {
-        let (log_up, Some(kept)) = (self.log_up, self.kept.get_mut(target)) else { return };
-        let wants = &kept.wants;
-        kept.moving.retain(|slice, moving| {
-            let standby = wants.get(slice).and_then(|want| want.standby.as_ref());
-            !log_up || now.since(moving.at) < APPEND_AGAIN || standby != Some(&moving.to)
-        });
-    }
-
     fn append_moves(&mut self, now: Time, target: &TargetId, actions: &mut Vec<Action>) {
         let Some(service) = self.services.get(target).cloned() else { return };
         let moves = self.due_moves(now, target);
         let Some(kept) = self.kept.get_mut(target) else { return };
         for change in &moves {
-            kept.moving.insert(change.slice, Self::moving(now, &change.owner));
+            kept.note_move(now, change.slice, change.expects, &change.owner);
         }
         for part in moves.chunks(MOVES_PER_RECORD) {
             let assign = Assign { service: service.clone(), moves: part.to_vec() };
@@ -93,7 +99,7 @@
         let Some(kept) = self.kept.get(target) else { return Vec::new() };
         let lost = kept.is_lost(now, &self.timings);
         let moves = kept.wants.iter().filter_map(|(slice, want)| {
-            if kept.moving.contains_key(slice) || !kept.may_move(*slice, want) {
+            if kept.is_moving(now, *slice) || !kept.may_move(*slice, want) {
                 return None;
             }
             let handed = kept.handed.get(slice);
@@ -122,8 +128,8 @@
             .iter()
             .filter(|(slice, want)| !kept.handed.contains_key(*slice) && kept.may_move(**slice, want))
             .filter(|(slice, want)| {
-                let moving = kept.moving.get(*slice);
-                moving.is_none_or(|moving| want.standby.as_ref() == Some(&moving.to))
+                let moving = kept.moving.get(*slice).map(|moving| &moving.to);
+                moving.into_iter().flatten().all(|to| want.standby.as_ref() == Some(to))
             })
             .filter(|(_, want)| self.usable_standby(now, target, want).is_some())
             .map(|(slice, want)| (*slice, want.clone()))
@@ -142,6 +148,19 @@
 }
 
 impl Kept {
+    /// Returns whether a move was made so recently that none is made again.
+    /// Two moves expect the same version, so that the fold refuses one.
+    fn is_moving(&self, now: Time, slice: SliceId) -> bool {
+        self.moving.get(&slice).is_some_and(|moving| now.since(moving.at) < APPEND_AGAIN)
+    }
+
+    fn note_move(&mut self, now: Time, slice: SliceId, expects: Version, to: &TargetId) {
+        let empty = Moving { expects, to: BTreeSet::new(), at: now };
+        let moving = self.moving.entry(slice).or_insert(empty);
+        moving.at = now;
+        moving.to.insert(to.clone());
+    }
+
     /// Returns whether the keeper may move a slice: its rivals are known to
     /// the standbys, and nobody before the owner serves the slice.
     fn may_move(&self, slice: SliceId, want: &Want) -> bool {
