net: limit connections, end work of closed ones, detect cut answers

awc ends a body without an error when the connection closes early, so a truncated answer would pass as complete; read_body compares the length with the announced one. actix-http runs a request to its end while its half-closed connection stays open, so cancellation needs half-closed connections off. The settings of a stand-in target get the lag of its reports and its limit of connections.

--- a/crates/catkin-net/src/http.rs
+++ b/crates/catkin-net/src/http.rs
@@ -6,7 +6,7 @@
     actix_service::{Service, ServiceFactory, fn_service},
     catkin::{Code, Error},
     serde::Serialize,
-    std::{future::Future, net::SocketAddr, time::Duration},
+    std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
     tokio::net::TcpListener,
 };
 
@@ -24,12 +24,67 @@
         .map_err(|e| Error::new(Code::BadValue, format!("can't listen on {addr}: {e}")))
 }
 
+/// Counts the open connections of a listener and limits them.
+#[derive(Clone, Debug)]
+pub struct Connections {
+    max: u32,
+    open: Rc<Cell<u32>>,
+}
+
+/// One open connection; dropped with it.
+struct Open(Rc<Cell<u32>>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Connections {
+    /// Makes a count that allows a number of connections.
+    pub fn new(max: u32) -> Self {
+        Self { max, open: Rc::default() }
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> u32 {
+        self.open.get()
+    }
+
+    fn enter(&self) -> Option<Open> {
+        (self.open.get() < self.max).then(|| {
+            self.open.set(self.open.get() + 1);
+            Open(self.open.clone())
+        })
+    }
+}
+
 /// Answers requests of a listener until the future is dropped.
 ///
 /// # Errors
 ///
 /// `Code::Internal` if the service can't be made.
 pub async fn serve<F, Fut>(listener: TcpListener, handler: F) -> Result<(), Error>
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<BoxBody>> + 'static,
+{
+    serve_limited(listener, Connections::new(u32::MAX), handler).await
+}
+
+/// Answers requests of a listener until the future is dropped; closes
+/// connections above the limit at once.
+///
+/// The future of an answer is dropped when its connection is closed.
+///
+/// # Errors
+///
+/// `Code::Internal` if the service can't be made.
+pub async fn serve_limited<F, Fut>(
+    listener: TcpListener,
+    connections: Connections,
+    handler: F,
+) -> Result<(), Error>
 where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
@@ -38,8 +93,14 @@
         let answer = handler(request);
         async move { Ok::<_, actix_http::Error>(answer.await) }
     });
-    let factory =
-        HttpService::build().client_request_timeout(HEAD_TIMEOUT).keep_alive(KEEP_ALIVE).h1(service).tcp();
+    // A caller that closes its connection gives its request up. With half-closed
+    // connections allowed, the work would go on until its answer is written.
+    let factory = HttpService::build()
+        .client_request_timeout(HEAD_TIMEOUT)
+        .keep_alive(KEEP_ALIVE)
+        .h1_allow_half_closed(false)
+        .h1(service)
+        .tcp();
     let http = factory.new_service(()).await.map_err(|()| Error::new(Code::Internal, "no HTTP service"))?;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -47,9 +108,16 @@
             actix_rt::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
+        let Some(open) = connections.enter() else {
+            continue;
+        };
         let _ = stream.set_nodelay(true);
         let stream: TcpStream = stream;
-        actix_rt::spawn(http.call(stream));
+        let exchange = http.call(stream);
+        actix_rt::spawn(async move {
+            let _open = open;
+            exchange.await
+        });
     }
 }
 
--- a/crates/catkin-net/src/json.rs
+++ b/crates/catkin-net/src/json.rs
@@ -1,13 +1,15 @@
 //! JSON requests over HTTP.
 
 use {
-    awc::Client,
+    actix_http::error::PayloadError,
+    awc::{Client, ClientResponse},
     bytes::Bytes,
     catkin::{
         Code, Error,
         api::{VmList, path},
         types::Span,
     },
+    futures_util::Stream,
     serde::{Serialize, de::DeserializeOwned},
     std::net::SocketAddr,
 };
@@ -60,15 +62,35 @@
     get(client, addr, path::VMS, limit).await
 }
 
+/// Reads the body of an answer and checks that it has the announced length.
+///
+/// `awc` ends a body without an error when the connection closes before its
+/// end, so that a cut answer looks like a whole one.
+///
+/// # Errors
+///
+/// `Code::AnswerCut` if the body ended early or is larger than the limit.
+pub async fn read_body<S>(answer: &mut ClientResponse<S>, limit: usize) -> Result<Bytes, Error>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>>,
+{
+    let length = answer.headers().get("content-length");
+    let announced: Option<usize> = length.and_then(|text| text.to_str().ok()?.parse().ok());
+    let cut = |detail: String| Error::new(Code::AnswerCut, detail);
+    let body = answer.body().limit(limit).await.map_err(|e| cut(e.to_string()))?;
+    match announced {
+        Some(length) if length != body.len() => {
+            Err(cut(format!("the body has {} of {length} announced bytes", body.len())))
+        }
+        _ => Ok(body),
+    }
+}
+
 async fn read<T: DeserializeOwned>(send: awc::SendClientRequest, limit: Span) -> Result<T, Error> {
     let exchange = async {
         let mut answer = send.await.map_err(|e| Error::new(send_code(&e), e.to_string()))?;
         let status = answer.status();
-        let body: Bytes = answer
-            .body()
-            .limit(BODY_BYTES_MAX)
-            .await
-            .map_err(|e| Error::new(Code::OutcomeUnknown, e.to_string()))?;
+        let body = read_body(&mut answer, BODY_BYTES_MAX).await?;
         if !status.is_success() {
             let text = String::from_utf8_lossy(&body);
             return Err(Error::new(Code::BadRequest, format!("{status}: {text}")));
--- a/crates/catkin-net/src/lib.rs
+++ b/crates/catkin-net/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP server and platform clients shared by the catkinhub programs.
 //!
-//! - [`serve`] answers HTTP requests on one address, on the current thread.
+//! - [`serve`] answers HTTP requests on one address, on the current thread;
+//!   [`serve_limited`] counts and limits the connections.
 //! - [`Log`] appends to and reads from the platform's log service.
 //! - [`get`] and [`post`] exchange JSON over HTTP.
 //! - [`Monotonic`] reads the process's clock.
@@ -12,7 +13,7 @@
 
 pub use {
     clock::Monotonic,
-    http::{listen, reply_json, reply_text, serve},
-    json::{get, list_vms, post},
+    http::{Connections, listen, reply_json, reply_text, serve, serve_limited},
+    json::{get, list_vms, post, read_body},
     log::{Log, Read},
 };
--- a/crates/catkin/src/settings.rs
+++ b/crates/catkin/src/settings.rs
@@ -124,6 +124,16 @@
     pub work: Span,
     /// Whether it checks fences.
     pub fenced: bool,
+    /// Lag of its load and health reports.
+    #[serde(default)]
+    pub lag: Span,
+    /// Connections that it accepts.
+    #[serde(default = "target_connections")]
+    pub connections: u32,
+}
+
+fn target_connections() -> u32 {
+    100
 }
 
 /// Reads settings from a file.
