standin: put the faults of targets into effect

Adds refusal, shedding, freeze, slowness, cold start, lost, silent and cut answers, lagging and lying reports, and the rest of the ledger: ends by kind, arrivals after a drain and the caller's own id of a request, which does not depend on the gateway.

--- a/crates/catkin-standin/src/echo.rs
+++ b/crates/catkin-standin/src/echo.rs
@@ -10,6 +10,9 @@
 pub mod header {
     /// Key under which the runs of an operation are counted.
     pub const OPERATION: &str = "x-catkin-operation";
+    /// Id that the caller gave the request; unlike the request id it does not
+    /// come from a gateway.
+    pub const CALL: &str = "x-standin-call";
     /// Time that the work takes, in milliseconds.
     pub const WORK: &str = "x-standin-work-ms";
     /// Length of the pad in the answer, in bytes.
@@ -25,6 +28,8 @@
     pub boot: u64,
     /// Id of the request, if it had one.
     pub request: Option<RequestId>,
+    /// Id that the caller gave the request, if any.
+    pub call: Option<Arc<str>>,
     /// Key of the request, if it had one.
     pub key: Option<Arc<str>>,
     /// Operation under which the run is counted.
--- a/crates/catkin-standin/src/faults.rs
+++ b/crates/catkin-standin/src/faults.rs
@@ -15,7 +15,7 @@
 pub struct PlatformFaults {
     /// Answers every request to the log with status 503.
     pub down: bool,
-    /// Answers no request to the log until this is switched off.
+    /// Never answers the requests to the log that come while this is on.
     pub silent: bool,
     /// Delays every answer of the log.
     pub slow: Span,
@@ -55,6 +55,8 @@
     pub lie: Option<Load>,
     /// Slowness of the next requests.
     pub cold: Option<Cold>,
+    /// Number of requests that run and whose answer never comes.
+    pub lose: u32,
     /// Number of answers that stop in the middle on an open connection.
     pub silent: u32,
     /// Number of answers that end in the middle with the connection.
--- a/crates/catkin-standin/src/ledger.rs
+++ b/crates/catkin-standin/src/ledger.rs
@@ -14,6 +14,8 @@
 pub struct Run {
     /// Id of the request, if it had one.
     pub request: Option<RequestId>,
+    /// Id that the caller gave the request, if any.
+    pub call: Option<Arc<str>>,
     /// Slice and fence of the request, if it had any.
     pub held: Option<Held>,
     /// When the effect was made, in microseconds of the Unix epoch.
@@ -69,6 +71,11 @@
     /// For each grant, from the admission of the first request to the effect
     /// of the last one.
     pub served: Vec<Interval>,
+    /// When the target was first asked to drain, in microseconds of the Unix
+    /// epoch.
+    pub drained: Option<u64>,
+    /// When work last arrived, in microseconds of the Unix epoch.
+    pub arrived: Option<u64>,
 }
 
 /// Collects the ledger of a target.
@@ -80,6 +87,8 @@
     open: BTreeMap<Held, Time>,
     owned: Vec<Interval>,
     served: BTreeMap<Held, (Time, Time)>,
+    drained: Option<u64>,
+    arrived: Option<u64>,
 }
 
 impl Book {
@@ -94,16 +103,27 @@
             open: BTreeMap::new(),
             owned: Vec::new(),
             served: BTreeMap::new(),
+            drained: None,
+            arrived: None,
         }
     }
 
     /// Counts a run.
-    pub(crate) fn run(&mut self, now: Time, operation: Arc<str>, mut run: Run) {
-        run.at = self.unix(now);
+    pub(crate) fn run(&mut self, operation: Arc<str>, run: Run) {
         self.counts.ran += 1;
         self.runs.entry(operation).or_default().push(run);
     }
 
+    /// Notes that work arrived.
+    pub(crate) fn arrive(&mut self, now: Time) {
+        self.arrived = Some(self.unix(now));
+    }
+
+    /// Notes that the target was asked to drain.
+    pub(crate) fn drain(&mut self, now: Time) {
+        self.drained = Some(self.drained.unwrap_or(self.unix(now)));
+    }
+
     /// Notes that a request was served under a grant.
     pub(crate) fn serve(&mut self, held: Held, from: Time, until: Time) {
         let span = self.served.entry(held).or_insert((from, until));
@@ -140,6 +160,8 @@
             runs: self.runs.clone(),
             owned: self.owned.iter().copied().chain(open).collect(),
             served: served.collect(),
+            drained: self.drained,
+            arrived: self.arrived,
         }
     }
 
@@ -147,7 +169,8 @@
         Interval { slice: held.slice, fence: held.fence, from: self.unix(from), until: self.unix(until) }
     }
 
-    fn unix(&self, time: Time) -> u64 {
+    /// Returns a moment in microseconds of the Unix epoch.
+    pub(crate) fn unix(&self, time: Time) -> u64 {
         self.epoch + time.as_micros()
     }
 }
--- a/crates/catkin-standin/src/lib.rs
+++ b/crates/catkin-standin/src/lib.rs
@@ -4,12 +4,11 @@
 //! address and any number of targets, each on its own address. Every one of
 //! them takes faults over HTTP while it runs (`POST /faults`).
 //!
-//! - [`LogService`] appends and reads records and forgets the oldest.
-//! - [`VmTable`] is the VM list, which lags.
-//! - [`Target`] accepts the commands of a keeper and runs work.
+//! - [`Echo`] is the answer to work.
 //! - [`Ledger`] counts what a target ran and when it owned which slice.
 //! - [`PlatformFaults`] and [`TargetFaults`] are the bodies of `/faults`.
 
+mod answer;
 mod body;
 mod echo;
 mod faults;
@@ -17,6 +16,8 @@
 mod list;
 mod log;
 mod platform;
+mod report;
+mod run;
 mod start;
 mod target;
 mod work;
@@ -25,8 +26,6 @@
     echo::{Echo, checksum, header},
     faults::{Cold, PlatformFaults, TargetFaults},
     ledger::{Counts, Interval, Ledger, Run},
-    list::{Removal, VmTable},
-    log::LogService,
+    list::Removal,
     start::{Running, start},
-    target::Target,
 };
--- a/crates/catkin-standin/src/list.rs
+++ b/crates/catkin-standin/src/list.rs
@@ -18,7 +18,7 @@
 }
 
 /// A VM list that shows changes only after a span.
-pub struct VmTable {
+pub(crate) struct VmTable {
     lag: Span,
     shown: Vec<Listed>,
     changes: VecDeque<(Time, Change)>,
@@ -31,22 +31,22 @@
 
 impl VmTable {
     /// Makes a list that shows the given rows from the start.
-    pub fn new(lag: Span, rows: Vec<Listed>) -> Self {
+    pub(crate) fn new(lag: Span, rows: Vec<Listed>) -> Self {
         Self { lag, shown: rows, changes: VecDeque::new() }
     }
 
     /// Adds a row, or replaces the one with the same id.
-    pub fn set(&mut self, now: Time, row: Listed) {
+    pub(crate) fn set(&mut self, now: Time, row: Listed) {
         self.changes.push_back((now.after(self.lag), Change::Set(row)));
     }
 
     /// Removes a row.
-    pub fn remove(&mut self, now: Time, removal: Removal) {
+    pub(crate) fn remove(&mut self, now: Time, removal: Removal) {
         self.changes.push_back((now.after(self.lag), Change::Remove(removal.id)));
     }
 
     /// Returns the rows that are shown.
-    pub fn list(&mut self, now: Time) -> VmList {
+    pub(crate) fn list(&mut self, now: Time) -> VmList {
         while let Some((_, change)) = self.changes.pop_front_if(|(due, _)| *due <= now) {
             self.show(change);
         }
--- a/crates/catkin-standin/src/log.rs
+++ b/crates/catkin-standin/src/log.rs
@@ -11,7 +11,7 @@
 };
 
 /// An append-only log that keeps records for a span.
-pub struct LogService {
+pub(crate) struct LogService {
     clock: Monotonic,
     retention: Span,
     rows: RefCell<Rows>,
@@ -45,13 +45,13 @@
 impl LogService {
     /// Makes an empty log. Its first record gets offset 1, because offset 0
     /// stands for the state before the first record.
-    pub fn new(clock: Monotonic, retention: Span) -> Self {
+    pub(crate) fn new(clock: Monotonic, retention: Span) -> Self {
         let rows = Rows { first: Offset(1), records: VecDeque::new() };
         Self { clock, retention, rows: RefCell::new(rows), grown: Notify::new() }
     }
 
     /// Appends a record in base64 and returns its offset.
-    pub fn append(&self, data: String) -> Offset {
+    pub(crate) fn append(&self, data: String) -> Offset {
         let mut rows = self.rows.borrow_mut();
         let offset = rows.head();
         rows.records.push_back(Record { at: self.clock.now(), data });
@@ -60,7 +60,7 @@
     }
 
     /// Reads records from an offset on, waiting up to a span for the first.
-    pub async fn read(&self, from: Offset, max: usize, wait: Span) -> Page {
+    pub(crate) async fn read(&self, from: Offset, max: usize, wait: Span) -> Page {
         let grown = self.grown.notified();
         let page = self.page(from, max);
         if !page.records.is_empty() || wait.is_zero() {
--- a/crates/catkin-standin/src/platform.rs
+++ b/crates/catkin-standin/src/platform.rs
@@ -98,7 +98,7 @@
         let max = query_number(request, "max", PAGE_RECORDS_MAX)?.min(PAGE_RECORDS_MAX);
         self.admit().await?;
         let page = self.log.read(from, max as usize, wait).await;
-        self.admit().await?;
+        self.answerable().await?;
         Ok(reply_json(200, &page))
     }
 
@@ -111,6 +111,15 @@
 
     /// Applies the faults that concern every request to the log.
     async fn admit(&self) -> Result<(), Error> {
+        self.answerable().await?;
+        let slow = self.faults.get().slow;
+        if !slow.is_zero() {
+            actix_rt::time::sleep(slow.as_duration()).await;
+        }
+        Ok(())
+    }
+
+    async fn answerable(&self) -> Result<(), Error> {
         let faults = self.faults.get();
         if faults.silent {
             return pending().await;
@@ -118,9 +127,6 @@
         if faults.down {
             return Err(Error::new(Code::LogUnavailable, "the log is down"));
         }
-        if !faults.slow.is_zero() {
-            actix_rt::time::sleep(faults.slow.as_duration()).await;
-        }
         Ok(())
     }
 }
--- a/crates/catkin-standin/src/start.rs
+++ b/crates/catkin-standin/src/start.rs
@@ -5,7 +5,7 @@
     actix_http::{Request, Response, body::BoxBody},
     actix_rt::task::JoinHandle,
     catkin::{Error, settings::Standin},
-    catkin_net::{listen, serve},
+    catkin_net::{Connections, listen, serve_limited},
     std::{future::Future, net::SocketAddr, rc::Rc},
 };
 
@@ -34,26 +34,33 @@
     if let Some(platform) = &settings.platform {
         let service = Rc::new(Platform::new(platform));
         let handler = move |request| service.clone().handle(request);
-        running.platform = Some(running.spawn(platform.addr, handler).await?);
+        let open = Connections::new(u32::MAX);
+        running.platform = Some(running.spawn(platform.addr, open, handler).await?);
     }
     for target in &settings.targets {
         let service = Rc::new(Target::new(target));
+        let open = service.connections.clone();
         let handler = move |request| service.clone().handle(request);
-        let addr = running.spawn(target.addr, handler).await?;
+        let addr = running.spawn(target.addr, open, handler).await?;
         running.targets.push(addr);
     }
     Ok(running)
 }
 
 impl Running {
-    async fn spawn<F, Fut>(&mut self, addr: SocketAddr, handler: F) -> Result<SocketAddr, Error>
+    async fn spawn<F, Fut>(
+        &mut self,
+        addr: SocketAddr,
+        open: Connections,
+        handler: F,
+    ) -> Result<SocketAddr, Error>
     where
         F: Fn(Request) -> Fut + Clone + 'static,
         Fut: Future<Output = Response<BoxBody>> + 'static,
     {
         let listener = listen(addr).await?;
         let bound = listener.local_addr().unwrap_or(addr);
-        self.tasks.push(actix_rt::spawn(serve(listener, handler)));
+        self.tasks.push(actix_rt::spawn(serve_limited(listener, open, handler)));
         Ok(bound)
     }
 }
--- a/crates/catkin-standin/src/work.rs
+++ b/crates/catkin-standin/src/work.rs
@@ -20,6 +20,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Work {
     pub(crate) request: Option<RequestId>,
+    pub(crate) call: Option<Arc<str>>,
     pub(crate) key: Option<Arc<str>>,
     pub(crate) operation: Arc<str>,
     pub(crate) held: Option<Held>,
@@ -34,13 +35,18 @@
     /// Reads the head of a request.
     pub(crate) fn read(request: &Request) -> Result<Self, Error> {
         let id: Option<RequestId> = parse(request, api::header::REQUEST)?;
-        let operation = header_text(request, header::OPERATION);
+        let operation = header_text(request, header::OPERATION)
+            .or_else(|| header_text(request, api::header::IDEMPOTENCY))
+            .or(id.as_ref().map(RequestId::as_str))
+            .unwrap_or("unnamed")
+            .into();
         let millis: Option<u64> = parse(request, header::WORK)?;
         let left: Option<u64> = parse(request, api::header::DEADLINE)?;
         let uri = request.uri();
         Ok(Self {
-            operation: operation.or(id.as_ref().map(RequestId::as_str)).unwrap_or_default().into(),
+            operation,
             request: id,
+            call: header_text(request, header::CALL).map(Arc::from),
             key: header_text(request, api::header::KEY).map(Arc::from),
             held: read_held(request)?,
             left: left.map(Span::from_millis),
--- a/crates/catkin-standin/tests/lease.rs
+++ b/crates/catkin-standin/tests/lease.rs
@@ -1,69 +1,88 @@
-//! Guards against stand-ins that don't start or lose what they were given.
+//! Guards against targets that run work outside their lease and grants.
+
+mod common;
 
 use {
-    actix_rt::System,
-    awc::Client,
+    actix_rt::spawn,
+    bytes::Bytes,
     catkin::{
-        api::{Command, Held, Order, Reply, Stamp, header, path},
-        settings::{Standin, parse},
-        types::{Fence, Offset, SliceId, Span},
+        api::{Order, header, path},
+        types::Span,
     },
-    catkin_net::{Log, get, post},
-    catkin_standin::{Echo, Ledger, start},
+    catkin_standin::{Echo, checksum},
+    common::{LIMIT, held, run},
+    futures_util::StreamExt,
+    std::convert::Infallible,
+    tokio::sync::mpsc,
 };
 
-const LIMIT: Span = Span::from_secs(5);
-const SETTINGS: &str = "
-platform: {addr: '127.0.0.1:0', retention: 1h, lag: 0us, vms: []}
-targets:
-  - {id: t-1, service: planoteca, zone: a, addr: '127.0.0.1:0', slots: 2, work: 1ms, fenced: true}
-";
+/// Guards against work that runs under an old fence.
+#[test]
+fn work_runs_only_under_its_fence() {
+    run(
+        |_| {},
+        async |env| {
+            env.grant(LIMIT).await;
+            let send = |fence: &'static str| {
+                let request = env.work("/draw").insert_header((header::REQUEST, "r-1"));
+                request
+                    .insert_header((header::SLICE, "3"))
+                    .insert_header((header::FENCE, fence))
+                    .send_body("plan")
+            };
+            let refused = send("6.0").await.unwrap();
+            assert_eq!(refused.headers().get(header::OUTCOME).unwrap(), "not-run");
+            let echo: Echo = send("7.0").await.unwrap().json().await.unwrap();
+            assert_eq!((echo.length, echo.checksum), (4, checksum(b"plan")));
+            let ledger = env.ledger().await;
+            assert_eq!(ledger.runs["r-1"].len(), 1);
+            assert_eq!((ledger.owned.len(), ledger.served.len()), (1, 1));
+        },
+    );
+}
 
+/// Guards against an effect made after the grant was taken back.
 #[test]
-fn log_returns_what_was_appended() {
-    System::new().block_on(async {
-        let settings: Standin = parse(SETTINGS).unwrap();
-        let running = start(&settings).await.unwrap();
-        let log = Log::new(Client::default(), running.platform.unwrap());
-        let offset = log.append(b"one", LIMIT).await.unwrap();
-        let read = log.read(offset, 10, Span::ZERO).await.unwrap();
-        assert_eq!(read.records, [(offset, b"one".to_vec())]);
-    });
+fn work_has_no_effect_after_its_slice_is_released() {
+    run(
+        |_| {},
+        async |env| {
+            env.grant(LIMIT).await;
+            let (body, parts) = mpsc::unbounded_channel::<Bytes>();
+            let parts = futures_util::stream::unfold(parts, async |mut parts| {
+                let part = parts.recv().await?;
+                Some((Ok::<_, Infallible>(part), parts))
+            });
+            let request = env.work("/upload").insert_header((header::SLICE, "3"));
+            let request = request.insert_header((header::FENCE, "7.0"));
+            let upload = spawn(request.send_stream(parts.boxed_local()));
+            // The client sends nothing before its write buffer is full.
+            body.send(Bytes::from(vec![0; 64 << 10])).unwrap();
+            while env.lease().await.running.is_empty() {}
+            env.order(3, path::RELEASE, Order::Release { slices: vec![held()] }).await;
+            drop(body);
+            let answer = upload.await.unwrap().unwrap();
+            assert_eq!(answer.headers().get(header::OUTCOME).unwrap(), "not-run");
+            let ledger = env.ledger().await;
+            assert_eq!((ledger.counts.fenced, ledger.runs.len()), (1, 0));
+            assert!(env.lease().await.running.is_empty());
+        },
+    );
 }
 
+/// Guards against a ledger that lets ownership go on after the lease.
 #[test]
-fn target_runs_work_only_under_its_fence() {
-    System::new().block_on(async {
-        let settings: Standin = parse(SETTINGS).unwrap();
-        let running = start(&settings).await.unwrap();
-        let (client, addr) = (Client::default(), running.targets[0]);
-        let lease: Reply = get(&client, addr, path::LEASE, LIMIT).await.unwrap();
-        let held = Held { slice: SliceId(3), fence: Fence::new(Offset(7)) };
-        let orders = [
-            (path::RENEW, Order::Renew { until: lease.clock.after(LIMIT) }),
-            (path::GRANT, Order::Grant { slices: vec![held] }),
-        ];
-        for (number, (path, order)) in (1..).zip(orders) {
-            let stamp = Stamp { keeper: Offset(5), number };
-            let command = Command { from: "gw-1".parse().unwrap(), boot: lease.boot, stamp, order };
-            let reply: Reply = post(&client, addr, path, &command, LIMIT).await.unwrap();
-            assert!(reply.accepted);
-        }
-        let send = |fence: &'static str| {
-            client
-                .post(format!("http://{addr}/draw"))
-                .insert_header((header::REQUEST, "r-1"))
-                .insert_header((header::SLICE, "3"))
-                .insert_header((header::FENCE, fence))
-                .send_body("plan")
-        };
-        let refused = send("6.0").await.unwrap();
-        assert_eq!(refused.headers().get(header::OUTCOME).unwrap(), "not-run");
-        let mut answer = send("7.0").await.unwrap();
-        let echo: Echo = answer.json().await.unwrap();
-        assert_eq!((echo.length, echo.checksum), (4, catkin_standin::checksum(b"plan")));
-        let ledger: Ledger = get(&client, addr, "/ledger", LIMIT).await.unwrap();
-        assert_eq!(ledger.runs["r-1"].len(), 1);
-        assert_eq!(ledger.owned.len(), 1);
-    });
+fn ownership_ends_with_the_lease() {
+    run(
+        |_| {},
+        async |env| {
+            env.grant(Span::from_millis(200)).await;
+            while !env.lease().await.slices.is_empty() {}
+            let clock = env.lease().await.clock;
+            let ledger = env.ledger().await;
+            let end = ledger.owned.first().map(|held| held.until);
+            assert!(end.is_none_or(|end| end <= ledger.boot + clock.as_micros()));
+            assert_eq!(env.ledger().await.owned, ledger.owned);
+        },
+    );
 }
--- /dev/null
+++ b/crates/catkin-standin/tests/platform.rs
@@ -0,0 +1,116 @@
+//! Guards against a log or a VM list that differs from what it promises.
+
+mod common;
+
+use {
+    actix_rt::spawn,
+    catkin::{
+        Code,
+        api::{Life, Listed, Role},
+        types::{Offset, Span},
+    },
+    catkin_net::{Log, list_vms},
+    catkin_standin::{PlatformFaults, Removal},
+    common::{Env, LIMIT, run},
+};
+
+const SHORT: Span = Span::from_millis(100);
+
+fn log(env: &Env) -> Log {
+    Log::new(env.client.clone(), env.platform())
+}
+
+async fn post(env: &Env, path: &str, body: &impl serde::Serialize) {
+    let request = env.client.post(format!("http://{}{path}", env.platform()));
+    assert!(request.send_json(body).await.unwrap().status().is_success());
+}
+
+/// Guards against a lost answer that is taken for a refusal, and against a
+/// refusal that takes effect.
+#[test]
+fn lost_appends_take_effect_and_refused_ones_do_not() {
+    run(
+        |_| {},
+        async |env| {
+            let log = log(&env);
+            env.fail_platform(PlatformFaults { lose: 1, refuse: 1, ..PlatformFaults::default() }).await;
+            let refused = log.append(b"refused", LIMIT).await.unwrap_err();
+            let lost = log.append(b"lost", SHORT).await.unwrap_err();
+            let offset = log.append(b"kept", LIMIT).await.unwrap();
+            assert_eq!((refused.code(), lost.code()), (Code::LogUnavailable, Code::AppendUnknown));
+            let read = log.read(Offset(0), 10, Span::ZERO).await.unwrap();
+            assert_eq!(read.records, [(Offset(1), b"lost".to_vec()), (offset, b"kept".to_vec())]);
+        },
+    );
+}
+
+/// Guards against readers that miss a record while they wait.
+#[test]
+fn waiting_reader_gets_the_next_record() {
+    run(
+        |_| {},
+        async |env| {
+            let log = log(&env);
+            let reader = log.clone();
+            let read = spawn(async move { reader.read(Offset(1), 10, LIMIT).await });
+            let offset = log.append(b"one", LIMIT).await.unwrap();
+            assert_eq!(read.await.unwrap().unwrap().records, [(offset, b"one".to_vec())]);
+        },
+    );
+}
+
+/// Guards against offsets that start again when records expire.
+#[test]
+fn expired_records_keep_their_offsets() {
+    let retention = |span| {
+        move |settings: &mut catkin::settings::Standin| {
+            settings.platform.as_mut().unwrap().retention = span;
+        }
+    };
+    run(retention(Span::from_millis(1)), async |env| {
+        let log = log(&env);
+        log.append(b"one", LIMIT).await.unwrap();
+        while log.read(Offset(1), 10, Span::ZERO).await.unwrap().first == Offset(1) {}
+        assert_eq!(log.append(b"two", LIMIT).await.unwrap(), Offset(2));
+    });
+}
+
+/// Guards against a log that answers while it is down.
+#[test]
+fn log_is_down_until_it_is_switched_on() {
+    run(
+        |_| {},
+        async |env| {
+            let log = log(&env);
+            env.fail_platform(PlatformFaults { down: true, ..PlatformFaults::default() }).await;
+            assert!(log.read(Offset(0), 10, Span::ZERO).await.is_err());
+            assert!(log.append(b"one", LIMIT).await.is_err());
+            env.fail_platform(PlatformFaults::default()).await;
+            assert_eq!(log.read(Offset(0), 10, Span::ZERO).await.unwrap().head, Offset(1));
+        },
+    );
+}
+
+/// Guards against a list that shows changes before its lag.
+#[test]
+fn list_shows_changes_after_its_lag() {
+    let row = Listed {
+        id: "gw-1".into(),
+        role: Role::Entry,
+        service: None,
+        zone: "a".parse().unwrap(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        admin: None,
+        state: Life::Live,
+    };
+    for (lag, shown) in [(Span::ZERO, 1), (Span::from_secs(3_600), 0)] {
+        let change = |settings: &mut catkin::settings::Standin| settings.platform.as_mut().unwrap().lag = lag;
+        run(change, async |env| {
+            post(&env, "/vms", &row).await;
+            let list = list_vms(&env.client, env.platform(), LIMIT).await.unwrap();
+            assert_eq!(list.vms.len(), shown);
+            post(&env, "/vms/remove", &Removal { id: row.id.clone() }).await;
+            assert!(list_vms(&env.client, env.platform(), LIMIT).await.unwrap().vms.is_empty());
+        });
+    }
+}
--- /dev/null
+++ b/crates/catkin-standin/tests/work.rs
@@ -0,0 +1,132 @@
+//! Guards against targets whose refusals, ends and faults are not what the
+//! ledger says.
+
+mod common;
+
+use {
+    actix_rt::spawn,
+    catkin::{
+        Code,
+        api::{Load, header, path},
+        types::{Share, Span},
+    },
+    catkin_net::{get, read_body},
+    catkin_standin::{TargetFaults, header as own},
+    common::{Env, LIMIT, run},
+    std::time::Duration,
+};
+
+const BYTES_MAX: usize = 1 << 20;
+const FOREVER_MS: &str = "3600000";
+
+async fn load(env: &Env) -> Load {
+    get(&env.client, env.target(), path::LOAD, LIMIT).await.unwrap()
+}
+
+/// Guards against more work than slots, and against work that goes on after
+/// its caller has gone.
+#[test]
+fn slots_are_limited_and_freed_when_the_caller_goes() {
+    run(
+        |_| {},
+        async |env| {
+            let first = spawn(env.work("/a").insert_header((own::WORK, FOREVER_MS)).send());
+            while load(&env).await.running == 0 {}
+            let second = env.work("/b").send().await.unwrap();
+            assert_eq!(second.headers().get(header::OUTCOME).unwrap(), "not-run");
+            first.abort();
+            let ledger = env.wait(|ledger| ledger.counts.cancelled == 1).await;
+            assert_eq!((ledger.counts.refused, ledger.counts.ran), (1, 0));
+            assert!(env.work("/c").send().await.unwrap().status().is_success());
+        },
+    );
+}
+
+/// Guards against work that goes on after its deadline.
+#[test]
+fn work_stops_at_its_deadline() {
+    run(
+        |_| {},
+        async |env| {
+            let request = env.work("/a").insert_header((own::WORK, FOREVER_MS));
+            let answer = request.insert_header((header::DEADLINE, "5")).send().await.unwrap();
+            assert_eq!(answer.headers().get(header::OUTCOME).unwrap(), "unknown");
+            let ledger = env.ledger().await;
+            assert_eq!((ledger.counts.late, ledger.counts.ran), (1, 0));
+        },
+    );
+}
+
+/// Guards against a fault that cuts answers without the caller seeing it.
+#[test]
+fn broken_answers_are_never_whole() {
+    run(
+        |_| {},
+        async |env| {
+            env.fail_target(TargetFaults { cut: 1, silent: 1, lose: 1, ..TargetFaults::default() }).await;
+            let short = Duration::from_millis(100);
+            let lost = actix_rt::time::timeout(short, env.work("/a").send()).await;
+            assert!(lost.is_err());
+            let mut silent = env.work("/b").send().await.unwrap();
+            assert!(actix_rt::time::timeout(short, silent.body()).await.is_err());
+            let cut = read_body(&mut env.work("/c").send().await.unwrap(), BYTES_MAX).await.unwrap_err();
+            assert_eq!(cut.code(), Code::AnswerCut);
+            assert!(read_body(&mut env.work("/d").send().await.unwrap(), BYTES_MAX).await.is_ok());
+            assert_eq!(env.ledger().await.counts.ran, 4);
+        },
+    );
+}
+
+/// Guards against faults that refuse more or less than they say.
+#[test]
+fn refusals_follow_the_faults() {
+    run(
+        |_| {},
+        async |env| {
+            env.fail_target(TargetFaults { shed: Share::new(0.5).unwrap(), ..TargetFaults::default() }).await;
+            for _ in 0..10 {
+                env.work("/a").send().await.unwrap();
+            }
+            env.fail_target(TargetFaults { refuse: true, ..TargetFaults::default() }).await;
+            assert_eq!(env.work("/a").send().await.unwrap().status(), 503);
+            let counts = env.ledger().await.counts;
+            assert_eq!((counts.ran, counts.refused), (5, 6));
+        },
+    );
+}
+
+/// Guards against a frozen target that still answers, or that answers work
+/// from before the freeze in another way than one that never froze.
+#[test]
+fn frozen_target_answers_after_the_freeze() {
+    run(
+        |_| {},
+        async |env| {
+            env.fail_target(TargetFaults { freeze: Span::from_secs(3_600), ..TargetFaults::default() }).await;
+            let work = spawn(env.work("/a").send());
+            let soon = Duration::from_millis(50);
+            assert!(actix_rt::time::timeout(soon, env.work("/b").send()).await.is_err());
+            assert!(!work.is_finished());
+            env.fail_target(TargetFaults::default()).await;
+            assert!(work.await.unwrap().unwrap().status().is_success());
+        },
+    );
+}
+
+/// Guards against reports that show the present although they should lag or
+/// lie.
+#[test]
+fn reports_lag_and_lie() {
+    run(
+        |settings| settings.targets[0].lag = Span::from_secs(3_600),
+        async |env| {
+            let first = spawn(env.work("/a").insert_header((own::WORK, FOREVER_MS)).send());
+            while env.work("/b").send().await.unwrap().status().is_success() {}
+            assert_eq!(load(&env).await.running, 0);
+            let lie = Load { running: 5, ..Load::default() };
+            env.fail_target(TargetFaults { lie: Some(lie), ..TargetFaults::default() }).await;
+            assert_eq!(load(&env).await, lie);
+            first.abort();
+        },
+    );
+}
