bench: let keepers put their depth into each answer

Depths that are gossiped every 250 ms are stale for half of all choices, and gossip ten times as often would not fit into 3 KB/s for a keeper.

The keeper's answer comes back anyway, so it now carries the depth of its queue, and the accepting VM takes it like gossip.

--- a/crates/catkin-bench/src/world.rs
+++ b/crates/catkin-bench/src/world.rs
@@ -115,6 +115,10 @@
     pub(crate) faults: Vec<Fault>,
     /// Work that arrives before this moment warms up and is not counted.
     pub(crate) warm: Span,
+    /// Whether a keeper puts the depth of its queue into each answer.
+    pub(crate) tells_depth: bool,
+    /// Time between two exchanges of depths or counts.
+    pub(crate) gossip: Span,
     /// Seed of the choices.
     pub(crate) seed: u64,
 }
@@ -129,6 +133,8 @@
             policy: Policy::default(),
             faults: Vec::new(),
             warm: Span::from_secs(2),
+            tells_depth: true,
+            gossip: GOSSIP_PERIOD,
             seed: 1,
         }
     }
@@ -241,7 +247,7 @@
     Reach(Try),
     Done(Try, u32),
     Return(Try, Reply),
-    Answer(Try, Reply),
+    Answer(Try, Reply, Option<u32>),
     Fault(usize),
     Tick,
     Gossip,
@@ -395,7 +401,7 @@
             Step::Reach(attempt) => self.reach(attempt),
             Step::Done(attempt, epoch) => self.done(attempt, epoch),
             Step::Return(attempt, reply) => self.returned(attempt, reply),
-            Step::Answer(attempt, reply) => self.answer(attempt, reply),
+            Step::Answer(attempt, reply, depth) => self.answer(attempt, reply, depth),
             Step::Fault(number) => self.fault(number),
             Step::Tick => self.tick(),
             Step::Gossip => self.gossip(),
@@ -566,13 +572,21 @@
 
     /// Takes a reply to the accepting VM.
     fn back(&mut self, attempt: Try, reply: Reply) {
+        let depth = self.depth(attempt);
         match self.hop(attempt) {
-            Span::ZERO => self.answer(attempt, reply),
-            hop => self.schedule_in(hop, Step::Answer(attempt, reply)),
+            Span::ZERO => self.answer(attempt, reply, depth),
+            hop => self.schedule_in(hop, Step::Answer(attempt, reply, depth)),
         }
     }
 
-    fn answer(&mut self, attempt: Try, reply: Reply) {
+    /// Returns the depth that a keeper puts into its answer.
+    fn depth(&self, attempt: Try) -> Option<u32> {
+        let keeper = &self.vms[self.home(attempt)].table;
+        let told = self.setup.mode == Mode::Keeper && self.setup.tells_depth;
+        told.then(|| keeper.depth(&self.servers[attempt.server].id))
+    }
+
+    fn answer(&mut self, attempt: Try, reply: Reply, depth: Option<u32>) {
         let unit = attempt.unit;
         let vm = self.units[unit].vm;
         let target = self.servers[attempt.server].id.clone();
@@ -584,6 +598,10 @@
         if self.setup.mode != Mode::Fifo {
             self.vms[vm].loads.end(self.now, &target, fault);
         }
+        if let Some(depth) = depth {
+            let gossip = Gossip { target: target.clone(), depth, open: true };
+            self.vms[vm].loads.hear(self.now, &gossip);
+        }
         match reply {
             Reply::Ok => {
                 self.vms[vm].budget.succeed(self.now);
@@ -679,7 +697,7 @@
     }
 
     fn gossip(&mut self) {
-        self.schedule_in(GOSSIP_PERIOD, Step::Gossip);
+        self.schedule_in(self.setup.gossip, Step::Gossip);
         match self.setup.mode {
             Mode::Keeper => self.gossip_depths(),
             Mode::Direct => self.gossip_counts(),
