--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -14,8 +14,11 @@
 //!   reads at its start.
 //! - [`member`] is the table of the entry VMs, [`place`] chooses keepers and
 //!   places slices.
+//! - [`choose`] picks a target, [`dispatch`] queues for it, [`retry`] decides
+//!   about another try, [`intent`] keeps idempotency keys across VMs.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
-//!   gateways.
+//!   gateways; [`admin`] has the JSON bodies for operators.
+//! - [`event`] has the events of the time line and their clock.
 //!
 //! ```
 //! use catkin::types::Span;
@@ -25,15 +28,21 @@
 //! # Ok::<(), catkin::Error>(())
 //! ```
 
+pub mod admin;
 pub mod api;
+pub mod choose;
 pub mod config;
+pub mod dispatch;
 pub mod error;
+pub mod event;
 pub mod fold;
+pub mod intent;
 pub mod lease;
 pub mod logs;
 pub mod member;
 pub mod place;
 pub mod record;
+pub mod retry;
 pub mod settings;
 pub mod types;
 pub mod wire;
--- a/crates/catkin/src/place/keeper.rs
+++ b/crates/catkin/src/place/keeper.rs
@@ -92,8 +92,6 @@
     Leaving,
     /// It is lost, or neither listed nor heard.
     Lost,
-    /// The record was written by an earlier process of this VM.
-    Earlier,
 }
 
 /// Claims of one VM, with what it must remember between two calls.
@@ -159,11 +157,7 @@
             self.needed.remove(&target.id);
             return None;
         };
-        let order = if need == Need::Earlier {
-            vec![self.vm.clone()]
-        } else {
-            order(target, logged, need, members, live, kept, max)
-        };
+        let order = order(target, logged, need, members, live, kept, max);
         let first = order.first()?;
         *kept.entry(first.clone()).or_default() += 1;
         let place = order.iter().position(|vm| *vm == self.vm)?;
@@ -189,13 +183,9 @@
         let version = logged.map(|k| k.version).unwrap_or_default();
         let need = match logged {
             None => Need::Missing,
-            Some(keeper) if keeper.vm == self.vm => {
-                let own = self.claimed.get(target).is_some_and(|(made, _)| *made == version);
-                if own {
-                    return None;
-                }
-                Need::Earlier
-            }
+            // A new process of the VM that is named claims its targets again
+            // in `lease::Keeper`.
+            Some(keeper) if keeper.vm == self.vm => return None,
             Some(keeper) if members.lost_since(&keeper.vm).is_some() => Need::Lost,
             Some(keeper) if members.is_leaving(&keeper.vm) => Need::Leaving,
             Some(keeper) if members.is_listed(&keeper.vm) => return None,
