--- a/crates/catkin/src/lease/bounds.rs
+++ b/crates/catkin/src/lease/bounds.rs
@@ -45,7 +45,7 @@
     /// Returns the end to state in a renewal that is sent now.
     pub(super) fn renew(&mut self, timings: &Timings) -> Option<Time> {
         let (clock, received) = self.reading?;
-        self.upper = self.upper.max(received.after(timings.longest()));
+        self.upper = self.upper.max(received.after(timings.longest(timings.ttl)));
         Some(clock.after(timings.ttl))
     }
 
@@ -54,16 +54,12 @@
     ///
     /// The target refuses all older commands from now on, so the answer alone
     /// gives the bounds.
-    pub(super) fn accept(&mut self, now: Time, sent: Time, reply: &Reply, margin: f64) -> bool {
+    pub(super) fn accept(&mut self, now: Time, sent: Time, reply: &Reply, timings: &Timings) -> bool {
         let lapsed = reply.clock >= self.until;
         let left = reply.until.since(reply.clock);
         self.until = reply.until;
-        self.upper = now.after(left.scale(1.0 + margin));
-        self.lower = if left == Span::ZERO { Time::default() } else { shorten(sent, left, margin) };
+        self.upper = now.after(timings.longest(left));
+        self.lower = if left == Span::ZERO { Time::default() } else { sent.after(timings.shortest(left)) };
         lapsed
     }
 }
-
-fn shorten(sent: Time, left: Span, margin: f64) -> Time {
-    sent.after(left.saturating_sub(left.scale(margin)))
-}
--- a/crates/catkin/src/lease/keeper.rs
+++ b/crates/catkin/src/lease/keeper.rs
@@ -49,7 +49,7 @@
 };
 
 /// The targets that this VM keeps.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Keeper {
     pub(super) vm: VmId,
     boot: u64,
--- a/crates/catkin/src/lease/kept.rs
+++ b/crates/catkin/src/lease/kept.rs
@@ -175,7 +175,7 @@
     fn is_bounded(&self, now: Time, timings: &Timings) -> bool {
         let alone = self
             .alone_since()
-            .is_some_and(|since| !self.prior.is_empty() && now >= since.after(timings.longest()));
+            .is_some_and(|since| !self.prior.is_empty() && now >= since.after(timings.longest(timings.ttl)));
         self.taken || alone
     }
 
@@ -380,7 +380,7 @@
 
     fn accepted(&mut self, now: Time, sent: Time, reply: &Reply, full: bool, timings: &Timings) {
         self.taken = true;
-        let lapsed = self.bounds.accept(now, sent, reply, timings.margin);
+        let lapsed = self.bounds.accept(now, sent, reply, timings);
         if full {
             self.report(now, reply);
         } else if lapsed {
--- a/crates/catkin/src/lease/timings.rs
+++ b/crates/catkin/src/lease/timings.rs
@@ -2,8 +2,10 @@
 
 use crate::{config::Policy, types::Span};
 
+const MILLION: u64 = 1_000_000;
+
 /// Times that leases depend on.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Timings {
     /// Time to live of a lease.
     pub ttl: Span,
@@ -18,19 +20,28 @@
     /// Time for which a VM must be missing from the list if this process
     /// never saw it listed.
     pub lag: Span,
-    /// Largest difference of two clock rates, as a share.
-    pub margin: f64,
+    /// Largest difference of two clock rates, in parts per million.
+    pub margin: u32,
 }
 
 impl Timings {
-    /// Returns the longest time that a lease can last on this VM's clock.
-    pub fn longest(&self) -> Span {
-        self.ttl.scale(1.0 + self.margin)
+    /// Returns the longest time on this VM's clock in which a span passes on
+    /// the clock of a target.
+    pub fn longest(&self, span: Span) -> Span {
+        span + self.drift(span)
+    }
+
+    /// Returns the shortest time on this VM's clock in which a span passes on
+    /// the clock of a target.
+    pub fn shortest(&self, span: Span) -> Span {
+        span.saturating_sub(self.drift(span))
     }
 
-    /// Returns the shortest time that a lease can last on this VM's clock.
-    pub fn shortest(&self) -> Span {
-        self.ttl.saturating_sub(self.ttl.scale(self.margin))
+    /// Twice the margin covers a target whose clock is slow: a span divided
+    /// by `1 - margin` is longer than one multiplied by `1 + margin`.
+    fn drift(&self, span: Span) -> Span {
+        let micros = span.as_micros().saturating_mul(2 * u64::from(self.margin)).div_ceil(MILLION);
+        Span::from_micros(micros)
     }
 }
 
@@ -43,7 +54,7 @@
             ask: policy.lease_period.scale(0.25),
             deadline: policy.deadline,
             lag: Span::from_secs(30),
-            margin: policy.clock_margin.as_f64(),
+            margin: (policy.clock_margin.as_f64() * MILLION as f64).ceil() as u32,
         }
     }
 }
--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod record;
 pub mod retry;
 pub mod settings;
+pub mod snapshot;
 pub mod types;
 pub mod wire;
 
