--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod record;
 pub mod retry;
 pub mod settings;
+pub mod snapshot;
 pub mod types;
 pub mod wire;
 
