--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -16,10 +16,6 @@
 //!   about another try, [`intent`] keeps idempotency keys across VMs.
 //! - [`member`] is the table of the entry VMs, [`place`] chooses keepers and
 //!   places slices.
-//! - [`member`] is the table of the entry VMs, [`place`] chooses keepers and
-//!   places slices.
-//! - [`choose`] picks a target, [`dispatch`] queues for it, [`retry`] decides
-//!   about another try, [`intent`] keeps idempotency keys across VMs.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
 //!   gateways; [`admin`] has the JSON bodies for operators.
 //! - [`event`] has the events of the time line and their clock.
