--- a/crates/catkin/src/settings/standin.rs
+++ b/crates/catkin/src/settings/standin.rs
@@ -61,6 +61,16 @@
     pub work: Span,
     /// Whether it checks fences.
     pub fenced: bool,
+    /// Lag of its load and health reports.
+    #[serde(default)]
+    pub lag: Span,
+    /// Connections that it accepts.
+    #[serde(default = "target_connections", deserialize_with = "limit")]
+    pub connections: u32,
+}
+
+fn target_connections() -> u32 {
+    100
 }
 
 impl Settings for Standin {
