--- a/crates/catkin-standin/tests/common/mod.rs
+++ b/crates/catkin-standin/tests/common/mod.rs
@@ -21,7 +21,7 @@
 const SETTINGS: &str = "
 platform: {addr: '127.0.0.1:0', retention: 1h, lag: 0us, vms: []}
 targets:
-  - {id: t-1, service: planoteca, zone: a, addr: '127.0.0.1:0', slots: 1, work: 0us, fenced: true}
+  - {id: t-1, service: planoteca, zone: a, addr: '127.0.0.1:0', slots: 1, work: 1us, fenced: true}
 ";
 
 /// Runs a test against stand-ins with settings that it may change.
--- a/crates/catkin-standin/tests/platform.rs
+++ b/crates/catkin-standin/tests/platform.rs
@@ -39,7 +39,7 @@
             let offset = log.append(b"kept", LIMIT).await.unwrap();
             assert_eq!((refused.code(), lost.code()), (Code::LogUnavailable, Code::AppendUnknown));
             let read = log.read(Offset(0), 10, Span::ZERO).await.unwrap();
-            assert_eq!(read.records, [(Offset(1), b"lost".to_vec()), (offset, b"kept".to_vec())]);
+            assert_eq!(read.records, [(Offset(0), b"lost".to_vec()), (offset, b"kept".to_vec())]);
         },
     );
 }
@@ -52,7 +52,7 @@
         async |env| {
             let log = log(&env);
             let reader = log.clone();
-            let read = spawn(async move { reader.read(Offset(1), 10, LIMIT).await });
+            let read = spawn(async move { reader.read(Offset(0), 10, LIMIT).await });
             let offset = log.append(b"one", LIMIT).await.unwrap();
             assert_eq!(read.await.unwrap().unwrap().records, [(offset, b"one".to_vec())]);
         },
@@ -70,8 +70,8 @@
     run(retention(Span::from_millis(1)), async |env| {
         let log = log(&env);
         log.append(b"one", LIMIT).await.unwrap();
-        while log.read(Offset(1), 10, Span::ZERO).await.unwrap().first == Offset(1) {}
-        assert_eq!(log.append(b"two", LIMIT).await.unwrap(), Offset(2));
+        while log.read(Offset(0), 10, Span::ZERO).await.unwrap().first == Offset(0) {}
+        assert_eq!(log.append(b"two", LIMIT).await.unwrap(), Offset(1));
     });
 }
 
@@ -86,7 +86,7 @@
             assert!(log.read(Offset(0), 10, Span::ZERO).await.is_err());
             assert!(log.append(b"one", LIMIT).await.is_err());
             env.fail_platform(PlatformFaults::default()).await;
-            assert_eq!(log.read(Offset(0), 10, Span::ZERO).await.unwrap().head, Offset(1));
+            assert_eq!(log.read(Offset(0), 10, Span::ZERO).await.unwrap().head, Offset(0));
         },
     );
 }
