--- a/crates/catkinctl/src/history.rs
+++ b/crates/catkinctl/src/history.rs
@@ -5,7 +5,7 @@
     catkin::{
         Error,
         fold::{State, Verdict},
-        record::{self, Change},
+        record::{self, Change, Publish},
         types::{Offset, Revision},
     },
     serde::Serialize,
@@ -21,16 +21,30 @@
     pub revision: Revision,
     /// Who published it.
     pub author: Arc<str>,
-    /// Why it was refused; `None` if it was accepted.
-    pub refused: Option<String>,
+    /// What became of it.
+    pub verdict: Outcome,
+}
+
+/// What became of a published configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It came into force.
+    Accepted,
+    /// It was refused for this reason.
+    Refused(String),
+    /// Records before it have expired.
+    Unknown,
 }
 
 impl fmt::Display for Published {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { offset, revision, author, refused } = self;
-        match refused {
-            None => write!(f, "offset {offset}: revision {revision} by {author}: accepted"),
-            Some(reason) => write!(f, "offset {offset}: revision {revision} by {author}: refused: {reason}"),
+        let Self { offset, revision, author, verdict } = self;
+        write!(f, "offset {offset}: revision {revision} by {author}: ")?;
+        match verdict {
+            Outcome::Accepted => write!(f, "accepted"),
+            Outcome::Refused(reason) => write!(f, "refused: {reason}"),
+            Outcome::Unknown => write!(f, "verdict unknown, records before it have expired"),
         }
     }
 }
@@ -43,11 +57,20 @@
 pub async fn history(mut reader: Reader) -> Result<Rows<Published>, Error> {
     let mut rows = Vec::new();
     reader.catch_up(|_: &State, offset, bytes, verdict| rows.extend(read(offset, bytes, verdict))).await?;
-    Ok(Rows(rows))
+    let unjudged = reader.unjudged().iter();
+    let unjudged = unjudged.map(|(offset, publish)| row(*offset, publish, Outcome::Unknown));
+    Ok(Rows(unjudged.chain(rows).collect()))
 }
 
 fn read(offset: Offset, bytes: &[u8], verdict: &Verdict) -> Option<Published> {
     let Ok(Change::Config(publish)) = record::decode(bytes).map(|record| record.change) else { return None };
-    let refused = verdict.refused.first().map(ToString::to_string);
-    Some(Published { offset, revision: publish.expects.next(), author: publish.author, refused })
+    let outcome = match verdict.refused.first() {
+        None => Outcome::Accepted,
+        Some(error) => Outcome::Refused(error.to_string()),
+    };
+    Some(row(offset, &publish, outcome))
+}
+
+fn row(offset: Offset, publish: &Publish, verdict: Outcome) -> Published {
+    Published { offset, revision: publish.expects.next(), author: publish.author.clone(), verdict }
 }
--- a/crates/catkinctl/src/reader.rs
+++ b/crates/catkinctl/src/reader.rs
@@ -5,6 +5,8 @@
     catkin::{
         Code, Error,
         fold::{State, Verdict},
+        record::{self, Change, Publish},
+        snapshot::{Choice, Join, Scan, choose},
         types::{Offset, Span},
     },
     catkin_net::Log,
@@ -13,16 +15,18 @@
 
 const PAGE_RECORDS: u32 = 512;
 
-/// Reads the log in order and folds it.
+/// Reads the log in order and folds it. If its first records have expired, it
+/// starts from the newest complete snapshot.
 pub struct Reader {
     log: Log,
     state: State,
+    unjudged: Vec<(Offset, Publish)>,
 }
 
 impl Reader {
     /// Makes a reader that starts at the first record.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { log: Log::new(Client::default(), addr), state: State::new() }
+        Self { log: Log::new(Client::default(), addr), state: State::new(), unjudged: Vec::new() }
     }
 
     /// Returns the client of the log.
@@ -35,22 +39,28 @@
         &self.state
     }
 
+    /// Returns the configurations before the snapshot that the reader started
+    /// from. The fold has no verdict for them.
+    pub fn unjudged(&self) -> &[(Offset, Publish)] {
+        &self.unjudged
+    }
+
     /// Reads one page, waits up to a span for its first record, and shows
     /// each record with its verdict.
     ///
     /// # Errors
     ///
-    /// `Code::LogUnavailable`, or `Code::LogExpired` if records before the
-    /// oldest one that is kept are needed.
+    /// `Code::LogUnavailable`, or `Code::LogExpired` if expired records are
+    /// needed and no complete snapshot stands for them.
     pub async fn page(
         &mut self,
         wait: Span,
         mut visit: impl FnMut(&State, Offset, &[u8], &Verdict),
     ) -> Result<Offset, Error> {
-        let page = self.log.read(self.state.next(), PAGE_RECORDS, wait).await?;
+        let mut page = self.log.read(self.state.next(), PAGE_RECORDS, wait).await?;
         if page.first > self.state.next() {
-            let detail = format!("record {} is needed, the oldest kept is {}", self.state.next(), page.first);
-            return Err(Error::new(Code::LogExpired, detail));
+            self.restart(page.first).await?;
+            page = self.log.read(self.state.next(), PAGE_RECORDS, wait).await?;
         }
         for (offset, bytes) in &page.records {
             let verdict = self.state.apply(*offset, bytes);
@@ -81,4 +91,31 @@
         }
         Ok(())
     }
+
+    /// Looks for a snapshot among the records that are kept.
+    async fn restart(&mut self, first: Offset) -> Result<(), Error> {
+        let (mut join, mut next, mut published) = (Join::new(), first, Vec::new());
+        loop {
+            let page = self.log.read(next, PAGE_RECORDS, Span::ZERO).await?;
+            for (offset, bytes) in &page.records {
+                next = offset.next();
+                match record::decode(bytes).map(|record| record.change) {
+                    Ok(Change::Chunk(chunk)) => drop(join.push(chunk)),
+                    Ok(Change::Config(publish)) => published.push((*offset, publish)),
+                    _ => {}
+                }
+            }
+            if page.records.is_empty() || next >= page.head {
+                break;
+            }
+        }
+        let Choice::State(state) = choose(Some(Scan { first, join: &join }), &[]) else {
+            let detail = format!("the oldest record is {first}, and there is no complete snapshot after it");
+            return Err(Error::new(Code::LogExpired, detail));
+        };
+        published.retain(|(offset, _)| *offset < state.next());
+        self.unjudged = published;
+        self.state = *state;
+        Ok(())
+    }
 }
--- a/crates/catkinctl/tests/ctl/fake.rs
+++ b/crates/catkinctl/tests/ctl/fake.rs
@@ -28,6 +28,8 @@
 
 #[derive(Default)]
 pub(crate) struct FakeLog {
+    /// Offset of the oldest record that is kept.
+    pub first: u64,
     pub records: Vec<Vec<u8>>,
     pub faults: VecDeque<Fault>,
     pub appends: u32,
@@ -66,18 +68,25 @@
     }
     match fault {
         Some(Fault::LoseAnswer | Fault::LoseRequest) => reply_text(200, "cut"),
-        _ => reply_json(200, &Appended { offset: Offset(log.records.len() as u64 - 1) }),
+        _ => reply_json(200, &Appended { offset: Offset(log.head() - 1) }),
+    }
+}
+
+impl FakeLog {
+    fn head(&self) -> u64 {
+        self.first + self.records.len() as u64
     }
 }
 
 fn page(log: &FakeLog, query: &str) -> Page {
-    let from = query.split('&').find_map(|pair| pair.strip_prefix("from=")).unwrap().parse().unwrap();
-    let entry = |(number, bytes): (usize, &Vec<u8>)| Entry {
-        offset: Offset(number as u64),
+    let from = query.split('&').find_map(|pair| pair.strip_prefix("from=")).unwrap();
+    let from = from.parse::<u64>().unwrap();
+    let entry = |(offset, bytes): (u64, &Vec<u8>)| Entry {
+        offset: Offset(offset),
         data: BASE64_STANDARD.encode(bytes),
     };
-    let records = log.records.iter().enumerate().skip(from).map(entry).collect();
-    Page { first: Offset(0), head: Offset(log.records.len() as u64), records }
+    let records = (log.first..).zip(&log.records).filter(|(offset, _)| *offset >= from);
+    Page { first: Offset(log.first), head: Offset(log.head()), records: records.map(entry).collect() }
 }
 
 pub(crate) fn config_record(author: &str, expects: u64, text: &str) -> Vec<u8> {
--- a/crates/catkinctl/tests/ctl/operate.rs
+++ b/crates/catkinctl/tests/ctl/operate.rs
@@ -9,14 +9,22 @@
         admin::{Health, Status},
         api::{Command, Held, Order, Reply, Stamp, path},
         config,
+        fold::State,
         record::{self, Assign, Change, Claim, Move, Record, Writer},
         settings::{Standin, parse},
+        snapshot::split,
         types::{Fence, Offset, Revision, Sequence, SliceId, Span, Time, Version},
     },
     catkin_net::{get, listen, post, reply_json, serve},
     catkin_standin::{Running, start},
     catkinctl::{
-        drain::drain, gateways::Gateways, history::history, output::Report, owners::owners, reader::Reader,
+        drain::drain,
+        gateways::Gateways,
+        history::history,
+        output::Report,
+        owners::owners,
+        publish::{Published, publish},
+        reader::Reader,
         status::status,
     },
     std::{cell::Cell, net::SocketAddr, rc::Rc},
@@ -183,15 +191,47 @@
             provisional: None,
         };
         let assign = |service: &str| Assign { service: service.parse().unwrap(), moves: vec![first.clone()] };
+        let keyed = "services: {a: {keyed: true, slices: 8}, b: {keyed: true, slices: 8}}";
         log.borrow_mut().records.extend([
+            fake::config_record("ana", 0, keyed),
             encode(1, Change::Keeper(claim)),
             encode(2, Change::Assign(assign("a"))),
             encode(3, Change::Assign(assign("b"))),
         ]);
         let report = owners(Reader::new(addr), Some(&"b".parse().unwrap())).await.unwrap();
-        assert_eq!(report.to_string(), "b/3: owner t-1, standby t-2, keeper gw-1, fence 2.0");
+        assert_eq!(report.to_string(), "b/3: owner t-1, standby t-2, keeper gw-1, fence 3.0");
         let json = serde_json::to_value(&report).unwrap();
-        assert_eq!(json[0]["fence"]["offset"], 2);
+        assert_eq!(json[0]["fence"]["offset"], 3);
+    });
+}
+
+/// Guards against commands that fail, or start from an empty state, once old
+/// records have expired.
+#[test]
+fn a_snapshot_stands_for_expired_records() {
+    System::new().block_on(async {
+        let (addr, log) = fake::start().await;
+        let records: Vec<_> = (0..4).map(|n| fake::config_record("ana", n, fake::FLEET)).collect();
+        let mut state = State::new();
+        (0..).zip(&records[..3]).for_each(|(n, bytes)| drop(state.apply(Offset(n), bytes)));
+        {
+            let mut log = log.borrow_mut();
+            log.first = 2;
+            log.records.extend(records[2..].to_vec());
+        }
+        let expired = history(Reader::new(addr)).await.unwrap_err();
+        assert_eq!(expired.code(), Code::LogExpired);
+
+        let chunks = split(&state).unwrap();
+        log.borrow_mut().records.extend((1..).zip(chunks).map(|(n, chunk)| encode(n, Change::Chunk(chunk))));
+        let lines = history(Reader::new(addr)).await.unwrap().to_string();
+        let expected = [
+            "offset 2: revision 3 by ana: verdict unknown, records before it have expired",
+            "offset 3: revision 4 by ana: accepted",
+        ];
+        assert_eq!(lines.lines().collect::<Vec<_>>(), expected);
+        let published = publish(Reader::new(addr), fake::FLEET, "eva", LIMIT).await.unwrap();
+        assert_eq!(published, Published::Accepted { revision: Revision(5), offset: Offset(5) });
     });
 }
 
@@ -203,7 +243,7 @@
         let text = |slices| format!("services: {{a: {{keyed: true, slices: {slices}}}}}");
         log.borrow_mut().records.push(fake::config_record("ana", 0, &text(8)));
         config::parse(&text(16)).unwrap();
-        let result = catkinctl::publish::publish(Reader::new(addr), &text(16), "eva", LIMIT).await;
+        let result = publish(Reader::new(addr), &text(16), "eva", LIMIT).await;
         assert_eq!(result.unwrap_err().path(), Some("services.a.slices"));
         assert_eq!(log.borrow().appends, 0);
     });
