--- a/crates/catkin/src/config/mod.rs
+++ b/crates/catkin/src/config/mod.rs
@@ -37,6 +37,13 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
+/// Longest text, in bytes.
+const TEXT_BYTES_MAX: usize = 128 * 1024;
+/// Most lists and maps in brackets. The YAML parser takes time in proportion
+/// to the square of their depth, and a gateway renews no lease while it
+/// parses.
+const BRACKETS_MAX: usize = 2_000;
+
 /// An exception from the defaults.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -92,11 +99,24 @@
 /// A code of group 2 with the path of the field, what was read and what is
 /// allowed.
 pub fn parse(text: &str) -> Result<Fleet, Error> {
+    check_text(text)?;
     let fleet: Fleet = yaml::read(text).map_err(into_config)?;
     check::check(&fleet)?;
     Ok(fleet)
 }
 
+fn check_text(text: &str) -> Result<(), Error> {
+    let limit = |name: &str, read: usize, max: usize| {
+        if read <= max {
+            return Ok(());
+        }
+        Err(Error::new(Code::ConfigSyntax, format!("read {read} {name}, allowed are {max}")))
+    };
+    limit("bytes", text.len(), TEXT_BYTES_MAX)?;
+    let brackets = text.bytes().filter(|byte| b"[{".contains(byte)).count();
+    limit("lists and maps in brackets", brackets, BRACKETS_MAX)
+}
+
 fn into_config(error: Error) -> Error {
     if matches!(error.code().number(), 200..=299) {
         return error;
