--- a/crates/catkin-gateway/src/accept.rs
+++ b/crates/catkin-gateway/src/accept.rs
@@ -5,7 +5,8 @@
         body::{self, Body},
         execute::{self, Reply},
         node::Node,
-        peer, route,
+        peer, protect,
+        route::{self, Count, Route},
     },
     actix_http::{
         Request, Response, StatusCode,
@@ -18,6 +19,7 @@
         api::header,
         config::Policy,
         event::Kind,
+        intent::End,
         retry::{self, Budget, Decision, Failure, History},
         types::{Key, RequestId, Revision, Service, Span, Time},
         wire::{Class, Head},
@@ -34,6 +36,7 @@
     id: RequestId,
     service: Service,
     key: Option<Key>,
+    operation: Option<Arc<str>>,
     class: Class,
     is_idempotent: bool,
     end: Time,
@@ -76,10 +79,10 @@
     let code = result.as_ref().map_or_else(|e| e.code(), |_| Code::Done);
     node.metrics.answer(code, node.now().since(start));
     match result {
-        Ok((fence, reply)) => {
+        Ok(reply) => {
             let status = reply.answer.status;
             node.record(Kind::Answered { request: id.clone(), target: reply.answer.target.clone(), status });
-            answer(&id, fence, reply, open)
+            answer(&id, reply, open)
         }
         Err(error) => {
             node.record(Kind::Refused { request: id.clone(), target: None, code: code.number() });
@@ -88,21 +91,36 @@
     }
 }
 
-async fn run(node: &Rc<Node>, id: &RequestId, request: Request) -> Result<(Option<String>, Reply), Error> {
-    let (ask, mut body) = read(node, id, request).await?;
+async fn run(node: &Rc<Node>, id: &RequestId, request: Request) -> Result<Reply, Error> {
+    let (ask, body) = read(node, id, request).await?;
+    let Some(key) = ask.operation.as_ref().filter(|_| !ask.is_idempotent) else {
+        return send(node, &ask, body).await;
+    };
+    let mut guard = protect::enter(node, &ask.service, key, ask.policy.log_down, ask.end).await?;
+    let result = send(node, &ask, body).await;
+    guard.set(match &result {
+        Ok(_) => End::Ran,
+        Err(error) if error.is_not_run() => End::NotRun,
+        Err(_) => End::Unknown,
+    });
+    result
+}
+
+/// Sends a request until it is answered or must not be sent again.
+async fn send(node: &Rc<Node>, ask: &Ask, mut body: Body) -> Result<Reply, Error> {
     let mut history = History::new(ask.is_idempotent, ask.end);
     loop {
         let spare = body.copy();
-        let error = match send_once(node, &ask, body).await {
-            Ok((fence, reply)) => {
+        let error = match send_once(node, ask, body).await {
+            Ok(reply) => {
                 node.budget(&ask.service, &ask.policy, |budget| budget.succeed(node.now()));
-                return Ok((fence, reply));
+                return Ok(reply);
             }
             Err(error) => error,
         };
         let Some(spare) = spare else { return Err(error) };
         if !is_moving(&error) || node.now().after(Span::from(MOVE_POLL)) >= ask.end {
-            settle(node, &ask, &mut history, error)?;
+            settle(node, ask, &mut history, error)?;
         }
         node.metrics.retry();
         body = spare;
@@ -131,8 +149,17 @@
     }
 }
 
-async fn send_once(node: &Rc<Node>, ask: &Ask, body: Body) -> Result<(Option<String>, Reply), Error> {
+async fn send_once(node: &Rc<Node>, ask: &Ask, body: Body) -> Result<Reply, Error> {
     let route = route::find(node, &ask.service, ask.key.as_ref())?;
+    let mut count = Count::new(node, &ask.service, &route.target);
+    let result = send_to(node, ask, route, body).await;
+    if result.is_err() {
+        count.set_fault();
+    }
+    result
+}
+
+async fn send_to(node: &Rc<Node>, ask: &Ask, route: Route, body: Body) -> Result<Reply, Error> {
     let left = ask.end.since(node.now());
     let head = Head {
         request: ask.id.clone(),
@@ -140,6 +167,7 @@
         target: route.target,
         slice: route.slice,
         key: ask.key.clone(),
+        operation: ask.operation.clone(),
         class: ask.class,
         idempotent: ask.is_idempotent,
         left,
@@ -148,16 +176,15 @@
         headers: ask.headers.clone(),
         length: body.length(),
     };
-    let fence = route.slice.map(|(_, fence)| fence.to_string());
     if route.keeper == node.set.vm {
-        return execute::run(node, head, body).await.map(|reply| (fence, reply));
+        return execute::run(node, head, body).await;
     }
     let addr = node.peer(&route.keeper).ok_or_else(|| {
         Error::new(Code::PeerUnreachable, format!("{} is not in the VM list", route.keeper))
     })?;
     let sent = peer::forward(node, addr, head, body);
     match actix_rt::time::timeout(left.as_duration(), sent).await {
-        Ok(result) => result.map(|reply| (fence, reply)),
+        Ok(result) => result,
         Err(_) => Err(Error::new(Code::OutcomeUnknown, "no answer in time")),
     }
 }
@@ -180,12 +207,14 @@
     if entry.keyed && key.is_none() {
         return Err(Error::new(Code::MissingKey, format!("{service} needs the header {}", header::KEY)));
     }
+    let operation = text(&head.headers, header::IDEMPOTENCY)?.map(Arc::from);
     let left = deadline(&head.headers, &policy)?;
-    let (class, is_idempotent) = classify(entry, head.method.as_str());
+    let (class, is_idempotent) = entry.route(head.method.as_str(), rest(head.uri.path()));
     let class = text(&head.headers, header::CLASS)?.map_or(Ok(class), parse_class)?;
     let mut ask = Ask {
         id: id.clone(),
         key: key.filter(|_| entry.keyed),
+        operation,
         class,
         is_idempotent,
         end: node.now().after(left),
@@ -210,10 +239,6 @@
     Ok((ask, body))
 }
 
-fn classify(_entry: &catkin::config::Entry, method: &str) -> (Class, bool) {
-    (Class::Short, matches!(method, "GET" | "HEAD" | "PUT" | "DELETE"))
-}
-
 fn bad_request(error: Error) -> Error {
     Error::new(Code::BadRequest, error.detail())
 }
@@ -223,6 +248,12 @@
     name.parse().map_err(|_| Error::new(Code::UnknownService, format!("no service {name:?}")))
 }
 
+/// Returns the path after the service's name.
+fn rest(path: &str) -> &str {
+    let path = path.trim_start_matches('/');
+    path.find('/').map_or("/", |at| &path[at..])
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Error> {
     let Some(value) = headers.get(name) else { return Ok(None) };
     value.to_str().map(Some).map_err(|_| Error::new(Code::BadRequest, format!("{name} is not plain text")))
@@ -255,7 +286,7 @@
     text.parse().map(Some).map_err(|_| Error::new(Code::BadRequest, "content-length is not a number"))
 }
 
-fn answer(id: &RequestId, fence: Option<String>, reply: Reply, open: Open) -> Response<BoxBody> {
+fn answer(id: &RequestId, reply: Reply, open: Open) -> Response<BoxBody> {
     let status = StatusCode::from_u16(reply.answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = Response::build(status);
     for (name, value) in &reply.answer.headers {
@@ -266,8 +297,8 @@
         .insert_header((header::SERVER, reply.answer.target.as_str()))
         .insert_header((header::CODE, Code::Done.number().to_string()))
         .insert_header((header::OUTCOME, Code::Done.outcome().as_str()));
-    if let Some(fence) = fence {
-        builder.insert_header((header::FENCE, fence));
+    if let Some(fence) = reply.answer.fence {
+        builder.insert_header((header::FENCE, fence.to_string()));
     }
     builder.body(reply.body.with_guard(open).into_http()).map_into_boxed_body()
 }
--- a/crates/catkin-gateway/src/control.rs
+++ b/crates/catkin-gateway/src/control.rs
@@ -1,10 +1,12 @@
 //! Claims, assignments and lease commands.
 
 use {
-    crate::{node::Node, peer},
+    crate::{append, follow, node::Node, peer, reports},
     catkin::{
         Code, Error,
-        api::{Command, Order, Reply, path},
+        api::{Command, Life, Order, Reply, VmList, path},
+        event::Kind,
+        fold::State,
         lease::Action,
         place::{Assigner, Claims},
         record::Change,
@@ -12,7 +14,6 @@
         wire::Frame,
     },
     std::{collections::BTreeSet, rc::Rc, time::Duration},
-    tokio::sync::mpsc::UnboundedSender,
 };
 
 const TICK: Duration = Duration::from_millis(10);
@@ -25,22 +26,22 @@
 
 struct Control {
     node: Rc<Node>,
-    changes: UnboundedSender<Change>,
     claims: Claims,
     assigner: Assigner,
     kept: BTreeSet<TargetId>,
+    leased: BTreeSet<TargetId>,
     ticks: u64,
 }
 
 /// Runs the control systems at each tick until the process ends.
-pub(crate) async fn run(node: Rc<Node>, changes: UnboundedSender<Change>) {
+pub(crate) async fn run(node: Rc<Node>) {
     let vm = node.set.vm.clone();
     let mut control = Control {
         node,
-        changes,
         claims: Claims::new(vm.clone()),
         assigner: Assigner::new(vm),
         kept: BTreeSet::new(),
+        leased: BTreeSet::new(),
         ticks: 0,
     };
     let mut tick = actix_rt::time::interval(TICK);
@@ -69,6 +70,27 @@
         let actions = self.node.keeper.borrow_mut().tick(now);
         actions.into_iter().for_each(|action| self.act(action));
         self.node.queues.tick(now);
+        self.node.protect.tick(&self.node, now);
+        self.show_leases(now);
+    }
+
+    /// Records an event for each lease that began or may have ended.
+    fn show_leases(&mut self, now: Time) {
+        let node = &self.node;
+        for target in &self.kept {
+            let is_leased = node.keeper.borrow().admit(now, target, None).is_ok();
+            if self.leased.contains(target) == is_leased {
+                continue;
+            }
+            let fence = node.state.borrow().keeper(target).map(|row| row.fence).unwrap_or_default();
+            if is_leased {
+                self.leased.insert(target.clone());
+                node.record(Kind::LeaseGranted { target: target.clone(), fence });
+            } else {
+                self.leased.remove(target);
+                node.record(Kind::LeaseExpired { target: target.clone() });
+            }
+        }
     }
 
     /// Takes a changed fold or VM list.
@@ -77,7 +99,7 @@
         let state = node.state.borrow();
         let list = node.list.borrow();
         node.keeper.borrow_mut().sync(now, &state, &list, node.log_up.get());
-        node.members.borrow_mut().sync(&list);
+        sync_loads(node, now, &state, &list);
         drop(list);
         drop(state);
         self.sync_queues();
@@ -117,8 +139,9 @@
         let claims = self.claims.claims(now, &state, &list, &members);
         let assigns = self.assigner.assign(now, &state, &list, &members);
         let changes = claims.into_iter().map(Change::Keeper).chain(assigns.into_iter().map(Change::Assign));
-        // The receiver lives as long as the process.
-        changes.for_each(|change| drop(self.changes.send(change)));
+        for change in changes {
+            append::push(node, change);
+        }
     }
 
     fn act(&self, action: Action) {
@@ -128,13 +151,37 @@
                 drop(actix_rt::spawn(command_target(node, target, command)))
             }
             Action::Inspect { target } => drop(actix_rt::spawn(inspect(node, target))),
-            Action::Append(change) => drop(self.changes.send(change)),
+            Action::Append(change) => {
+                append::push(&node, change);
+            }
             Action::Ask { vm, frame } => drop(actix_rt::spawn(ask(node, vm, frame))),
             Action::ReadHead => drop(actix_rt::spawn(read_head(node))),
         }
     }
 }
 
+/// Keeps a row for each target of the services that are not divided by key.
+fn sync_loads(node: &Node, now: Time, state: &State, list: &VmList) {
+    let mut loads = node.loads.borrow_mut();
+    let services = &state.config().fleet.services;
+    for service in services.iter().filter(|(_, entry)| !entry.keyed).map(|(service, _)| service) {
+        let is_new = !loads.contains_key(service);
+        let rows = loads.entry(service.clone()).or_default();
+        let listed = list.vms.iter().filter(|vm| vm.service.as_ref() == Some(service));
+        let mut seen = BTreeSet::new();
+        for vm in listed {
+            let Ok(target) = TargetId::new(vm.id.clone()) else { continue };
+            // Targets that run already when the gateway starts are not cold.
+            rows.add(now, &target, !is_new);
+            if vm.state == Life::Leaving {
+                rows.close(&target);
+            }
+            seen.insert(target);
+        }
+        rows.retain(|target| seen.contains(target));
+    }
+}
+
 async fn command_target(node: Rc<Node>, target: TargetId, command: Command) {
     let (page, kind) = match &command.order {
         Order::Fence => (path::FENCE, "fence"),
@@ -164,7 +211,12 @@
     let now = node.now();
     let mut keeper = node.keeper.borrow_mut();
     match result {
-        Ok(reply) if reply.target == *target => keeper.reply(now, sent, &reply),
+        Ok(reply) if reply.target == *target => {
+            keeper.reply(now, sent, &reply);
+            if reply.draining {
+                reports::close(node, target);
+            }
+        }
         _ => keeper.failed(now, target),
     }
 }
@@ -178,13 +230,10 @@
     }
 }
 
-/// Reads the log up to the head that it has now.
 async fn read_head(node: Rc<Node>) {
     let began = node.now();
-    let from = node.state.borrow().next();
-    let Ok(read) = node.log.read(from, 1, Span::ZERO).await else { return };
-    while node.state.borrow().next() < read.head {
-        node.advanced.notified().await;
+    if follow::read_to_head(&node).await.is_err() {
+        return;
     }
     let now = node.now();
     let state = node.state.borrow();
--- a/crates/catkin-gateway/src/execute.rs
+++ b/crates/catkin-gateway/src/execute.rs
@@ -4,6 +4,7 @@
     crate::{
         body::Body,
         node::Node,
+        peer,
         queue::{self, Permit},
     },
     actix_http::header::HeaderMap,
@@ -13,7 +14,8 @@
         Code, Error,
         api::header,
         dispatch::Outcome,
-        types::Time,
+        event::Kind,
+        types::{Fence, TargetId, Time},
         wire::{Answer, Head},
     },
     futures_util::{Stream, StreamExt, stream},
@@ -56,10 +58,34 @@
 ///
 /// A code of group 4 if the target did not run it, of group 5 if it may have.
 pub(crate) async fn run(node: &Rc<Node>, head: Head, body: Body) -> Result<Reply, Error> {
+    let Some((target, fence)) = lent(node, &head) else { return run_here(node, head, body).await };
+    let keeper = node.state.borrow().keeper(&target).map(|row| row.vm.clone());
+    let head = Head { slice: head.slice.map(|(slice, _)| (slice, fence)), target, ..head };
+    match keeper {
+        Some(vm) if vm == node.set.vm => run_here(node, head, body).await,
+        Some(vm) => {
+            let addr = node.peer(&vm);
+            let addr =
+                addr.ok_or_else(|| Error::new(Code::PeerUnreachable, format!("{vm} is not listed")))?;
+            peer::forward(node, addr, head, body).await
+        }
+        None => Err(Error::new(Code::NoOwner, format!("{} has no keeper", head.target))),
+    }
+}
+
+/// Returns the standby that serves the slice of a lost owner until the log
+/// names it.
+fn lent(node: &Node, head: &Head) -> Option<(TargetId, Fence)> {
+    let (slice, _) = head.slice?;
+    node.keeper.borrow().lent(&head.target, slice).cloned()
+}
+
+async fn run_here(node: &Rc<Node>, head: Head, body: Body) -> Result<Reply, Error> {
     let end = node.now().after(head.left);
     let mut permit = queue::enter(node, &head, end).await?;
+    node.record(Kind::Sent { request: head.request.clone(), target: head.target.clone(), attempt: 1 });
     // The lease may have ended while the request waited.
-    node.keeper.borrow_mut().admit(node.now(), &head.target, head.slice)?;
+    node.keeper.borrow().admit(node.now(), &head.target, head.slice)?;
     let request = prepare(node, &head, end)?;
     let left = end.since(node.now()).as_duration();
     let sent = actix_rt::time::timeout(left, request.send_body(body.into_http())).await;
@@ -98,6 +124,9 @@
     if let Some(key) = &head.key {
         request = request.insert_header((header::KEY, key.as_str()));
     }
+    if let Some(operation) = &head.operation {
+        request = request.insert_header((header::OPERATION, &**operation));
+    }
     if let Some((slice, fence)) = head.slice {
         request = request
             .insert_header((header::SLICE, slice.to_string()))
@@ -138,6 +167,7 @@
         headers: pass(answer.headers()),
         length,
         target: head.target.clone(),
+        fence: head.slice.map(|(_, fence)| fence),
     };
     let stall = node.set.limits.stall.as_duration();
     Reply { answer: answer_head, body: Body::Stream(length, parts(answer, permit, stall).boxed_local()) }
--- a/crates/catkin-gateway/src/heartbeat.rs
+++ b/crates/catkin-gateway/src/heartbeat.rs
@@ -4,14 +4,20 @@
     crate::node::Node,
     catkin::{
         Code, Error,
+        event::Kind,
+        member::Event,
         types::VmId,
-        wire::{self, Body, DATAGRAM_BYTES_MAX, Datagram},
+        wire::{self, Body, DATAGRAM_BYTES_MAX, Datagram, Gossip},
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::net::UdpSocket,
 };
 
 const TICK: Duration = Duration::from_millis(50);
+/// Gateways that hear the loads of the kept targets.
+const GOSSIP_PEERS: usize = 11;
+/// Loads in one datagram; with ids of ordinary length they fit.
+const GOSSIP_TARGETS: usize = 20;
 
 /// Opens the socket for datagrams.
 ///
@@ -43,7 +49,33 @@
 fn on_tick(node: &Node) -> Vec<(VmId, Body)> {
     let now = node.now();
     let mut members = node.members.borrow_mut();
-    members.tick(now)
+    let mut bodies = members.tick(now);
+    for change in members.changes() {
+        log::info!("{change}");
+        match change.event {
+            Event::Suspected => node.record(Kind::PeerSuspected { peer: change.vm }),
+            Event::Recovered => node.record(Kind::PeerAlive { peer: change.vm }),
+            _ => {}
+        }
+    }
+    let peers = members.live().map(|live| live.vm).filter(|vm| *vm != node.set.vm).take(GOSSIP_PEERS);
+    bodies.extend(peers.flat_map(|vm| gossip(node).into_iter().map(move |body| (vm.clone(), body))));
+    bodies
+}
+
+/// Makes the datagrams with the loads of the kept targets.
+fn gossip(node: &Node) -> Vec<Body> {
+    let state = node.state.borrow();
+    let table = node.queues.table.borrow();
+    let kept = state.keepers().filter(|(_, keeper)| keeper.vm == node.set.vm);
+    let loads: Vec<Gossip> = kept
+        .map(|(target, _)| Gossip {
+            target: target.clone(),
+            depth: table.depth(target),
+            open: table.is_open(target),
+        })
+        .collect();
+    loads.chunks(GOSSIP_TARGETS).map(|part| Body::Loads(part.to_vec())).collect()
 }
 
 fn receive(node: &Node, bytes: &[u8]) -> Vec<(VmId, Body)> {
@@ -55,7 +87,9 @@
         }
     };
     if let Body::Loads(loads) = &datagram.body {
-        node.loads.borrow_mut().extend(loads.iter().map(|load| (load.target.clone(), load.clone())));
+        let now = node.now();
+        let mut tables = node.loads.borrow_mut();
+        tables.values_mut().for_each(|rows| loads.iter().for_each(|load| rows.hear(now, load)));
     }
     node.members.borrow_mut().receive(node.now(), &datagram.from, &datagram)
 }
--- a/crates/catkin-gateway/src/main.rs
+++ b/crates/catkin-gateway/src/main.rs
@@ -12,6 +12,9 @@
 //! | `peer` | the TCP protocol between gateways |
 //! | `follow` | reads the log and the VM list |
 //! | `queue` | waiting for a slot of a kept target |
+//! | `protect` | requests with an idempotency key |
+//! | `reports` | load reports of targets |
+//! | `snapshots` | writes snapshots of the fold |
 //! | `append` | appends records to the log |
 //! | `control` | claims, assignments and lease commands |
 //! | `heartbeat` | UDP datagrams between gateways |
@@ -29,16 +32,18 @@
 mod metrics;
 mod node;
 mod peer;
+mod protect;
 mod queue;
+mod reports;
 mod route;
 mod shutdown;
+mod snapshots;
 
 use {
     bpaf::Bpaf,
     catkin::{Error, logs, settings},
     node::Node,
     std::{path::PathBuf, process::ExitCode, rc::Rc},
-    tokio::sync::mpsc,
 };
 
 const EXIT_FAILED: u8 = 1;
@@ -79,7 +84,6 @@
 
 async fn run(settings: settings::Gateway) -> Result<(), Error> {
     let node = Rc::new(Node::new(settings));
-    let (changes, to_append) = mpsc::unbounded_channel();
     let callers = catkin_net::listen(node.set.callers).await?;
     let peers = catkin_net::listen(node.set.peers).await?;
     let admin = catkin_net::listen(node.set.admin).await?;
@@ -87,8 +91,10 @@
     log::info!(vm = node.set.vm.as_str(), callers:display = node.set.callers; "gateway started");
     actix_rt::spawn(follow::records(node.clone()));
     actix_rt::spawn(follow::list(node.clone()));
-    actix_rt::spawn(append::run(node.clone(), to_append));
-    actix_rt::spawn(control::run(node.clone(), changes));
+    actix_rt::spawn(reports::run(node.clone()));
+    actix_rt::spawn(snapshots::run(node.clone()));
+    actix_rt::spawn(append::run(node.clone()));
+    actix_rt::spawn(control::run(node.clone()));
     actix_rt::spawn(heartbeat::run(node.clone(), socket));
     actix_rt::spawn(peer::listen(node.clone(), peers));
     actix_rt::spawn(admin::serve(node.clone(), admin));
--- a/crates/catkin-gateway/src/node.rs
+++ b/crates/catkin-gateway/src/node.rs
@@ -1,19 +1,22 @@
 //! What all parts of a gateway share.
 
 use {
-    crate::{metrics::Metrics, peer::Pool, queue::Queues},
+    crate::{metrics::Metrics, peer::Pool, protect::Protect, queue::Queues},
     awc::{Client, Connector},
     catkin::{
         api::{Listed, VmList},
+        append::Appender,
+        choose::Loads,
         config::Policy,
         event::{Kind, Ring, Wall},
         fold::State,
         lease::{Keeper, Timings},
         member::Members,
+        record::Writer,
         retry::Budget,
         settings,
-        types::{RequestId, Sequence, Service, TargetId, Time, VmId},
-        wire::Gossip,
+        snapshot::Join,
+        types::{Offset, RequestId, Service, TargetId, Time, VmId},
     },
     catkin_net::{Log, Monotonic},
     std::{
@@ -45,8 +48,18 @@
     pub(crate) log: Log,
     /// Whether the last read of the log was answered.
     pub(crate) log_up: Cell<bool>,
-    /// Sequence of the newest own record that was read back.
-    pub(crate) read_back: Cell<Sequence>,
+    /// Whether the process has a state to start from.
+    pub(crate) ready: Cell<bool>,
+    /// Oldest kept offset and head of the log at its last read.
+    pub(crate) bounds: Cell<(Offset, Offset)>,
+    /// Snapshots that were read from the log.
+    pub(crate) join: RefCell<Join>,
+    /// Own records on their way to the log.
+    pub(crate) appender: RefCell<Appender>,
+    /// Wakes up the task that appends.
+    pub(crate) pushed: Notify,
+    /// Idempotency keys of the requests in progress.
+    pub(crate) protect: Protect,
     /// Whether the fold, the VM list or the state of the log changed since
     /// the last tick.
     pub(crate) changed: Cell<bool>,
@@ -56,8 +69,8 @@
     pub(crate) keeper: RefCell<Keeper>,
     /// The other gateways.
     pub(crate) members: RefCell<Members>,
-    /// Loads of targets as other gateways reported them.
-    pub(crate) loads: RefCell<HashMap<TargetId, Gossip>>,
+    /// Loads of the targets of services that are not divided by key.
+    pub(crate) loads: RefCell<HashMap<Service, Loads>>,
     /// Queues of the kept targets.
     pub(crate) queues: Queues,
     /// Retry budgets by service.
@@ -104,7 +117,12 @@
             client,
             work,
             log_up: Cell::new(false),
-            read_back: Cell::default(),
+            ready: Cell::new(false),
+            bounds: Cell::default(),
+            join: RefCell::default(),
+            appender: RefCell::new(Appender::new(Writer { id: set.vm.clone(), boot })),
+            pushed: Notify::new(),
+            protect: Protect::default(),
             changed: Cell::new(false),
             advanced: Notify::new(),
             keeper: RefCell::new(Keeper::new(set.vm.clone(), boot, Timings::default())),
--- a/crates/catkin-gateway/src/peer.rs
+++ b/crates/catkin-gateway/src/peer.rs
@@ -14,6 +14,7 @@
     bytes::Bytes,
     catkin::{
         Code, Error,
+        fold::State,
         wire::{self, BODY_BYTES_MAX, FRAME_BYTES_MAX, Frame, Head},
     },
     futures_util::{
@@ -220,6 +221,47 @@
     Ok(answer)
 }
 
+/// Asks a gateway for the state of its fold.
+///
+/// # Errors
+///
+/// As [`forward`], or the code of a state that can't be decoded.
+pub(crate) async fn pull_state(node: &Node, addr: SocketAddr) -> Result<State, Error> {
+    let mut conn = node.pool.take(addr).await?;
+    send(&mut conn.writer, &Frame::PullState).await?;
+    let mut bytes = Vec::new();
+    loop {
+        match receive(&mut conn.reader).await? {
+            Frame::State { left, data, .. } => {
+                bytes.extend_from_slice(&data);
+                if left == 0 {
+                    break;
+                }
+            }
+            Frame::Failed { detail, .. } => return Err(Error::new(Code::Starting, detail)),
+            _ => return Err(lost("unexpected frame")),
+        }
+    }
+    node.pool.put(addr, conn);
+    State::decode(&bytes)
+}
+
+async fn send_state(node: &Node, writer: &mut Writer) -> Result<(), Error> {
+    if !node.ready.get() {
+        return send_failed(writer, &Error::new(Code::Starting, "no state yet")).await;
+    }
+    let (at, bytes) = {
+        let state = node.state.borrow();
+        (state.next(), Bytes::from(state.encode()?))
+    };
+    let parts: Vec<Bytes> = bytes.chunks(BODY_BYTES_MAX).map(|part| bytes.slice_ref(part)).collect();
+    for (number, data) in parts.iter().enumerate() {
+        let left = u32::try_from(parts.len() - number - 1).unwrap_or(u32::MAX);
+        send(writer, &Frame::State { at, left, data: data.clone() }).await?;
+    }
+    Ok(())
+}
+
 /// Serves the connections of other gateways.
 pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener) {
     loop {
@@ -255,6 +297,9 @@
 }
 
 async fn serve_question(node: &Node, writer: &mut Writer, frame: &Frame) -> Result<(), Error> {
+    if matches!(frame, Frame::PullState) {
+        return send_state(node, writer).await;
+    }
     match control::answer(node, frame) {
         Some(answer) => send(writer, &answer).await,
         None => {
--- /dev/null
+++ b/crates/catkin-gateway/src/reports.rs
@@ -0,0 +1,44 @@
+//! Load reports of targets.
+
+use {
+    crate::node::Node,
+    catkin::{
+        api::{Load, path},
+        types::{Span, TargetId},
+    },
+    std::{rc::Rc, time::Duration},
+};
+
+const PERIOD: Duration = Duration::from_millis(500);
+const REPORT_LIMIT: Span = Span::from_millis(500);
+
+/// Reads the reports of the kept targets until the process ends. Only the
+/// keeper reads them, so that their number does not grow with the gateways.
+pub(crate) async fn run(node: Rc<Node>) {
+    let mut tick = actix_rt::time::interval(PERIOD);
+    loop {
+        tick.tick().await;
+        let state = node.state.borrow();
+        let kept = state.keepers().filter(|(_, keeper)| keeper.vm == node.set.vm);
+        kept.for_each(|(target, _)| drop(actix_rt::spawn(read(node.clone(), target.clone()))));
+    }
+}
+
+async fn read(node: Rc<Node>, target: TargetId) {
+    let Some(addr) = node.target(&target) else { return };
+    let report: Result<Load, _> = catkin_net::get(&node.client, addr, path::LOAD, REPORT_LIMIT).await;
+    let Ok(load) = report else { return };
+    node.queues.table.borrow_mut().report(&target, &load);
+    let now = node.now();
+    node.loads.borrow_mut().values_mut().for_each(|rows| rows.report(now, &target, &load));
+    if load.draining {
+        close(&node, &target);
+    }
+}
+
+/// Stops new work for a target that drains.
+pub(crate) fn close(node: &Node, target: &TargetId) {
+    let events = node.queues.table.borrow_mut().close(target);
+    node.queues.notify(events);
+    node.loads.borrow_mut().values_mut().for_each(|rows| rows.close(target));
+}
--- a/crates/catkin-gateway/src/route.rs
+++ b/crates/catkin-gateway/src/route.rs
@@ -4,9 +4,10 @@
     crate::node::Node,
     catkin::{
         Code, Error,
-        api::{Life, Role},
+        choose::Rule,
         types::{Fence, Key, Service, SliceId, TargetId, VmId},
     },
+    std::rc::Rc,
 };
 
 /// Where a request goes.
@@ -40,17 +41,42 @@
 }
 
 fn pick(node: &Node, service: &Service) -> Result<TargetId, Error> {
-    let list = node.list.borrow();
-    let open = list
-        .vms
-        .iter()
-        .filter(|vm| {
-            vm.role == Role::Target && vm.state == Life::Live && vm.service.as_ref() == Some(service)
-        })
-        .filter_map(|vm| TargetId::new(vm.id.clone()).ok());
-    let open: Vec<_> = open.collect();
-    let number = node.next_random() as usize;
-    open.get(number % open.len().max(1)).cloned().ok_or_else(|| no_owner(service))
+    let loads = node.loads.borrow();
+    let random = [node.next_random(), node.next_random()];
+    let target = loads.get(service).and_then(|rows| rows.choose(node.now(), Rule::Two, random));
+    target.ok_or_else(|| no_owner(service))
+}
+
+/// Counts a request while it is on its way to a target.
+pub(crate) struct Count {
+    node: Rc<Node>,
+    service: Service,
+    target: TargetId,
+    is_fault: bool,
+}
+
+impl Count {
+    /// Begins to count.
+    pub(crate) fn new(node: &Rc<Node>, service: &Service, target: &TargetId) -> Self {
+        if let Some(rows) = node.loads.borrow_mut().get_mut(service) {
+            rows.begin(target);
+        }
+        Self { node: node.clone(), service: service.clone(), target: target.clone(), is_fault: false }
+    }
+
+    /// Says that the target could not be reached, refused or did not answer.
+    pub(crate) fn set_fault(&mut self) {
+        self.is_fault = true;
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        if let Some(rows) = self.node.loads.borrow_mut().get_mut(&self.service) {
+            rows.end(now, &self.target, self.is_fault);
+        }
+    }
 }
 
 fn no_owner(service: &Service) -> Error {
--- /dev/null
+++ b/crates/catkin-gateway/src/snapshots.rs
@@ -0,0 +1,48 @@
+//! Writes snapshots of the fold to the log.
+
+use {
+    crate::{append, node::Node},
+    catkin::{
+        record::Change,
+        snapshot::{self, Limits, Schedule, View},
+        types::{Offset, VmId},
+    },
+    std::{rc::Rc, time::Duration},
+};
+
+const TICK: Duration = Duration::from_secs(1);
+
+/// Writes snapshots when they are due until the process ends.
+pub(crate) async fn run(node: Rc<Node>) {
+    let mut schedule = Schedule::new(Limits::default());
+    let mut tick = actix_rt::time::interval(TICK);
+    loop {
+        tick.tick().await;
+        if node.ready.get() && schedule.tick(node.now(), &view(&node)) {
+            write(&node);
+        }
+    }
+}
+
+fn view(node: &Node) -> View {
+    let (first, head) = node.bounds.get();
+    let newest = node.join.borrow().newest().map(|state| state.next());
+    View { first, head, newest, up: node.log_up.get(), rank: rank(node, newest) }
+}
+
+fn rank(node: &Node, newest: Option<Offset>) -> u64 {
+    let live: Vec<VmId> = node.members.borrow().live().map(|live| live.vm).collect();
+    snapshot::rank(&node.set.vm, &live, newest)
+}
+
+fn write(node: &Node) {
+    let chunks = snapshot::split(&node.state.borrow());
+    match chunks {
+        Ok(chunks) => {
+            for chunk in chunks {
+                append::push(node, Change::Chunk(chunk));
+            }
+        }
+        Err(error) => log::error!("no snapshot is written: {error}"),
+    }
+}
--- a/crates/catkin/src/api.rs
+++ b/crates/catkin/src/api.rs
@@ -25,6 +25,8 @@
     pub const FENCE: &str = "x-catkin-fence";
     /// Slice of the request, towards targets.
     pub const SLICE: &str = "x-catkin-slice";
+    /// Idempotency key of the request, towards targets.
+    pub const OPERATION: &str = "x-catkin-operation";
     /// Numbered result code.
     pub const CODE: &str = "x-catkin-code";
     /// `ran`, `not-run` or `unknown`.
--- a/crates/catkin/src/choose.rs
+++ b/crates/catkin/src/choose.rs
@@ -82,6 +82,11 @@
         self.rows.remove(target);
     }
 
+    /// Removes the targets for which a question is answered with no.
+    pub fn retain(&mut self, is_kept: impl Fn(&TargetId) -> bool) {
+        self.rows.retain(|target, _| is_kept(target));
+    }
+
     /// Stops new work for a target that drains or leaves.
     pub fn close(&mut self, target: &TargetId) {
         if let Some(row) = self.rows.get_mut(target) {
--- a/crates/catkin/src/intent.rs
+++ b/crates/catkin/src/intent.rs
@@ -17,6 +17,7 @@
         types::{Service, Span, Time},
     },
     std::collections::{BTreeMap, VecDeque},
+    xxhash_rust::xxh3::xxh3_128,
 };
 
 /// Groups that one VM appends in a second, at most. Together 11 VMs stay
@@ -365,3 +366,10 @@
 fn down() -> Error {
     Error::new(Code::LogDown, "the log can't be reached")
 }
+
+/// Hashes a service and an idempotency key.
+pub fn digest(service: &Service, key: &str) -> u128 {
+    // A service's name has no byte 0, so that two pairs never give one text.
+    let text = [service.as_str(), "\0", key].concat();
+    xxh3_128(text.as_bytes())
+}
--- a/crates/catkin/src/wire.rs
+++ b/crates/catkin/src/wire.rs
@@ -45,6 +45,8 @@
     pub slice: Option<(SliceId, Fence)>,
     /// Key of the request.
     pub key: Option<Key>,
+    /// Idempotency key of the request.
+    pub operation: Option<Arc<str>>,
     /// Class of the request.
     pub class: Class,
     /// Whether the request may be sent again.
@@ -72,6 +74,8 @@
     pub length: Option<u64>,
     /// Target that handled the request.
     pub target: TargetId,
+    /// Fence under which it was sent, for a service divided by key.
+    pub fence: Option<Fence>,
 }
 
 /// A frame between gateways.
