--- a/crates/catkin-standin/src/ledger.rs
+++ b/crates/catkin-standin/src/ledger.rs
@@ -3,7 +3,7 @@
 use {
     catkin::{
         api::{Held, Reply},
-        types::{Fence, RequestId, SliceId, TargetId, Time},
+        types::{Fence, RequestId, Service, SliceId, TargetId, Time},
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, sync::Arc},
@@ -18,6 +18,8 @@
     pub call: Option<Arc<str>>,
     /// Slice and fence of the request, if it had any.
     pub held: Option<Held>,
+    /// When it was admitted, in microseconds of the Unix epoch.
+    pub from: u64,
     /// When the effect was made, in microseconds of the Unix epoch.
     pub at: u64,
     /// Length of the request's body, in bytes.
@@ -60,6 +62,8 @@
 pub struct Ledger {
     /// The target.
     pub target: TargetId,
+    /// Its service.
+    pub service: Service,
     /// Number of the target process.
     pub boot: u64,
     /// Requests by their ends.
@@ -149,12 +153,13 @@
     }
 
     /// Returns the ledger.
-    pub(crate) fn report(&self, now: Time, target: TargetId, boot: u64) -> Ledger {
+    pub(crate) fn report(&self, now: Time, target: TargetId, service: Service, boot: u64) -> Ledger {
         let ended = self.until.min(now);
         let open = self.open.iter().map(|(held, from)| self.interval(*held, *from, ended));
         let served = self.served.iter().map(|(held, span)| self.interval(*held, span.0, span.1));
         Ledger {
             target,
+            service,
             boot,
             counts: self.counts,
             runs: self.runs.clone(),
--- a/crates/catkin-standin/src/lib.rs
+++ b/crates/catkin-standin/src/lib.rs
@@ -6,12 +6,14 @@
 //!
 //! - [`Echo`] is the answer to work.
 //! - [`Ledger`] counts what a target ran and when it owned which slice.
+//! - [`read_journal`] reads what a target that has gone ran.
 //! - [`PlatformFaults`] and [`TargetFaults`] are the bodies of `/faults`.
 
 mod answer;
 mod body;
 mod echo;
 mod faults;
+mod journal;
 mod ledger;
 mod list;
 mod log;
@@ -25,6 +27,7 @@
 pub use {
     echo::{Echo, checksum, header},
     faults::{Cold, PlatformFaults, TargetFaults},
+    journal::read_journal,
     ledger::{Counts, Interval, Ledger, Run},
     list::Removal,
     start::{Running, start},
--- a/crates/catkin-standin/src/run.rs
+++ b/crates/catkin-standin/src/run.rs
@@ -165,9 +165,13 @@
             request: work.request.clone(),
             call: work.call.clone(),
             held: work.held,
+            from: book.unix(self.from),
             at: book.unix(now),
             length: body.length,
         };
+        if let Some(journal) = self.target.journal.borrow_mut().as_mut() {
+            journal.write(&work.operation, &run)?;
+        }
         book.run(work.operation.clone(), run);
         if let Some(held) = work.held {
             book.serve(held, self.from, now);
--- a/crates/catkin-standin/src/start.rs
+++ b/crates/catkin-standin/src/start.rs
@@ -28,7 +28,8 @@
 ///
 /// # Errors
 ///
-/// `Code::BadValue` if an address can't be bound.
+/// `Code::BadValue` if an address can't be bound, `Code::UnreadableFile` if a
+/// journal can't be opened.
 pub async fn start(settings: &Standin) -> Result<Running, Error> {
     let mut running = Running { platform: None, targets: Vec::new(), tasks: Vec::new() };
     if let Some(platform) = &settings.platform {
@@ -38,7 +39,7 @@
         running.platform = Some(running.spawn(platform.addr, open, handler).await?);
     }
     for target in &settings.targets {
-        let service = Rc::new(Target::new(target));
+        let service = Rc::new(Target::new(target)?);
         let open = service.connections.clone();
         let handler = move |request| service.clone().handle(request);
         let addr = running.spawn(target.addr, open, handler).await?;
--- a/crates/catkin-standin/src/target.rs
+++ b/crates/catkin-standin/src/target.rs
@@ -4,6 +4,7 @@
     crate::{
         body::{read_json, reply_error},
         faults::TargetFaults,
+        journal::Journal,
         ledger::Book,
         report::Reports,
     },
@@ -18,12 +19,16 @@
     catkin_net::{Connections, Monotonic, reply_json},
     std::{
         cell::{Cell, RefCell},
+        path::PathBuf,
         rc::Rc,
         time::{SystemTime, UNIX_EPOCH},
     },
     tokio::sync::{Notify, Semaphore},
 };
 
+/// Longest time between the two readings of a start.
+const START_SLACK: Span = Span::from_micros(20);
+
 /// A target server: lease, slots, ledger and faults.
 pub(crate) struct Target {
     pub(crate) settings: StandinTarget,
@@ -32,6 +37,7 @@
     pub(crate) holder: RefCell<Holder>,
     pub(crate) slots: Semaphore,
     pub(crate) book: RefCell<Book>,
+    pub(crate) journal: RefCell<Option<Journal>>,
     pub(crate) faults: Cell<TargetFaults>,
     /// Sum of the shares to shed since a request was last shed.
     pub(crate) shed: Cell<f64>,
@@ -44,17 +50,23 @@
 impl Target {
     /// Makes a target whose boot number is the wall clock in microseconds, so
     /// that a later process has a higher one.
-    pub(crate) fn new(settings: &StandinTarget) -> Self {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let boot = Span::from(since).as_micros();
-        let clock = Monotonic::new();
+    ///
+    /// # Errors
+    ///
+    /// `Code::UnreadableFile` if its journal can't be opened.
+    pub(crate) fn new(settings: &StandinTarget) -> Result<Self, Error> {
+        let (clock, boot) = start_clock();
+        let (id, service) = (settings.id.clone(), settings.service.clone());
+        let open = |path: &PathBuf| Journal::open(path, id.clone(), service, boot);
+        let journal = settings.journal.as_ref().map(open).transpose()?;
         let idle = Load { slots: settings.slots, ..Load::default() };
-        Self {
+        Ok(Self {
             boot,
             clock,
-            holder: RefCell::new(Holder::new(settings.id.clone(), boot)),
+            holder: RefCell::new(Holder::new(id, boot)),
             slots: Semaphore::new(settings.slots as usize),
             book: RefCell::new(Book::new(boot)),
+            journal: RefCell::new(journal),
             faults: Cell::default(),
             shed: Cell::default(),
             connections: Connections::new(settings.connections),
@@ -62,7 +74,7 @@
             thaw: Cell::default(),
             changed: Notify::new(),
             settings: settings.clone(),
-        }
+        })
     }
 
     /// Answers a request.
@@ -101,8 +113,9 @@
     /// Answers what a test or an experiment asks; works while frozen.
     async fn control(&self, mut request: Request) -> Result<Response<BoxBody>, Error> {
         if request.path() == "/ledger" {
-            let target = self.settings.id.clone();
-            return Ok(reply_json(200, &self.book.borrow().report(self.clock.now(), target, self.boot)));
+            let (id, service) = (self.settings.id.clone(), self.settings.service.clone());
+            let ledger = self.book.borrow().report(self.clock.now(), id, service, self.boot);
+            return Ok(reply_json(200, &ledger));
         }
         if *request.method() == Method::POST {
             self.set_faults(read_json(&mut request).await?);
@@ -162,3 +175,17 @@
         reply_json(200, &self.holder.borrow_mut().status(self.clock.now()))
     }
 }
+
+/// Starts a clock and returns with it the wall clock at its start, in
+/// microseconds.
+fn start_clock() -> (Monotonic, u64) {
+    loop {
+        let clock = Monotonic::new();
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        // Ledgers of several processes are compared by these readings, which a
+        // pause between them would shift.
+        if clock.now() < Time::default().after(START_SLACK) {
+            return (clock, Span::from(since).as_micros());
+        }
+    }
+}
--- a/crates/catkin-standin/tests/work.rs
+++ b/crates/catkin-standin/tests/work.rs
@@ -11,7 +11,7 @@
         types::{Share, Span},
     },
     catkin_net::{get, read_body},
-    catkin_standin::{TargetFaults, header as own},
+    catkin_standin::{TargetFaults, header as own, read_journal},
     common::{Env, LIMIT, run},
     std::time::Duration,
 };
@@ -130,3 +130,21 @@
         },
     );
 }
+
+/// Guards against runs that are gone with the process that made them.
+#[test]
+fn journal_has_the_runs_of_the_ledger() {
+    let file = std::env::temp_dir().join(format!("catkin-standin-journal-{}", std::process::id()));
+    let journal = file.clone();
+    run(
+        |settings| settings.targets[0].journal = Some(journal),
+        async |env| {
+            for operation in ["o-1", "o-2", "o-1"] {
+                env.work("/a").insert_header((own::OPERATION, operation)).send().await.unwrap();
+            }
+            let (live, kept) = (env.ledger().await, read_journal(&file).unwrap());
+            assert_eq!((kept.len(), &kept[0].runs), (1, &live.runs));
+            std::fs::remove_file(&file).unwrap();
+        },
+    );
+}
--- a/crates/catkin/src/settings.rs
+++ b/crates/catkin/src/settings.rs
@@ -10,7 +10,10 @@
         types::{Service, Size, Span, TargetId, VmId, Zone},
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, path::Path},
+    std::{
+        net::SocketAddr,
+        path::{Path, PathBuf},
+    },
 };
 
 /// Settings of `catkin-gateway`.
@@ -130,6 +133,8 @@
     /// Connections that it accepts.
     #[serde(default = "target_connections")]
     pub connections: u32,
+    /// File that gets a line for each run, which outlives the process.
+    pub journal: Option<PathBuf>,
 }
 
 fn target_connections() -> u32 {
