Add catkin-load: open-loop load, histograms and the audit

Arrivals are drawn from the seed and sent at their times whatever became of earlier ones; latency counts from the planned time, so that a stall shows. The audit joins requests and runs by an id of the caller's own, so that it does not rely on ids that a gateway hands out.

--- /dev/null
+++ b/crates/catkin-load/src/tally.rs
@@ -0,0 +1,115 @@
+//! Counts and histograms of one kind of work.
+
+use {
+    crate::send::{Answer, Record},
+    catkin::types::Span,
+    hdrhistogram::Histogram,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+const HIGHEST_MICROS: u64 = 3_600_000_000;
+const DIGITS: u8 = 3;
+
+/// Quantiles of a histogram, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quantiles {
+    /// Number of values.
+    pub count: u64,
+    /// Half of the values are lower.
+    pub p50: u64,
+    /// 90 of 100 values are lower.
+    pub p90: u64,
+    /// 99 of 100 values are lower.
+    pub p99: u64,
+    /// 999 of 1000 values are lower.
+    pub p999: u64,
+    /// The highest value.
+    pub max: u64,
+}
+
+/// Results of one kind of work.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Requests that arrived.
+    pub sent: u64,
+    /// Requests that ran and were answered whole.
+    pub ran: u64,
+    /// Those of them that were answered after their deadline.
+    pub late: u64,
+    /// Requests by what their callers were told.
+    pub answers: BTreeMap<String, u64>,
+    /// Time from planned arrival to answer of requests that ran.
+    pub latency: Quantiles,
+    /// Time from planned arrival to answer of requests that were refused
+    /// unrun.
+    pub refusal: Quantiles,
+    /// Time by which requests were sent after their planned arrival; high
+    /// values show a load generator that is too slow.
+    pub lag: Quantiles,
+    /// Longest time without an answer, from the planned arrival of a request
+    /// that did not run to that of the next that did, in microseconds.
+    pub gap: u64,
+    /// The same for the requests of one key, for the worst key.
+    pub key_gap: u64,
+}
+
+/// Collects the results of one kind of work.
+pub(crate) fn tally(records: &[&Record], deadline: Span) -> Tally {
+    let took = |wanted: fn(&Answer) -> bool| {
+        quantiles(records.iter().filter(|record| wanted(&record.answer)).map(|record| record.took))
+    };
+    let latency = took(|answer| *answer == Answer::Ran);
+    let mut answers = BTreeMap::new();
+    for record in records {
+        *answers.entry(record.answer.name()).or_default() += 1;
+    }
+    let is_late = |record: &&&Record| record.answer == Answer::Ran && record.took > deadline;
+    Tally {
+        sent: records.len() as u64,
+        ran: latency.count,
+        late: records.iter().filter(is_late).count() as u64,
+        answers,
+        latency,
+        refusal: took(|answer| matches!(answer, Answer::NotRun(_))),
+        lag: quantiles(records.iter().map(|record| record.lag)),
+        gap: longest_gap(records.iter().copied()).as_micros(),
+        key_gap: key_gap(records).as_micros(),
+    }
+}
+
+fn quantiles(spans: impl Iterator<Item = Span>) -> Quantiles {
+    let mut histogram = Histogram::<u64>::new_with_bounds(1, HIGHEST_MICROS, DIGITS)
+        .expect("the bounds are constants that the library accepts");
+    spans.for_each(|span| histogram.saturating_record(span.as_micros()));
+    Quantiles {
+        count: histogram.len(),
+        p50: histogram.value_at_quantile(0.5),
+        p90: histogram.value_at_quantile(0.9),
+        p99: histogram.value_at_quantile(0.99),
+        p999: histogram.value_at_quantile(0.999),
+        max: histogram.max(),
+    }
+}
+
+fn key_gap(records: &[&Record]) -> Span {
+    let mut keys: BTreeMap<_, Vec<&Record>> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.key.is_some()) {
+        keys.entry(&record.key).or_default().push(record);
+    }
+    keys.into_values().map(|records| longest_gap(records.into_iter())).max().unwrap_or_default()
+}
+
+/// Returns the longest span from a request that did not run to the next that
+/// did, in the order of arrival. A span that lasts to the end counts as well.
+fn longest_gap<'a>(records: impl Iterator<Item = &'a Record>) -> Span {
+    let (mut longest, mut since) = (Span::ZERO, None);
+    for record in records {
+        let start = *since.get_or_insert(record.at);
+        longest = longest.max(record.at.saturating_sub(start));
+        if matches!(record.answer, Answer::Ran | Answer::RanBefore) {
+            since = None;
+        }
+    }
+    longest
+}
--- /dev/null
+++ b/crates/catkin-load/tests/audit.rs
@@ -0,0 +1,105 @@
+//! Guards against violations that the audit does not see, and against false
+//! alarms.
+
+use {
+    catkin::types::{Fence, Offset, SliceId, Span},
+    catkin_load::{Answer, Checks, Record, audit},
+    catkin_standin::{Interval, Ledger, Run},
+};
+
+fn record(call: &str, operation: Option<&str>, answer: Answer) -> Record {
+    Record {
+        call: call.into(),
+        kind: 0,
+        key: None,
+        operation: operation.map(Into::into),
+        at: Span::ZERO,
+        lag: Span::ZERO,
+        took: Span::ZERO,
+        answer,
+        target: None,
+    }
+}
+
+fn ledger(target: &str, calls: &[&str], held: &[(u32, u64, u64, u64)]) -> Ledger {
+    let runs = calls.iter().map(|call| {
+        let run = Run { request: None, call: Some((*call).into()), held: None, from: 0, at: 1, length: 0 };
+        ((*call).into(), vec![run])
+    });
+    let intervals = held.iter().map(|(slice, fence, from, until)| Interval {
+        slice: SliceId(*slice),
+        fence: Fence::new(Offset(*fence)),
+        from: *from,
+        until: *until,
+    });
+    Ledger {
+        target: target.parse().unwrap(),
+        service: "planoteca".parse().unwrap(),
+        boot: 1,
+        counts: Default::default(),
+        runs: runs.collect(),
+        owned: intervals.collect(),
+        served: Vec::new(),
+        drained: None,
+        arrived: None,
+    }
+}
+
+fn names(checks: &Checks) -> Vec<&'static str> {
+    checks.all().into_iter().filter(|(_, found)| found.count > 0).map(|(name, _)| name).collect()
+}
+
+/// Guards against alarms where callers and targets agree, or where a caller
+/// was told that it can't know.
+#[test]
+fn agreement_is_clean() {
+    let records = [
+        record("a", None, Answer::Ran),
+        record("b", None, Answer::NotRun(408)),
+        record("c", Some("op-1"), Answer::Unknown(501)),
+        record("d", Some("op-1"), Answer::RanBefore),
+        record("e", Some("op-2"), Answer::Lost),
+    ];
+    let ledgers =
+        [ledger("t-1", &["a", "c"], &[(1, 5, 0, 10)]), ledger("t-2", &[], &[(1, 6, 10, 20), (2, 7, 0, 9)])];
+    let checks = audit(&records, &ledgers);
+    assert!(checks.is_clean(), "{:?}", names(&checks));
+}
+
+/// Guards against an audit that misses a violation or gives it another name.
+#[test]
+fn each_violation_is_found() {
+    let none: &[&str] = &[];
+    let cases = [
+        (record("a", None, Answer::Ran), none, none, "lost"),
+        (record("a", Some("op"), Answer::RanBefore), none, none, "lost"),
+        (record("a", Some("op"), Answer::Unknown(501)), &["a"], &["a"], "doubled"),
+        (record("a", None, Answer::NotRun(408)), &["a"], none, "falsely not run"),
+        (record("a", None, Answer::Mixed), &["a"], none, "mixed up"),
+        (record("a", None, Answer::HiddenCut), &["a"], none, "cut unseen"),
+    ];
+    for (record, first, second, name) in cases {
+        let ledgers = [ledger("t-1", first, &[]), ledger("t-2", second, &[])];
+        assert_eq!(names(&audit(&[record], &ledgers)), [name]);
+    }
+}
+
+/// Guards against two requests of one operation that both ran.
+#[test]
+fn operation_of_two_requests_is_counted_once() {
+    let records = [record("a", Some("op"), Answer::Ran), record("b", Some("op"), Answer::Ran)];
+    let checks = audit(&records, &[ledger("t-1", &["a", "b"], &[])]);
+    assert_eq!(names(&checks), ["doubled"]);
+}
+
+/// Guards against two owners, also when a third interval lies between them.
+#[test]
+fn overlapping_owners_are_found() {
+    let ledgers = [
+        ledger("t-1", &[], &[(1, 5, 0, 100), (1, 9, 200, 300)]),
+        ledger("t-2", &[], &[(1, 6, 20, 30), (1, 7, 90, 150)]),
+    ];
+    let checks = audit(&[], &ledgers);
+    assert_eq!(names(&checks), ["owned by two"]);
+    assert_eq!(checks.shared_ownership.count, 2);
+}
--- /dev/null
+++ b/crates/catkin-load/tests/run.rs
@@ -0,0 +1,141 @@
+//! Guards against a load generator that reports something else than what
+//! happened.
+
+use {
+    actix_http::{Request, Response, body::BoxBody},
+    actix_rt::System,
+    catkin::{
+        settings::{Standin, parse},
+        types::{Rate, Span},
+    },
+    catkin_load::{Event, Experiment, Report, run},
+    catkin_net::{listen, reply_text, serve},
+    catkin_standin::{PlatformFaults, TargetFaults, start},
+    std::{net::SocketAddr, time::Duration},
+};
+
+const LIMIT: Duration = Duration::from_secs(60);
+
+fn standin() -> Standin {
+    parse(
+        "
+targets:
+  - {id: t-1, service: s, zone: a, addr: '127.0.0.1:0', slots: 100, work: 0us, fenced: true, connections: 1000}
+",
+    )
+    .unwrap()
+}
+
+fn experiment(addr: SocketAddr) -> Experiment {
+    let text = format!(
+        "
+name: direct
+seed: 1
+gateways: ['{addr}']
+targets: [{{addr: '{addr}'}}]
+phases: [{{span: 200ms, rate: 200}}]
+settle: 0us
+kinds:
+  - {{name: lookup, service: s, weight: 4, deadline: 30s, answer: 1KiB, keys: {{by: even, count: 9}}}}
+  - {{name: order, service: s, weight: 1, deadline: 30s, method: post, protected: true, body: 100B}}
+  - {{name: upload, service: s, weight: 1, deadline: 30s, method: put, body: 300KiB}}
+"
+    );
+    parse(&text).unwrap()
+}
+
+fn event(addr: SocketAddr) -> Event {
+    let (target, platform) = (None, None);
+    Event { at: Span::ZERO, addr, target, platform, list: None, remove: None, drain: false }
+}
+
+async fn measure(experiment: &Experiment) -> Report {
+    actix_rt::time::timeout(LIMIT, run(experiment)).await.expect("test stopped at its limit").unwrap()
+}
+
+/// Guards against false alarms, and against bodies that the stand-in reads
+/// differently.
+#[test]
+fn direct_run_is_clean() {
+    System::new().block_on(async {
+        let running = start(&standin()).await.unwrap();
+        let report = measure(&experiment(running.targets[0])).await;
+        assert!(report.checks.is_clean(), "{report}");
+        assert_eq!((report.ran(), report.checks.runs), (report.sent(), report.sent()));
+        assert!(report.kinds.values().all(|kind| kind.latency.count == kind.sent && kind.sent > 0));
+    });
+}
+
+/// Guards against faults that don't reach the targets, and against cut
+/// answers that count as whole.
+#[test]
+fn events_take_effect_and_cuts_are_seen() {
+    System::new().block_on(async {
+        let running = start(&standin()).await.unwrap();
+        let addr = running.targets[0];
+        let mut experiment = experiment(addr);
+        let faults = TargetFaults { cut: u32::MAX, ..TargetFaults::default() };
+        experiment.events = vec![
+            Event { target: Some(faults), ..event(addr) },
+            Event {
+                platform: Some(PlatformFaults { down: true, ..PlatformFaults::default() }),
+                ..event(addr)
+            },
+        ];
+        let report = measure(&experiment).await;
+        let cut: u64 = report.kinds.values().filter_map(|kind| kind.answers.get("cut")).sum();
+        assert!(cut > 0, "{report}");
+        assert_eq!(report.checks.failed_events.count, 1, "a target has no faults of a platform");
+        assert_eq!(report.checks.lost.count + report.checks.hidden_cut.count, 0, "{report}");
+    });
+}
+
+async fn serve_wrongly(request: Request) -> Response<BoxBody> {
+    let text = if request.method() == "GET" {
+        r#"{"target":"t-1","boot":1,"request":null,"call":"other","key":null,"operation":"o","fence":null,
+            "path":"/","length":0,"checksum":0,"pad":""}"#
+    } else {
+        r#"{"target":"t-1","#
+    };
+    let mut answer = reply_text(200, text);
+    let ran = actix_http::header::HeaderValue::from_static("ran");
+    answer.headers_mut().insert("x-catkin-outcome".parse().unwrap(), ran);
+    answer
+}
+
+/// Guards against answers to other requests and broken ones that pass as
+/// right, and against a ledger that can't be read and goes unnoticed.
+#[test]
+fn wrong_answers_are_found() {
+    System::new().block_on(async {
+        let listener = listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let server = actix_rt::spawn(serve(listener, serve_wrongly));
+        let mut experiment = experiment(addr);
+        experiment.kinds.truncate(2);
+        let checks = measure(&experiment).await.checks;
+        assert!(checks.mixed.count > 0 && checks.hidden_cut.count > 0);
+        assert_eq!((checks.lost.count, checks.unread.count), (0, 1));
+        server.abort();
+    });
+}
+
+/// Guards against a stall that hides in the latency because nothing is sent
+/// meanwhile.
+#[test]
+fn stall_shows_in_the_latency_of_later_arrivals() {
+    System::new().block_on(async {
+        let running = start(&standin()).await.unwrap();
+        let addr = running.targets[0];
+        let mut experiment = experiment(addr);
+        let freeze = Span::from_millis(500);
+        experiment.kinds.truncate(1);
+        experiment.phases[0].rate = Rate::from_per_second(100.0);
+        experiment.events =
+            vec![Event { target: Some(TargetFaults { freeze, ..TargetFaults::default() }), ..event(addr) }];
+        let report = measure(&experiment).await;
+        let lookup = &report.kinds["lookup"];
+        assert!(lookup.latency.p50 > 200_000, "{report}");
+        assert_eq!(lookup.ran, lookup.sent);
+    });
+}
