--- a/crates/catkin-load/src/experiment.rs
+++ b/crates/catkin-load/src/experiment.rs
@@ -4,6 +4,7 @@
     crate::{event::Event, keys::Keys},
     catkin::{
         Code, Error,
+        settings::Settings,
         types::{Rate, Service, Share, Size, Span},
         wire::Class,
     },
@@ -116,13 +117,8 @@
     pub keys: Option<Keys>,
 }
 
-impl Experiment {
-    /// Checks what the types leave open.
-    ///
-    /// # Errors
-    ///
-    /// `Code::ZeroLimit` or `Code::MissingField` with the path of the field.
-    pub fn check(&self) -> Result<(), Error> {
+impl Settings for Experiment {
+    fn check(&self) -> Result<(), Error> {
         if self.gateways.is_empty() {
             return Err(Error::new(Code::MissingField, "one or more addresses").with_path("gateways"));
         }
--- a/crates/catkin-load/src/main.rs
+++ b/crates/catkin-load/src/main.rs
@@ -63,7 +63,6 @@
 
 fn run_file(file: &Path, seed: Option<u64>, check: bool, out: Option<&Path>) -> Result<bool, Error> {
     let mut experiment: Experiment = settings::read(file)?;
-    experiment.check()?;
     if check {
         return Ok(true);
     }
--- a/crates/catkin-load/tests/plan.rs
+++ b/crates/catkin-load/tests/plan.rs
@@ -2,7 +2,7 @@
 
 use {
     catkin::{
-        settings::parse,
+        settings::{Settings, parse},
         types::{Share, Span},
     },
     catkin_load::{Chooser, Experiment, Keys, plan},
--- a/crates/catkin-load/tests/run.rs
+++ b/crates/catkin-load/tests/run.rs
@@ -4,9 +4,10 @@
 use {
     actix_http::{Request, Response, body::BoxBody},
     actix_rt::System,
+    awc::Client,
     catkin::{
         settings::{Standin, parse},
-        types::{Rate, Span},
+        types::Span,
     },
     catkin_load::{Event, Experiment, Report, run},
     catkin_net::{listen, reply_text, serve},
@@ -20,7 +21,7 @@
     parse(
         "
 targets:
-  - {id: t-1, service: s, zone: a, addr: '127.0.0.1:0', slots: 100, work: 0us, fenced: true, connections: 1000}
+  - {id: t-1, service: s, zone: a, addr: '127.0.0.1:0', slots: 100, work: 1us, fenced: true, connections: 1000}
 ",
     )
     .unwrap()
@@ -128,14 +129,15 @@
         let running = start(&standin()).await.unwrap();
         let addr = running.targets[0];
         let mut experiment = experiment(addr);
-        let freeze = Span::from_millis(500);
         experiment.kinds.truncate(1);
-        experiment.phases[0].rate = Rate::from_per_second(100.0);
-        experiment.events =
-            vec![Event { target: Some(TargetFaults { freeze, ..TargetFaults::default() }), ..event(addr) }];
+        let freeze = TargetFaults { freeze: Span::from_secs(3_600), ..TargetFaults::default() };
+        Event { target: Some(freeze), ..event(addr) }.send(&Client::default()).await.unwrap();
+        // The freeze ends after the last arrival.
+        let thaw = Event { at: Span::from_millis(400), target: Some(TargetFaults::default()), ..event(addr) };
+        experiment.events = vec![thaw];
         let report = measure(&experiment).await;
         let lookup = &report.kinds["lookup"];
-        assert!(lookup.latency.p50 > 200_000, "{report}");
+        assert!(lookup.latency.p50 >= 200_000, "{report}");
         assert_eq!(lookup.ran, lookup.sent);
     });
 }
