intent: pace appends that are sent again, and measure key schedules

bench group 'once': 6 entry VMs with the real Intents, Appender and fold, a log that loses appends and answers, outages, restarts and pauses; 120,000 keys, half of them submitted twice.

Cause: a group that was appended again after a lost answer was not counted, so the next group followed it at once. Intents::again now paces both.

Standing::new reads the fold's row; a key of this process that is known to have run is answered as IntentDone, before it was IntentSettled.

--- a/crates/catkin-bench/src/main.rs
+++ b/crates/catkin-bench/src/main.rs
@@ -9,6 +9,7 @@
 mod compare;
 mod faults;
 mod measure;
+mod once;
 mod overload;
 mod peak;
 mod world;
@@ -35,6 +36,7 @@
     ("peak", peak::measures),
     ("balance", balance::measures),
     ("faults", faults::measures),
+    ("once", once::measures),
     ("compare", compare::measures),
 ];
 
--- a/crates/catkin/src/intent.rs
+++ b/crates/catkin/src/intent.rs
@@ -13,7 +13,8 @@
         Code, Error,
         config::LogDown,
         dispatch::JobId,
-        record::Intent,
+        fold::Taken,
+        record::{Intent, Writer},
         types::{Service, Span, Time},
     },
     std::collections::{BTreeMap, VecDeque},
@@ -46,6 +47,18 @@
     },
 }
 
+impl Standing {
+    /// Reads the first record of a key as a process sees it.
+    pub fn new(first: Option<&Taken>, own: &Writer) -> Self {
+        match first {
+            None => Self::Free,
+            Some(first) if first.done => Self::Taken { done: true },
+            Some(first) if first.writer == *own => Self::First,
+            Some(_) => Self::Taken { done: false },
+        }
+    }
+}
+
 /// A request with an idempotency key.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -195,6 +208,17 @@
         Some(group)
     }
 
+    /// Returns whether the group that is being appended may be appended again
+    /// now, after an answer was lost, and counts that as an append.
+    pub fn again(&mut self, now: Time) -> bool {
+        let early = self.appended.is_some_and(|at| now.since(at) < APPEND_PERIOD);
+        if early || self.outstanding.is_empty() {
+            return false;
+        }
+        self.appended = Some(now);
+        true
+    }
+
     /// Takes what the fold says about the keys of the group that was
     /// appended, once the record was read back.
     pub fn commit(&mut self, now: Time, standing: impl Fn(u128) -> Standing) -> Vec<Event> {
