choose: keep a leaving target closed until it is added again

Gossip from a keeper that had not noticed yet reopened a target that the list, a drain answer or the configuration had closed.

--- a/crates/catkin/src/choose.rs
+++ b/crates/catkin/src/choose.rs
@@ -50,7 +50,10 @@
 struct Row {
     added: Option<Time>,
     own: u32,
+    /// Drains or leaves; lasts until the target is added again.
     closed: bool,
+    /// Its keeper said that it takes nothing new.
+    shut: bool,
     depth: Option<Heard>,
     report: Option<Heard>,
     peers: BTreeMap<VmId, Heard>,
@@ -75,6 +78,7 @@
         let row = self.rows.entry(target.clone()).or_default();
         row.added = cold.then_some(now);
         row.closed = false;
+        row.shut = false;
     }
 
     /// Removes a target.
@@ -117,7 +121,7 @@
     pub fn hear(&mut self, now: Time, gossip: &Gossip) {
         let Some(row) = self.rows.get_mut(&gossip.target) else { return };
         row.depth = Some(Heard { at: now, count: gossip.depth, own: row.own });
-        row.closed = !gossip.open;
+        row.shut = !gossip.open;
     }
 
     /// Takes the count of requests that another VM has sent to a target.
@@ -153,7 +157,7 @@
         random: [u64; 2],
         tried: &[TargetId],
     ) -> Option<TargetId> {
-        let open: Vec<(&TargetId, &Row)> = self.rows.iter().filter(|(_, row)| !row.closed).collect();
+        let open: Vec<(&TargetId, &Row)> = self.rows.iter().filter(|(_, row)| row.is_open()).collect();
         let fresh = narrow(&open, |(target, _)| !tried.contains(target));
         let sound = match rule {
             Rule::Random | Rule::Reported => fresh,
@@ -167,6 +171,10 @@
 }
 
 impl Row {
+    fn is_open(&self) -> bool {
+        !self.closed && !self.shut
+    }
+
     fn is_sound(&self, now: Time) -> bool {
         self.out.is_none_or(|until| now >= until && self.own == 0)
     }
