--- /dev/null
+++ b/crates/catkin/tests/intent.rs
@@ -0,0 +1,164 @@
+//! Failures of idempotency keys across entry VMs.
+
+use catkin::{
+    Code,
+    config::LogDown,
+    dispatch::JobId,
+    intent::{End, Event, Intents, Request, Standing},
+    types::{Span, Time},
+};
+
+const KEY: u128 = 7;
+const LEFT: Span = Span::from_millis(500);
+
+fn at(millis: u64) -> Time {
+    Time::from_micros(millis * 1_000)
+}
+
+fn request(id: u64, digest: u128, rule: LogDown) -> Request {
+    let service = "pedidos".parse().unwrap();
+    Request { id: JobId(id), service, digest, rule, deadline: at(0).after(LEFT) }
+}
+
+fn ask(intents: &mut Intents, id: u64, standing: Standing) -> Option<Event> {
+    intents.ask(at(0), request(id, KEY, LogDown::Refuse), standing)
+}
+
+fn code(event: Option<Event>) -> Option<Code> {
+    match event {
+        Some(Event::Refuse(_, error)) => Some(error.code()),
+        _ => None,
+    }
+}
+
+fn is_send(event: &Event) -> bool {
+    matches!(event, Event::Send(_))
+}
+
+/// A VM whose request with the key is in the group that is being appended.
+fn appending() -> Intents {
+    let mut intents = Intents::new();
+    assert!(ask(&mut intents, 1, Standing::Free).is_none());
+    assert!(matches!(&intents.tick(at(0))[..], [Event::Append(group)] if group[0].digest == KEY));
+    intents
+}
+
+/// Guards against a request that is sent before its intent is in the log.
+#[test]
+fn a_request_is_sent_only_after_its_intent_was_read_back() {
+    let mut intents = appending();
+    assert!(intents.tick(at(100)).is_empty());
+    let events = intents.commit(at(100), |_| Standing::First);
+    assert!(matches!(events[..], [Event::Send(JobId(1))]));
+}
+
+/// Guards against an order that two VMs send at the same moment.
+#[test]
+fn only_the_first_intent_in_log_order_may_send() {
+    let events = appending().commit(at(1), |_| Standing::Taken { done: false });
+    assert_eq!(code(events.into_iter().next()), Some(Code::IntentSettled));
+    let events = appending().commit(at(1), |_| Standing::Taken { done: true });
+    assert_eq!(code(events.into_iter().next()), Some(Code::IntentDone));
+}
+
+/// Guards against a second request with the key on the same VM.
+#[test]
+fn a_key_is_sent_once_by_one_vm() {
+    let mut intents = appending();
+    assert_eq!(code(ask(&mut intents, 2, Standing::Free)), Some(Code::IntentSettled));
+    intents.commit(at(1), |_| Standing::First);
+    assert_eq!(code(ask(&mut intents, 3, Standing::First)), Some(Code::IntentSettled));
+    intents.finish(at(2), JobId(1), End::Unknown);
+    assert_eq!(code(ask(&mut intents, 4, Standing::First)), Some(Code::IntentSettled));
+}
+
+/// Guards against more appends than the log service takes.
+#[test]
+fn a_vm_appends_at_most_20_groups_in_a_second() {
+    let mut intents = Intents::new();
+    let mut groups = 0;
+    for milli in 0..1_000 {
+        let ask = Request { deadline: at(5_000), ..request(milli, u128::from(milli), LogDown::Refuse) };
+        intents.ask(at(milli), ask, Standing::Free);
+        groups += intents.tick(at(milli)).len();
+        let again = intents.again(at(milli));
+        assert!(!again || milli % 50 == 0);
+        intents.commit(at(milli), |_| Standing::First);
+    }
+    assert_eq!(groups, 20);
+}
+
+/// Guards against an append that is sent again without counting.
+#[test]
+fn an_append_that_is_sent_again_counts() {
+    let mut intents = appending();
+    assert!(!intents.again(at(49)));
+    assert!(intents.again(at(50)));
+    intents.commit(at(51), |_| Standing::First);
+    intents.ask(at(51), request(2, 8, LogDown::Refuse), Standing::Free);
+    assert!(intents.tick(at(99)).is_empty());
+    assert_eq!(intents.tick(at(100)).len(), 1);
+}
+
+/// Guards against a request that waits for a log that is down, and against
+/// one that is sent although its service requires the log.
+#[test]
+fn the_service_decides_while_the_log_is_down() {
+    for (rule, sent) in [(LogDown::Refuse, false), (LogDown::Send, true)] {
+        let mut intents = Intents::new();
+        assert!(intents.ask(at(0), request(1, KEY, rule), Standing::Free).is_none());
+        let events = intents.set_down(true);
+        assert_eq!(events.iter().any(is_send), sent);
+        let event = intents.ask(at(0), request(2, 8, rule), Standing::Free);
+        assert_eq!(event.as_ref().is_some_and(is_send), sent);
+        assert!(intents.tick(at(100)).iter().all(|event| !matches!(event, Event::Append(_))));
+    }
+}
+
+/// Guards against an order that runs while the log is down and once more
+/// when its intent reaches the log.
+#[test]
+fn a_key_that_was_sent_during_an_outage_is_not_sent_after_it() {
+    let mut intents = Intents::new();
+    intents.set_down(true);
+    let event = intents.ask(at(0), request(1, KEY, LogDown::Send), Standing::Free);
+    assert!(is_send(&event.unwrap()));
+    intents.finish(at(1), JobId(1), End::Unknown);
+    intents.set_down(false);
+    assert_eq!(code(ask(&mut intents, 2, Standing::Free)), Some(Code::IntentSettled));
+    assert_eq!(intents.tick(at(2)).len(), 1);
+    assert!(intents.commit(at(3), |_| Standing::First).is_empty());
+    assert_eq!(code(ask(&mut intents, 3, Standing::First)), Some(Code::IntentSettled));
+}
+
+/// Guards against a request that was answered as not run and is sent later.
+#[test]
+fn a_request_that_was_given_up_is_not_sent() {
+    let mut intents = appending();
+    assert!(intents.cancel(JobId(1)));
+    assert!(intents.commit(at(1), |_| Standing::First).is_empty());
+    let mut intents = appending();
+    let events = intents.tick(at(500));
+    assert_eq!(code(events.into_iter().next()), Some(Code::DeadlineTooShort));
+    assert!(intents.commit(at(501), |_| Standing::First).is_empty());
+    let events = appending().commit(at(500), |_| Standing::First);
+    assert_eq!(code(events.into_iter().next()), Some(Code::DeadlineTooShort));
+}
+
+/// Guards against a key that is lost because its request was not run.
+#[test]
+fn a_key_that_was_not_run_can_be_used_again() {
+    let mut intents = appending();
+    intents.commit(at(1), |_| Standing::First);
+    intents.finish(at(2), JobId(1), End::NotRun);
+    assert!(is_send(&ask(&mut intents, 2, Standing::First).unwrap()));
+    assert_eq!(code(ask(&mut intents, 3, Standing::First)), Some(Code::IntentSettled));
+}
+
+/// Guards against intents that are lost when an append fails for certain.
+#[test]
+fn a_group_that_was_not_appended_is_appended_later() {
+    let mut intents = appending();
+    intents.requeue();
+    assert!(matches!(&intents.tick(at(50))[..], [Event::Append(group)] if group.len() == 1));
+}
