--- a/crates/catkin/src/place/assign.rs
+++ b/crates/catkin/src/place/assign.rs
@@ -86,7 +86,7 @@
         if first.is_none_or(|live| live.vm != self.vm) {
             return false;
         }
-        let mut own = targets.values().filter(|t| t.service == *service && !t.leaving);
+        let mut own = targets.values().filter(|t| t.service.as_ref() == Some(service) && !t.leaving);
         if own.any(|t| state.keeper(&t.id).is_none()) && now.since(since) < KEEPERS_WAIT {
             return false;
         }
@@ -105,7 +105,7 @@
     targets: &'a BTreeMap<TargetId, Server>,
     members: &Members,
 ) -> Vec<Seat<'a>> {
-    let usable = targets.values().filter(|t| t.service == *service && !t.leaving);
+    let usable = targets.values().filter(|t| t.service.as_ref() == Some(service) && !t.leaving);
     let seat = |server: &'a Server| Seat {
         server,
         keeper: state.keeper(&server.id).and_then(|k| members.zone(&k.vm)).cloned(),
@@ -140,19 +140,27 @@
     }
     let total = free.len() + seats.iter().map(|s| s.owned).sum::<usize>();
     let max = total.div_ceil(seats.len());
-    let mut moves = Vec::with_capacity(free.len());
-    for slice in free {
-        let Some(owner) = pick_owner(&seats, *slice, max) else { break };
-        seats[owner].owned += 1;
-        let standby = pick_standby(&seats, *slice, owner);
-        if let Some(standby) = standby {
-            seats[standby].stands += 1;
+    let mut order = free.to_vec();
+    order.sort_by_cached_key(|slice| slice_hash(*slice, 0));
+    let standbys: Vec<Vec<usize>> = (0..seats.len()).map(|owner| best_standbys(&seats, owner)).collect();
+    let mut turns = vec![0; seats.len()];
+    let mut moves = Vec::with_capacity(order.len());
+    let mut next = 0;
+    for slice in order {
+        while seats[next].owned >= max {
+            next = (next + 1) % seats.len();
         }
+        let (owner, turn) = (next, turns[next]);
+        seats[owner].owned += 1;
+        turns[owner] += 1;
+        next = (next + 1) % seats.len();
+        let usable = &standbys[owner];
+        let standby = usable.get((owner + turn) % usable.len().max(1));
         moves.push(Move {
-            slice: *slice,
+            slice,
             expects: Version::default(),
             owner: seats[owner].server.id.clone(),
-            standby: standby.map(|at| seats[at].server.id.clone()),
+            standby: standby.map(|at| seats[*at].server.id.clone()),
             provisional: None,
         });
     }
@@ -160,9 +168,14 @@
     records.map(|part| Assign { service: service.clone(), moves: part.to_vec() }).collect()
 }
 
-fn pick_owner(seats: &[Seat<'_>], slice: SliceId, max: usize) -> Option<usize> {
-    let free = (0..seats.len()).filter(|at| seats[*at].owned < max);
-    free.min_by_key(|at| slice_hash(slice, seats[*at].hash))
+/// Returns the standbys in a third zone or, if there are none, all that are
+/// not in the zone of the owner.
+fn best_standbys(seats: &[Seat<'_>], owner: usize) -> Vec<usize> {
+    let own = &seats[owner];
+    let fit =
+        |at: &usize| fit(seats[*at].server.zone.as_ref(), own.server.zone.as_ref(), own.keeper.as_ref());
+    let best = (0..seats.len()).map(|at| fit(&at)).min().filter(|best| *best != Fit::OwnerZone);
+    (0..seats.len()).filter(|at| Some(fit(at)) == best).collect()
 }
 
 /// Picks the standby of a slice: in a third zone if there is one, never in
@@ -171,7 +184,7 @@
     let own = &seats[owner];
     let ranked = (0..seats.len()).filter(|at| *at != owner).map(|at| {
         let seat = &seats[at];
-        let fit = fit(&seat.server.zone, &own.server.zone, own.keeper.as_ref());
+        let fit = fit(seat.server.zone.as_ref(), own.server.zone.as_ref(), own.keeper.as_ref());
         (fit, seat.stands, slice_hash(slice, seat.hash), at)
     });
     ranked.filter(|(fit, ..)| *fit != Fit::OwnerZone).min().map(|(.., at)| at)
--- a/crates/catkin/src/place/keeper.rs
+++ b/crates/catkin/src/place/keeper.rs
@@ -24,6 +24,8 @@
 /// Time for which a keeper that is not listed is still taken for live,
 /// because the list may lag.
 const UNLISTED_WAIT: Span = Span::from_secs(2);
+/// Time between two searches for unlisted targets, which read all rows.
+const SEEK_AFTER: Span = Span::from_secs(1);
 /// Time for which a VM that hears no watched peer appends no claim.
 const ALONE_WAIT: Span = Span::from_secs(3);
 
@@ -49,7 +51,7 @@
     kept: &BTreeMap<VmId, u32>,
     max: u32,
 ) -> Option<VmId> {
-    let ranked = live.iter().map(|vm| rank(target, zone, None, vm, kept, max));
+    let ranked = live.iter().map(|vm| rank(target, Some(zone), None, vm, kept, max));
     ranked.min().map(|rank| rank.vm.clone())
 }
 
@@ -67,7 +69,7 @@
 
 fn rank<'a>(
     target: &TargetId,
-    zone: &Zone,
+    zone: Option<&Zone>,
     lost: Option<&Zone>,
     live: &'a Live,
     kept: &BTreeMap<VmId, u32>,
@@ -75,7 +77,7 @@
 ) -> Rank<'a> {
     Rank {
         leaving: live.leaving,
-        target_zone: live.zone == *zone,
+        target_zone: zone == Some(&live.zone),
         full: kept.get(&live.vm).is_some_and(|count| *count >= max),
         lost_zone: lost == Some(&live.zone),
         hash: rank_hash(target.as_str(), live.vm.as_str()),
@@ -90,8 +92,10 @@
     Missing,
     /// It is leaving.
     Leaving,
-    /// It is lost, or neither listed nor heard.
+    /// It is lost.
     Lost,
+    /// The list does not have it.
+    Unlisted,
 }
 
 /// Claims of one VM, with what it must remember between two calls.
@@ -102,12 +106,21 @@
     needed: BTreeMap<TargetId, (Version, Time)>,
     /// Claims of this process: version that the claim makes, and its time.
     claimed: BTreeMap<TargetId, (Version, Time)>,
+    /// Targets that own slices but are not listed, and when they were sought.
+    unlisted: BTreeSet<TargetId>,
+    sought: Option<Time>,
 }
 
 impl Claims {
     /// Makes the memory of a new process.
     pub fn new(vm: VmId) -> Self {
-        Self { vm, needed: BTreeMap::new(), claimed: BTreeMap::new() }
+        Self {
+            vm,
+            needed: BTreeMap::new(),
+            claimed: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
+            sought: None,
+        }
     }
 
     /// Returns the claims that this VM should append now.
@@ -117,7 +130,9 @@
     /// are lost without this VM's knowledge. A claim is not repeated before
     /// its record had time to appear.
     pub fn claims(&mut self, now: Time, state: &State, list: &VmList, members: &Members) -> Vec<Claim> {
-        let targets = servers(list);
+        let mut targets = servers(list);
+        self.seek_unlisted(now, state, &targets);
+        targets.extend(self.unlisted.iter().map(|id| (id.clone(), Server::unlisted(id))));
         self.forget(&targets);
         if !members.is_listed(&self.vm) || members.is_leaving(&self.vm) {
             return Vec::new();
@@ -135,6 +150,23 @@
         claims
     }
 
+    /// A target that is gone from the list still needs a keeper while it owns
+    /// slices: only its keeper may move them.
+    fn seek_unlisted(&mut self, now: Time, state: &State, targets: &BTreeMap<TargetId, Server>) {
+        if self.sought.is_some_and(|at| now.since(at) < SEEK_AFTER) {
+            return;
+        }
+        self.sought = Some(now);
+        let unlisted: BTreeSet<&TargetId> =
+            state.keepers().map(|(target, _)| target).filter(|t| !targets.contains_key(*t)).collect();
+        self.unlisted.clear();
+        if unlisted.is_empty() {
+            return;
+        }
+        let owners = state.rows().map(|(.., row)| &row.owner).filter(|owner| unlisted.contains(owner));
+        self.unlisted.extend(owners.cloned());
+    }
+
     fn forget(&mut self, targets: &BTreeMap<TargetId, Server>) {
         self.needed.retain(|target, _| targets.contains_key(target));
         self.claimed.retain(|target, _| targets.contains_key(target));
@@ -153,10 +185,11 @@
     ) -> Option<Claim> {
         let logged = state.keeper(&target.id);
         let expects = logged.map(|k| k.version).unwrap_or_default();
-        let Some((need, since)) = self.need(now, members, &target.id, logged) else {
+        let Some(need) = self.need(members, logged) else {
             self.needed.remove(&target.id);
             return None;
         };
+        let since = self.since(now, members, &target.id, logged, need)?;
         let order = order(target, logged, need, members, live, kept, max);
         let first = order.first()?;
         *kept.entry(first.clone()).or_default() += 1;
@@ -173,36 +206,40 @@
         Some(Claim { target: target.id.clone(), expects, keeper: self.vm.clone() })
     }
 
-    fn need(
+    fn need(&self, members: &Members, logged: Option<&Keeper>) -> Option<Need> {
+        match logged {
+            None => Some(Need::Missing),
+            // A new process of the VM that is named claims its targets again
+            // in `lease::Keeper`.
+            Some(keeper) if keeper.vm == self.vm => None,
+            Some(keeper) if members.lost_since(&keeper.vm).is_some() => Some(Need::Lost),
+            Some(keeper) if members.is_leaving(&keeper.vm) => Some(Need::Leaving),
+            Some(keeper) if members.is_listed(&keeper.vm) => None,
+            Some(_) => Some(Need::Unlisted),
+        }
+    }
+
+    /// Returns since when a target certainly needs another keeper.
+    fn since(
         &mut self,
         now: Time,
         members: &Members,
         target: &TargetId,
         logged: Option<&Keeper>,
-    ) -> Option<(Need, Time)> {
+        need: Need,
+    ) -> Option<Time> {
         let version = logged.map(|k| k.version).unwrap_or_default();
-        let need = match logged {
-            None => Need::Missing,
-            // A new process of the VM that is named claims its targets again
-            // in `lease::Keeper`.
-            Some(keeper) if keeper.vm == self.vm => return None,
-            Some(keeper) if members.lost_since(&keeper.vm).is_some() => Need::Lost,
-            Some(keeper) if members.is_leaving(&keeper.vm) => Need::Leaving,
-            Some(keeper) if members.is_listed(&keeper.vm) => return None,
-            Some(_) => Need::Lost,
-        };
         let entry = self.needed.entry(target.clone()).or_insert((version, now));
         if entry.0 != version {
             *entry = (version, now);
         }
         let since = entry.1;
-        let unlisted = logged.filter(|k| members.lost_since(&k.vm).is_none() && need == Need::Lost);
-        if let Some(keeper) = unlisted {
-            let heard = members.heard(&keeper.vm).unwrap_or_default();
-            let quiet = since.max(heard);
-            return (now.since(quiet) >= UNLISTED_WAIT).then(|| (need, quiet.after(UNLISTED_WAIT)));
+        if need != Need::Unlisted {
+            return Some(since);
         }
-        Some((need, since))
+        let heard = logged.and_then(|k| members.heard(&k.vm)).unwrap_or_default();
+        let sure = since.max(heard).after(UNLISTED_WAIT);
+        (now >= sure).then_some(sure)
     }
 }
 
@@ -218,7 +255,7 @@
     let lost = logged.filter(|_| need == Need::Lost).and_then(|k| members.zone(&k.vm));
     let usable = live.iter().filter(|vm| logged.is_none_or(|k| k.vm != vm.vm));
     let mut ranks: Vec<Rank<'_>> =
-        usable.map(|vm| rank(&target.id, &target.zone, lost, vm, kept, max)).collect();
+        usable.map(|vm| rank(&target.id, target.zone.as_ref(), lost, vm, kept, max)).collect();
     ranks.sort();
     ranks.into_iter().map(|rank| rank.vm.clone()).collect()
 }
@@ -242,7 +279,10 @@
     let kept = kept_counts(state, &targets);
     let first = |target: &Server, keeper: &VmId, lost: Option<&Zone>| {
         let others = live.iter().filter(|other| other.vm != *keeper);
-        others.map(|other| rank(&target.id, &target.zone, lost, other, &kept, max)).min().map(|rank| rank.vm)
+        others
+            .map(|other| rank(&target.id, target.zone.as_ref(), lost, other, &kept, max))
+            .min()
+            .map(|rank| rank.vm)
     };
     let follows = |target: &Server| {
         let keeper = &state.keeper(&target.id)?.vm;
--- a/crates/catkin/src/place/zone.rs
+++ b/crates/catkin/src/place/zone.rs
@@ -14,21 +14,28 @@
     /// The target.
     pub id: TargetId,
     /// Its service.
-    pub service: Service,
+    pub service: Option<Service>,
     /// Its zone.
-    pub zone: Zone,
+    pub zone: Option<Zone>,
     /// Whether it is about to leave.
     pub leaving: bool,
 }
 
+impl Server {
+    /// Makes the row of a target of which only the id is known.
+    pub(super) fn unlisted(id: &TargetId) -> Self {
+        Self { id: id.clone(), service: None, zone: None, leaving: true }
+    }
+}
+
 /// Returns the targets of the list.
 pub fn servers(list: &VmList) -> BTreeMap<TargetId, Server> {
     let rows = list.vms.iter().filter(|row| row.role == Role::Target);
     let server = |row: &crate::api::Listed| {
         let id = TargetId::new(row.id.clone()).ok()?;
-        let service = row.service.clone()?;
+        let service = Some(row.service.clone()?);
         let leaving = row.state == Life::Leaving;
-        Some((id.clone(), Server { id, service, zone: row.zone.clone(), leaving }))
+        Some((id.clone(), Server { id, service, zone: Some(row.zone.clone()), leaving }))
     };
     rows.filter_map(server).collect()
 }
@@ -46,10 +53,10 @@
 }
 
 /// Returns the fit of a standby.
-pub(super) fn fit(standby: &Zone, owner: &Zone, keeper: Option<&Zone>) -> Fit {
+pub(super) fn fit(standby: Option<&Zone>, owner: Option<&Zone>, keeper: Option<&Zone>) -> Fit {
     if standby == owner {
         Fit::OwnerZone
-    } else if keeper == Some(standby) {
+    } else if keeper == standby {
         Fit::KeeperZone
     } else {
         Fit::Three
