--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -12,10 +12,10 @@
 //! - [`record`] encodes what is written to the log, [`fold`] reads it back.
 //! - [`config`] is what operators publish; [`settings`] is what one process
 //!   reads at its start.
-//! - [`member`] is the table of the entry VMs, [`place`] chooses keepers and
-//!   places slices.
 //! - [`choose`] picks a target, [`dispatch`] queues for it, [`retry`] decides
 //!   about another try, [`intent`] keeps idempotency keys across VMs.
+//! - [`member`] is the table of the entry VMs, [`place`] chooses keepers and
+//!   places slices.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
 //!   gateways; [`admin`] has the JSON bodies for operators.
 //! - [`event`] has the events of the time line and their clock.
@@ -30,6 +30,7 @@
 
 pub mod admin;
 pub mod api;
+pub mod append;
 pub mod choose;
 pub mod config;
 pub mod dispatch;
@@ -44,6 +45,7 @@
 pub mod record;
 pub mod retry;
 pub mod settings;
+pub mod snapshot;
 pub mod types;
 pub mod wire;
 
