place: plan with the process that claimed, and bound carves as the fold does

The fold refuses moves of a process that did not claim the owner itself, so the planner leaves such slices out; before, it would have repeated the same refused moves every 3 s. The bound on carved slices is the fold's own.

The test of repeated plans took the fold back but not the offset of its log, which the fold refuses since it checks for gaps. It takes both back now.

--- a/crates/catkin/src/place/plan.rs
+++ b/crates/catkin/src/place/plan.rs
@@ -10,7 +10,7 @@
     crate::{
         api::VmList,
         config,
-        fold::{Row, State},
+        fold::{CARVED_MAX, Keeper, Row, State},
         member::Members,
         record::{Assign, Carve, Move},
         types::{Service, SliceId, Span, TargetId, Time, Version, VmId},
@@ -36,8 +36,6 @@
 /// Load of the rest of a slice relative to its hot key below which a carve
 /// frees nothing: the slice is as hot as its key.
 const CARVE_REST: f64 = 0.1;
-/// Carved slices of one service, which bounds the fold.
-const CARVED_MAX: usize = 1_024;
 /// Time between two moves by load. The loads of the new owners must show
 /// before more is moved.
 const SETTLE: Span = DECAY;
@@ -232,10 +230,9 @@
         if let Some(standby) = row.standby.as_ref().and_then(|standby| table.places.get(standby)) {
             table.seats[*standby].stands += 1;
         }
-        if inputs.state.keeper(&row.owner).is_none_or(|keeper| keeper.vm != self.vm) || pending.is_some() {
-            return;
-        }
-        if inputs.moving.contains(&id) {
+        let own = |keeper: &Keeper| keeper.vm == self.vm && keeper.boot == inputs.members.boot();
+        let kept = inputs.state.keeper(&row.owner).is_some_and(own);
+        if !kept || pending.is_some() || inputs.moving.contains(&id) {
             return;
         }
         let fixed = planned.is_some();
@@ -466,9 +463,7 @@
 
 fn carves(now: Time, inputs: &Inputs<'_>, table: &Table<'_>, entry: &config::Entry) -> Vec<Carve> {
     let hot = table.mean_load() * CARVE_FROM;
-    let carved =
-        inputs.state.rows().filter(|(name, slice, _)| *name == table.service && slice.0 >= entry.slices);
-    let mut room = CARVED_MAX.saturating_sub(carved.count());
+    let mut room = CARVED_MAX.saturating_sub(inputs.state.carved(table.service).count());
     let mut carves = Vec::new();
     let items = table.own.values().flatten().filter(|item| item.slice.0 < entry.slices);
     for item in items.filter(|item| hot > 0.0 && item.load > hot) {
--- a/crates/catkin/tests/fleet/mod.rs
+++ b/crates/catkin/tests/fleet/mod.rs
@@ -132,6 +132,7 @@
 }
 
 /// A log that is read at once.
+#[derive(Clone)]
 pub struct Log {
     pub state: State,
     next: Offset,
--- a/crates/catkin/tests/plan.rs
+++ b/crates/catkin/tests/plan.rs
@@ -92,10 +92,10 @@
         let rows = moves.fleet.log.state.rows().filter(|(.., row)| row.version.0 > 1);
         rows.map(|(_, slice, _)| slice).collect()
     };
-    let state = moves.fleet.log.state.clone();
+    let unread = moves.fleet.log.clone();
     moves.plan();
     let first = changed(&moves);
-    moves.fleet.log.state = state;
+    moves.fleet.log = unread;
     moves.plan();
     assert!(!first.is_empty() && first.is_disjoint(&changed(&moves)), "the same slices were planned twice");
 }
