--- a/crates/catkinctl/tests/ctl/operate.rs
+++ b/crates/catkinctl/tests/ctl/operate.rs
@@ -183,15 +183,18 @@
             provisional: None,
         };
         let assign = |service: &str| Assign { service: service.parse().unwrap(), moves: vec![first.clone()] };
+        // The fold refuses owners of slices that no configuration has.
+        let fleet = "services: {a: {keyed: true, slices: 4}, b: {keyed: true, slices: 4}}";
         log.borrow_mut().records.extend([
+            fake::config_record("ana", 0, fleet),
             encode(1, Change::Keeper(claim)),
             encode(2, Change::Assign(assign("a"))),
             encode(3, Change::Assign(assign("b"))),
         ]);
         let report = owners(Reader::new(addr), Some(&"b".parse().unwrap())).await.unwrap();
-        assert_eq!(report.to_string(), "b/3: owner t-1, standby t-2, keeper gw-1, fence 2.0");
+        assert_eq!(report.to_string(), "b/3: owner t-1, standby t-2, keeper gw-1, fence 3.0");
         let json = serde_json::to_value(&report).unwrap();
-        assert_eq!(json[0]["fence"]["offset"], 2);
+        assert_eq!(json[0]["fence"]["offset"], 3);
     });
 }
 
