--- a/crates/catkin-bench/src/world.rs
+++ b/crates/catkin-bench/src/world.rs
@@ -599,7 +599,7 @@
             self.vms[vm].loads.end(self.now, &target, fault);
         }
         if let Some(depth) = depth {
-            let gossip = Gossip { target: target.clone(), depth, open: true };
+            let gossip = Gossip { target: target.clone(), depth, rate: 0, open: true };
             self.vms[vm].loads.hear(self.now, &gossip);
         }
         match reply {
@@ -709,7 +709,8 @@
         for (number, server) in self.servers.iter().enumerate() {
             let keeper = &self.vms[number % self.setup.vms].table;
             let target = server.id.clone();
-            let gossip = Gossip { depth: keeper.depth(&target), open: keeper.is_open(&target), target };
+            let gossip =
+                Gossip { depth: keeper.depth(&target), rate: 0, open: keeper.is_open(&target), target };
             self.vms.iter_mut().for_each(|vm| vm.loads.hear(self.now, &gossip));
         }
     }
--- a/crates/catkin-gateway/src/control.rs
+++ b/crates/catkin-gateway/src/control.rs
@@ -4,7 +4,7 @@
     crate::{append, follow, node::Node, peer, reports},
     catkin::{
         Code, Error,
-        api::{Command, Life, Order, Reply, VmList, path},
+        api::{Command, Life, Order, Reply, Role, VmList, path},
         event::Kind,
         fold::State,
         lease::Action,
@@ -13,7 +13,11 @@
         types::{Span, TargetId, Time, VmId},
         wire::Frame,
     },
-    std::{collections::BTreeSet, rc::Rc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        rc::Rc,
+        time::Duration,
+    },
 };
 
 const TICK: Duration = Duration::from_millis(10);
@@ -21,6 +25,9 @@
 const PLACE_TICKS: u64 = 10;
 /// Ticks between two runs of the leases' `sync` without a change.
 const SYNC_TICKS: u64 = 50;
+/// Time in which the keys of a leaving target are moved. After it the target
+/// gets no new work, so that it gets none 2 s after the first sign.
+const CLOSE_AFTER: Span = Span::from_millis(1_500);
 const COMMAND_LIMIT: Span = Span::from_millis(100);
 const ASK_LIMIT: Duration = Duration::from_millis(500);
 
@@ -30,6 +37,8 @@
     assigner: Assigner,
     kept: BTreeSet<TargetId>,
     leased: BTreeSet<TargetId>,
+    /// When a target was first seen to leave.
+    signs: BTreeMap<TargetId, Time>,
     ticks: u64,
 }
 
@@ -42,6 +51,7 @@
         assigner: Assigner::new(vm),
         kept: BTreeSet::new(),
         leased: BTreeSet::new(),
+        signs: BTreeMap::new(),
         ticks: 0,
     };
     let mut tick = actix_rt::time::interval(TICK);
@@ -72,6 +82,7 @@
         self.node.queues.tick(now);
         self.node.protect.tick(&self.node, now);
         self.show_leases(now);
+        self.close_queues(now);
     }
 
     /// Records an event for each lease that began or may have ended.
@@ -105,6 +116,23 @@
         self.sync_queues();
     }
 
+    /// Closes the queues of targets that have been leaving for a while.
+    fn close_queues(&mut self, now: Time) {
+        let node = &self.node;
+        let list = node.list.borrow();
+        let leaving = list.vms.iter().filter(|vm| vm.role == Role::Target && vm.state == Life::Leaving);
+        let leaving: BTreeSet<TargetId> =
+            leaving.filter_map(|vm| TargetId::new(vm.id.clone()).ok()).collect();
+        self.signs.retain(|target, _| leaving.contains(target));
+        for target in leaving {
+            let sign = *self.signs.entry(target.clone()).or_insert(now);
+            if now.since(sign) >= CLOSE_AFTER {
+                let events = node.queues.table.borrow_mut().close(&target);
+                node.queues.notify(events);
+            }
+        }
+    }
+
     /// Makes a queue for each kept target.
     fn sync_queues(&mut self) {
         let node = &self.node;
--- a/crates/catkin-gateway/src/execute.rs
+++ b/crates/catkin-gateway/src/execute.rs
@@ -84,6 +84,9 @@
     let end = node.now().after(head.left);
     let mut permit = queue::enter(node, &head, end).await?;
     node.record(Kind::Sent { request: head.request.clone(), target: head.target.clone(), attempt: 1 });
+    if let (Some((slice, _)), Some(key)) = (head.slice, &head.key) {
+        node.slices.borrow_mut().note(node.now(), &head.service, slice, key, 1.0);
+    }
     // The lease may have ended while the request waited.
     node.keeper.borrow().admit(node.now(), &head.target, head.slice)?;
     let request = prepare(node, &head, end)?;
--- a/crates/catkin-gateway/src/follow.rs
+++ b/crates/catkin-gateway/src/follow.rs
@@ -170,7 +170,9 @@
 pub(crate) async fn list(node: Rc<Node>) {
     loop {
         let list = catkin_net::list_vms(&node.client, node.set.platform.vms, LIST_LIMIT).await;
-        if let Ok(list) = list {
+        if let Ok(mut list) = list {
+            node.draining.borrow_mut().retain(|target| list.vms.iter().any(|vm| *vm.id == *target.as_str()));
+            node.draining.borrow().iter().for_each(|target| list.set_leaving(target));
             node.members.borrow_mut().sync(&list);
             *node.list.borrow_mut() = list;
             node.changed.set(true);
--- a/crates/catkin-gateway/src/heartbeat.rs
+++ b/crates/catkin-gateway/src/heartbeat.rs
@@ -6,6 +6,7 @@
         Code, Error,
         event::Kind,
         member::Event,
+        place::own_totals,
         types::VmId,
         wire::{self, Body, DATAGRAM_BYTES_MAX, Datagram, Gossip},
     },
@@ -67,11 +68,13 @@
 fn gossip(node: &Node) -> Vec<Body> {
     let state = node.state.borrow();
     let table = node.queues.table.borrow();
+    let rates = own_totals(node.now(), &state, &node.slices.borrow(), &node.set.vm);
     let kept = state.keepers().filter(|(_, keeper)| keeper.vm == node.set.vm);
     let loads: Vec<Gossip> = kept
         .map(|(target, _)| Gossip {
             target: target.clone(),
             depth: table.depth(target),
+            rate: rates.get(target).copied().unwrap_or_default() as u32,
             open: table.is_open(target),
         })
         .collect();
@@ -90,6 +93,9 @@
         let now = node.now();
         let mut tables = node.loads.borrow_mut();
         tables.values_mut().for_each(|rows| loads.iter().for_each(|load| rows.hear(now, load)));
+        node.rates.borrow_mut().extend(loads.iter().map(|load| (load.target.clone(), load.rate)));
+        let closed = loads.iter().filter(|load| !load.open).map(|load| load.target.clone());
+        node.draining.borrow_mut().extend(closed);
     }
     node.members.borrow_mut().receive(node.now(), &datagram.from, &datagram)
 }
--- a/crates/catkin-gateway/src/main.rs
+++ b/crates/catkin-gateway/src/main.rs
@@ -17,6 +17,7 @@
 //! | `snapshots` | writes snapshots of the fold |
 //! | `append` | appends records to the log |
 //! | `control` | claims, assignments and lease commands |
+//! | `balance` | moves of slices by load and away from leaving targets |
 //! | `heartbeat` | UDP datagrams between gateways |
 //! | `shutdown` | graceful shutdown |
 //! | `admin` | metrics, status and events for operators |
@@ -24,6 +25,7 @@
 mod accept;
 mod admin;
 mod append;
+mod balance;
 mod body;
 mod control;
 mod execute;
@@ -91,6 +93,7 @@
     log::info!(vm = node.set.vm.as_str(), callers:display = node.set.callers; "gateway started");
     actix_rt::spawn(follow::records(node.clone()));
     actix_rt::spawn(follow::list(node.clone()));
+    actix_rt::spawn(balance::run(node.clone()));
     actix_rt::spawn(reports::run(node.clone()));
     actix_rt::spawn(snapshots::run(node.clone()));
     actix_rt::spawn(append::run(node.clone()));
--- a/crates/catkin-gateway/src/node.rs
+++ b/crates/catkin-gateway/src/node.rs
@@ -12,6 +12,7 @@
         fold::State,
         lease::{Keeper, Timings},
         member::Members,
+        place,
         record::Writer,
         retry::Budget,
         settings,
@@ -21,7 +22,7 @@
     catkin_net::{Log, Monotonic},
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         net::SocketAddr,
         time::{SystemTime, UNIX_EPOCH},
     },
@@ -71,6 +72,12 @@
     pub(crate) members: RefCell<Members>,
     /// Loads of the targets of services that are not divided by key.
     pub(crate) loads: RefCell<HashMap<Service, Loads>>,
+    /// Loads of the slices of kept owners.
+    pub(crate) slices: RefCell<place::Loads>,
+    /// Requests per second of the targets of other gateways.
+    pub(crate) rates: RefCell<HashMap<TargetId, u32>>,
+    /// Targets that said that they drain.
+    pub(crate) draining: RefCell<BTreeSet<TargetId>>,
     /// Queues of the kept targets.
     pub(crate) queues: Queues,
     /// Retry budgets by service.
@@ -128,6 +135,9 @@
             keeper: RefCell::new(Keeper::new(set.vm.clone(), boot, Timings::default())),
             members: RefCell::new(Members::new(set.vm.clone(), boot, set.zone.clone())),
             loads: RefCell::default(),
+            slices: RefCell::default(),
+            rates: RefCell::default(),
+            draining: RefCell::default(),
             queues: Queues::default(),
             budgets: RefCell::default(),
             events: RefCell::new(Ring::new(set.vm.clone(), boot, events)),
--- a/crates/catkin-gateway/src/reports.rs
+++ b/crates/catkin-gateway/src/reports.rs
@@ -36,9 +36,13 @@
     }
 }
 
-/// Stops new work for a target that drains.
+/// Takes note that a target drains. Work for its keys goes on until they have
+/// moved; other work goes to other targets at once.
 pub(crate) fn close(node: &Node, target: &TargetId) {
-    let events = node.queues.table.borrow_mut().close(target);
-    node.queues.notify(events);
+    if !node.draining.borrow_mut().insert(target.clone()) {
+        return;
+    }
     node.loads.borrow_mut().values_mut().for_each(|rows| rows.close(target));
+    node.list.borrow_mut().set_leaving(target);
+    node.changed.set(true);
 }
--- a/crates/catkin/src/api.rs
+++ b/crates/catkin/src/api.rs
@@ -137,6 +137,14 @@
     pub vms: Vec<Listed>,
 }
 
+impl VmList {
+    /// Counts a target as leaving before the list says so.
+    pub fn set_leaving(&mut self, target: &TargetId) {
+        let rows = self.vms.iter_mut().filter(|vm| *vm.id == *target.as_str());
+        rows.for_each(|vm| vm.state = Life::Leaving);
+    }
+}
+
 /// Order of commands to a target. A target refuses a command that is not
 /// newer than the newest one that it has accepted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/catkin/src/wire.rs
+++ b/crates/catkin/src/wire.rs
@@ -174,6 +174,8 @@
     pub target: TargetId,
     /// Requests running and waiting.
     pub depth: u32,
+    /// Requests per second to its slices.
+    pub rate: u32,
     /// Whether it takes new work.
     pub open: bool,
 }
--- a/crates/catkin/tests/choose.rs
+++ b/crates/catkin/tests/choose.rs
@@ -33,7 +33,7 @@
 }
 
 fn depth(number: u32, depth: u32) -> Gossip {
-    Gossip { target: id(number), depth, open: true }
+    Gossip { target: id(number), depth, rate: 0, open: true }
 }
 
 /// Guards against work for a target that this VM has loaded itself.
