member: keep the cost of a tick independent of the fleet

Suspected, lost and unlisted peers are kept in sets, so that a tick no longer reads the whole table. The planner shares the slices that may be in motion by the sources that a VM keeps: with an equal share for each source's keeper a VM that keeps fifty sources would have moved as few as one that keeps one.

--- a/crates/catkin/src/member.rs
+++ b/crates/catkin/src/member.rs
@@ -198,6 +198,10 @@
     peers: BTreeMap<VmId, Peer>,
     wanted: Option<BTreeSet<VmId>>,
     watched: BTreeSet<VmId>,
+    /// Peers that are suspected or lost.
+    troubled: BTreeSet<VmId>,
+    /// Peers that the list does not have.
+    unlisted: BTreeSet<VmId>,
     passes: VecDeque<Pass>,
     number: u64,
     ticked: Option<Time>,
@@ -218,6 +222,8 @@
             peers: BTreeMap::new(),
             wanted: None,
             watched: BTreeSet::new(),
+            troubled: BTreeSet::new(),
+            unlisted: BTreeSet::new(),
             passes: VecDeque::new(),
             number: 0,
             ticked: None,
@@ -268,6 +274,7 @@
             peer.zone = Some(zone.clone());
         }
         if !mem::replace(&mut peer.listed, true) {
+            self.unlisted.remove(vm);
             self.changes.push(Change { vm: vm.clone(), event: Event::Listed });
         }
         let before = peer.is_leaving();
@@ -280,6 +287,7 @@
     fn unlist(&mut self, seen: &BTreeSet<VmId>) {
         for (vm, peer) in &mut self.peers {
             if !seen.contains(vm) && mem::replace(&mut peer.listed, false) {
+                self.unlisted.insert(vm.clone());
                 self.changes.push(Change { vm: vm.clone(), event: Event::Unlisted });
             }
         }
@@ -352,16 +360,20 @@
     }
 
     fn forget(&mut self, now: Time) {
-        self.peers.retain(|_, peer| {
-            peer.listed || peer.heard.is_some_and(|heard| now.since(heard) < UNLISTED_KEEP)
+        let peers = &mut self.peers;
+        self.unlisted.retain(|vm| {
+            let heard = peers.get(vm).and_then(|peer| peer.heard);
+            let kept = heard.is_some_and(|heard| now.since(heard) < UNLISTED_KEEP);
+            if !kept {
+                peers.remove(vm);
+                self.troubled.remove(vm);
+            }
+            kept
         });
     }
 
     fn checked(&self) -> Vec<VmId> {
-        let troubled = |vm: &VmId| {
-            !self.watched.contains(vm) && self.peers.get(vm).is_some_and(|p| p.health != Health::Answers)
-        };
-        let rest = self.peers.keys().filter(|vm| troubled(vm));
+        let rest = self.troubled.iter().filter(|vm| !self.watched.contains(*vm));
         self.watched.iter().chain(rest).take(CHECKED_MAX).cloned().collect()
     }
 
@@ -424,6 +436,7 @@
         match peer.health {
             Health::Answers => {
                 peer.health = Health::Suspected { since: now };
+                self.troubled.insert(vm.clone());
                 self.changes.push(Change { vm: vm.clone(), event: Event::Suspected });
                 self.probe(now, vm, output);
             }
@@ -495,6 +508,7 @@
         peer.probe = None;
         peer.settled = self.number;
         if mem::replace(&mut peer.health, Health::Answers) != Health::Answers {
+            self.troubled.remove(vm);
             self.changes.push(Change { vm: vm.clone(), event: Event::Recovered });
         }
     }
--- a/crates/catkin/src/place/plan.rs
+++ b/crates/catkin/src/place/plan.rs
@@ -205,7 +205,7 @@
         for (_, slice, row) in inputs.state.rows().filter(|(name, ..)| *name == service) {
             self.add_row(now, inputs, &mut table, targets, slice, row);
         }
-        table.set_budget(inputs, targets);
+        table.set_budget(inputs, targets, &self.vm);
         table
     }
 
@@ -257,14 +257,16 @@
 impl Table<'_> {
     /// Shares the slices that may be in motion among the keepers that have
     /// something to move, as far as every VM can tell.
-    fn set_budget(&mut self, inputs: &Inputs<'_>, targets: &BTreeMap<TargetId, Server>) {
-        let leaving =
-            targets.values().filter(|t| t.service.as_ref() == Some(self.service) && t.leaving).count();
+    fn set_budget(&mut self, inputs: &Inputs<'_>, targets: &BTreeMap<TargetId, Server>, vm: &VmId) {
+        let leaving = targets.values().filter(|t| t.service.as_ref() == Some(self.service) && t.leaving);
         let (counts, loads) = (self.count_flows(), self.load_flows());
-        let sources: BTreeSet<usize> = counts.iter().chain(&loads).map(|flow| flow.from).collect();
+        let from = counts.iter().chain(&loads).map(|flow| &self.seats[flow.from].server.id);
+        let sources: BTreeSet<&TargetId> = from.chain(leaving.map(|t| &t.id)).collect();
+        let own = |id: &&&TargetId| inputs.state.keeper(id).is_some_and(|keeper| keeper.vm == *vm);
+        let own = sources.iter().filter(own).count();
         let all = (self.slices as f64 * MOTION_SHARE).ceil() as usize;
         let moving = inputs.moving.iter().filter(|(service, _)| service == self.service).count();
-        self.budget = all.div_ceil((leaving + sources.len()).max(1)).saturating_sub(moving);
+        self.budget = (all * own).div_ceil(sources.len().max(1)).saturating_sub(moving);
         self.repairs = all.div_ceil(inputs.members.live().count().max(1)).saturating_sub(moving);
     }
 
