--- a/crates/catkin/src/settings/standin.rs
+++ b/crates/catkin/src/settings/standin.rs
@@ -9,7 +9,7 @@
         types::{Service, Span, TargetId, VmId, Zone},
     },
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeSet, net::SocketAddr},
+    std::{collections::BTreeSet, net::SocketAddr, path::PathBuf},
 };
 
 /// Settings of `catkin-standin`.
@@ -66,6 +66,8 @@
     /// Connections that it accepts.
     #[serde(default = "target_connections", deserialize_with = "limit")]
     pub connections: u32,
+    /// File that gets a line for each run, which outlives the process.
+    pub journal: Option<PathBuf>,
 }
 
 fn target_connections() -> u32 {
--- a/crates/catkin/tests/decode.rs
+++ b/crates/catkin/tests/decode.rs
@@ -121,6 +121,7 @@
             path: path.into(),
             headers,
             length,
+            operation: length.map(|number| number.to_string().into()),
         },
     )
 }
@@ -132,8 +133,10 @@
         Just(Frame::End),
         Just(Frame::Cancel),
         Just(Frame::PullState),
-        (any::<u16>(), headers(), option::of(any::<u64>()), id::<TargetId>()).prop_map(
-            |(status, headers, length, target)| Frame::Answer(Answer { status, headers, length, target })
+        (any::<u16>(), headers(), option::of(any::<u64>()), id::<TargetId>(), option::of(fence())).prop_map(
+            |(status, headers, length, target, fence)| {
+                Frame::Answer(Answer { status, headers, length, target, fence })
+            }
         ),
         (any::<u16>(), ".{0,50}").prop_map(|(code, detail)| Frame::Failed { code, detail: detail.into() }),
         (id::<TargetId>(), slices()).prop_map(|(target, slices)| Frame::AskStopped { target, slices }),
@@ -161,8 +164,8 @@
 }
 
 fn body() -> impl Strategy<Value = Body> {
-    let gossip = (id::<TargetId>(), any::<u32>(), any::<bool>());
-    let gossip = gossip.prop_map(|(target, depth, open)| Gossip { target, depth, open });
+    let gossip = (id::<TargetId>(), any::<u32>(), any::<bool>(), any::<u32>());
+    let gossip = gossip.prop_map(|(target, depth, open, rate)| Gossip { target, depth, open, rate });
     prop_oneof![
         any::<u64>().prop_map(|number| Body::Probe { number }),
         any::<u64>().prop_map(|number| Body::Ack { number }),
--- a/crates/catkinctl/tests/ctl/operate.rs
+++ b/crates/catkinctl/tests/ctl/operate.rs
@@ -191,9 +191,10 @@
             provisional: None,
         };
         let assign = |service: &str| Assign { service: service.parse().unwrap(), moves: vec![first.clone()] };
-        let keyed = "services: {a: {keyed: true, slices: 8}, b: {keyed: true, slices: 8}}";
+        // The fold refuses owners of slices that no configuration has.
+        let fleet = "services: {a: {keyed: true, slices: 4}, b: {keyed: true, slices: 4}}";
         log.borrow_mut().records.extend([
-            fake::config_record("ana", 0, keyed),
+            fake::config_record("ana", 0, fleet),
             encode(1, Change::Keeper(claim)),
             encode(2, Change::Assign(assign("a"))),
             encode(3, Change::Assign(assign("b"))),
