--- a/crates/catkinctl/src/cli.rs
+++ b/crates/catkinctl/src/cli.rs
@@ -127,16 +127,18 @@
         #[bpaf(external(output))]
         output: Output,
     },
-    /// Asks a target to drain and waits until it holds and runs nothing.
+    /// Asks a target to drain and waits until it owns and runs nothing.
     #[bpaf(
         command,
         footer(
-            "Example:\n   catkinctl drain lookup-svc-3 --vms 10.0.0.6:7001 --limit 2min\n Exit codes: 0 drained, 1 failed or not yet, 2 usage."
+            "Example:\n   catkinctl drain lookup-svc-3 --vms 10.0.0.6:7001 --log 10.0.0.5:7000\n Exit codes: 0 drained, 1 failed or not yet, 2 usage."
         )
     )]
     Drain {
         #[bpaf(external(vms))]
         vms: SocketAddr,
+        #[bpaf(external(log))]
+        log: SocketAddr,
         /// Longest time to wait, as in 30s
         #[bpaf(argument("SPAN"), fallback(WAIT_LIMIT), display_fallback)]
         limit: Span,
--- a/crates/catkinctl/src/drain.rs
+++ b/crates/catkinctl/src/drain.rs
@@ -1,7 +1,7 @@
 //! `catkinctl drain`: asks a target to drain.
 
 use {
-    crate::{gateways::Gateways, output::Report},
+    crate::{gateways::Gateways, output::Report, reader::Reader},
     catkin::{
         Code, Error,
         api::{Load, Reply, Role, path},
@@ -26,40 +26,44 @@
     pub target: TargetId,
     /// Whether it takes no new work.
     pub draining: bool,
-    /// Slices that it holds.
-    pub slices: usize,
+    /// Slices that the log assigns to it.
+    pub owned: usize,
+    /// Slices that it holds. A target whose lease expired holds none and may
+    /// still own some.
+    pub held: usize,
     /// Requests that it runs.
     pub running: u32,
 }
 
 impl Report for Drained {
     fn is_success(&self) -> bool {
-        self.draining && self.slices == 0 && self.running == 0
+        self.draining && self.owned == 0 && self.held == 0 && self.running == 0
     }
 }
 
 impl fmt::Display for Drained {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { target, draining, slices, running } = self;
+        let Self { target, draining, owned, held, running } = self;
         let state = match (self.is_success(), draining) {
             (true, _) => "drained",
             (false, true) => "draining",
             (false, false) => "not draining",
         };
-        write!(f, "{target}: {state}, holds {slices} slices, runs {running} requests")
+        write!(f, "{target}: {state}, owns {owned} slices, holds {held}, runs {running} requests")
     }
 }
 
-/// Asks a target to drain and waits up to a limit until it holds and runs
-/// nothing. The keeper learns of the drain with the next renewal and moves the
+/// Asks a target to drain and waits up to a limit until it owns, holds and
+/// runs nothing. The keeper learns of the drain with the next renewal and moves the
 /// slices. Each change of progress is shown.
 ///
 /// # Errors
 ///
 /// `Code::ListUnavailable`, `Code::BadUsage` if the list has no such target,
-/// or the code of the last request to the target that failed.
+/// or the code of the last request that failed.
 pub async fn drain(
     gateways: &Gateways,
+    mut reader: Reader,
     target: &TargetId,
     limit: Span,
     mut show: impl FnMut(&str),
@@ -68,7 +72,7 @@
     let addr = find(gateways, target).await?;
     let mut shown = String::new();
     loop {
-        let result = step(gateways, target, addr).await;
+        let result = step(gateways, &mut reader, target, addr).await;
         let progress = result.as_ref().map_or_else(ToString::to_string, ToString::to_string);
         if progress != shown {
             show(&progress);
@@ -90,7 +94,12 @@
 
 /// Asks again while the target does not report that it drains, because the
 /// request or its answer may have been lost. Draining twice has no effect.
-async fn step(gateways: &Gateways, target: &TargetId, addr: SocketAddr) -> Result<Drained, Error> {
+async fn step(
+    gateways: &Gateways,
+    reader: &mut Reader,
+    target: &TargetId,
+    addr: SocketAddr,
+) -> Result<Drained, Error> {
     let client = gateways.client();
     let mut lease: Reply = get(client, addr, path::LEASE, ANSWER_LIMIT).await?;
     if !lease.draining {
@@ -103,10 +112,12 @@
         }
     }
     let load: Load = get(client, addr, path::LOAD, ANSWER_LIMIT).await?;
+    reader.catch_up(|_, _, _, _| ()).await?;
     Ok(Drained {
         target: target.clone(),
         draining: lease.draining,
-        slices: lease.slices.len(),
+        owned: reader.state().rows().filter(|(_, _, row)| row.owner == *target).count(),
+        held: lease.slices.len(),
         running: load.running,
     })
 }
--- a/crates/catkinctl/src/lib.rs
+++ b/crates/catkinctl/src/lib.rs
@@ -72,13 +72,13 @@
             emit(output, &owners::owners(Reader::new(log), service.as_ref()).await?)
         }
         Command::Timeline { vms, filter, view: View { form, follow: true } } => {
-            timeline::follow(&Gateways::new(vms), &filter, form).await
+            timeline::follow(&Gateways::new(vms), &filter, form, show).await
         }
         Command::Timeline { vms, filter, view: View { form, .. } } => {
             timeline::print(&Gateways::new(vms), &filter, form).await
         }
-        Command::Drain { vms, limit, output, target } => {
-            emit(output, &drain::drain(&Gateways::new(vms), &target, limit, show).await?)
+        Command::Drain { vms, log, limit, output, target } => {
+            emit(output, &drain::drain(&Gateways::new(vms), Reader::new(log), &target, limit, show).await?)
         }
     }
 }
--- a/crates/catkinctl/src/status.rs
+++ b/crates/catkinctl/src/status.rs
@@ -104,7 +104,8 @@
 }
 
 /// Reads the state of all gateways; waits up to a limit until a revision is
-/// in force on all of them. Each change of progress is shown.
+/// in force on all of them. Each change of progress is shown. While it waits,
+/// a VM list that does not answer is asked again.
 ///
 /// # Errors
 ///
@@ -118,15 +119,15 @@
     let end = Instant::now() + limit.as_duration();
     let mut shown = String::new();
     loop {
-        let status = read(gateways, wait).await?;
-        let Some(revision) = wait else { return Ok(status) };
-        let progress = progress(&status, revision);
+        let result = read(gateways, wait).await;
+        let Some(revision) = wait else { return result };
+        let progress = result.as_ref().map_or_else(ToString::to_string, |status| progress(status, revision));
         if progress != shown {
             show(&progress);
             shown = progress;
         }
-        if status.settled || Instant::now() >= end {
-            return Ok(status);
+        if result.as_ref().is_ok_and(|status| status.settled) || Instant::now() >= end {
+            return result;
         }
         actix_rt::time::sleep(POLL_PERIOD).await;
     }
--- a/crates/catkinctl/src/timeline/mod.rs
+++ b/crates/catkinctl/src/timeline/mod.rs
@@ -154,25 +154,35 @@
 }
 
 /// Prints new events until the process is stopped. Events of one poll are in
-/// order; an event that arrives late is printed late.
+/// order; an event that arrives late is printed late. A VM list that does not
+/// answer is asked again.
 ///
 /// # Errors
 ///
-/// As [`print`].
-pub async fn follow(gateways: &Gateways, filter: &Filter, form: Form) -> eyre::Result<bool> {
+/// The errors of the standard output.
+pub async fn follow(
+    gateways: &Gateways,
+    filter: &Filter,
+    form: Form,
+    show: impl Fn(&str),
+) -> eyre::Result<bool> {
     let mut collector = Collector::new();
     let mut silent = Vec::new();
     loop {
-        let mut new = collector.collect(gateways).await?;
-        let selection = filter.select(collector.recent().iter());
-        new.events.retain(|event| selection.has(event));
-        // A gateway that stays silent is reported once.
-        if new.silent == silent {
-            new.silent.clear();
-        } else {
-            silent = new.silent.clone();
+        match collector.collect(gateways).await {
+            Ok(mut new) => {
+                let selection = filter.select(collector.recent().iter());
+                new.events.retain(|event| selection.has(event));
+                // A gateway that stays silent is reported once.
+                if new.silent == silent {
+                    new.silent.clear();
+                } else {
+                    silent.clone_from(&new.silent);
+                }
+                new.write(form, io::stdout().lock())?;
+            }
+            Err(error) => show(&error.to_string()),
         }
-        new.write(form, io::stdout().lock())?;
         actix_rt::time::sleep(FOLLOW_PERIOD).await;
     }
 }
--- /dev/null
+++ b/crates/catkinctl/tests/ctl/exit.rs
@@ -0,0 +1,34 @@
+//! Exit codes and streams of the program.
+
+use std::process::Command;
+
+const EXAMPLE: &str = "../../examples/socavon/fleet.yaml";
+const BROKEN: &str = "../catkin/tests/broken/fleet/no-reason.yaml";
+
+fn run(arguments: &[&str]) -> (i32, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_catkinctl")).args(arguments).output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+}
+
+/// Guards against scripts that take a refusal or a typing error for success.
+#[test]
+fn exit_codes_tell_refused_from_wrong_usage() {
+    let valid = run(&["check", EXAMPLE, "--output", "json"]);
+    assert_eq!(valid, (0, "{\"services\":4,\"exceptions\":2}\n".to_owned(), String::new()));
+    let refused = run(&["check", BROKEN]);
+    assert_eq!((refused.0, refused.1.as_str()), (1, ""));
+    assert!(refused.2.starts_with("catkinctl: E203 at exceptions[0].reason: "), "{}", refused.2);
+    let usage: [&[&str]; 5] = [
+        &["check", "no-such-file.yaml"],
+        &["chek", EXAMPLE],
+        &["publish", EXAMPLE, "--log", "log.internal:7000", "--author", "ana"],
+        &["publish", EXAMPLE, "--log", "127.0.0.1:9", "--author", " "],
+        &["timeline", "--vms", "127.0.0.1:9", "--follow", "--output", "html"],
+    ];
+    for arguments in usage {
+        assert_eq!(run(arguments).0, 2, "{arguments:?}");
+    }
+    assert_eq!(run(&["history", "--log", "127.0.0.1:9"]).0, 1);
+    assert_eq!(run(&["--help"]).0, 0);
+}
--- a/crates/catkinctl/tests/ctl/main.rs
+++ b/crates/catkinctl/tests/ctl/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the operators' commands.
 
+mod exit;
 mod fake;
 mod operate;
 mod publish;
--- a/crates/catkinctl/tests/ctl/operate.rs
+++ b/crates/catkinctl/tests/ctl/operate.rs
@@ -123,26 +123,31 @@
     assert!(reply.accepted);
 }
 
-/// Guards against a drain that reports success before the target stopped.
+/// Guards against a drain that reports success before the target stopped, or
+/// while its lease has expired and the log still names it as owner.
 #[test]
-fn drain_ends_when_the_target_holds_nothing() {
+fn drain_ends_when_the_target_owns_and_holds_nothing() {
     System::new().block_on(async {
         let text = "targets: [{id: t-1, service: a, zone: z-1, addr: '127.0.0.1:0', slots: 2, work: 1ms, fenced: true}]";
         let targets = start(&parse::<Standin>(text).unwrap()).await.unwrap();
         let addr = targets.targets[0];
         let row = format!("{{id: t-1, role: target, service: a, zone: z-1, addr: '{addr}', state: live}}");
         let (_running, gateways) = platform(&[row]).await;
-        let target = "t-1".parse().unwrap();
-        let held = Held { slice: SliceId(3), fence: Fence::new(Offset(7)) };
+        let (log_addr, log) = fake::start().await;
+        log.borrow_mut().records.extend(assigned_records());
+        let held = Held { slice: SliceId(3), fence: Fence::new(Offset(2)) };
         order(&gateways, addr, 1, path::RENEW, |clock| Order::Renew { until: clock.after(LIMIT) }).await;
         order(&gateways, addr, 2, path::GRANT, |_| Order::Grant { slices: vec![held] }).await;
-        let report = drain(&gateways, &target, Span::ZERO, |_| ()).await.unwrap();
-        assert!(!report.is_success());
-        assert_eq!(report.to_string(), "t-1: draining, holds 1 slices, runs 0 requests");
+        let target = "t-1".parse().unwrap();
+        let once = async || drain(&gateways, Reader::new(log_addr), &target, Span::ZERO, |_| ()).await.unwrap();
+        assert_eq!(once().await.to_string(), "t-1: draining, owns 1 slices, holds 1, runs 0 requests");
         order(&gateways, addr, 3, path::RELEASE, |_| Order::Release { slices: vec![held] }).await;
-        let report = drain(&gateways, &target, LIMIT, |_| ()).await.unwrap();
-        assert_eq!(report.to_string(), "t-1: drained, holds 0 slices, runs 0 requests");
-        let missing = drain(&gateways, &"t-2".parse().unwrap(), LIMIT, |_| ()).await.unwrap_err();
+        assert_eq!(once().await.to_string(), "t-1: draining, owns 1 slices, holds 0, runs 0 requests");
+        let assign = Change::Assign(Assign { service: "a".parse().unwrap(), moves: vec![one_move(1, "t-3")] });
+        log.borrow_mut().records.push(encode(3, assign));
+        assert_eq!(once().await.to_string(), "t-1: drained, owns 0 slices, holds 0, runs 0 requests");
+        let other = "t-2".parse().unwrap();
+        let missing = drain(&gateways, Reader::new(log_addr), &other, LIMIT, |_| ()).await.unwrap_err();
         assert_eq!(missing.code(), Code::BadUsage);
     });
 }
@@ -176,33 +181,42 @@
     record::encode(&Record { writer, sequence: Sequence(sequence), change }).unwrap()
 }
 
+fn one_move(expects: u64, owner: &str) -> Move {
+    Move {
+        slice: SliceId(3),
+        expects: Version(expects),
+        owner: owner.parse().unwrap(),
+        standby: Some("t-2".parse().unwrap()),
+        provisional: None,
+    }
+}
+
+/// A configuration, the keeper of t-1, and t-1 as the owner of slice 3 of a.
+/// The fold refuses owners of slices that no configuration has.
+fn assigned_records() -> [Vec<u8>; 3] {
+    let fleet = "services: {a: {keyed: true, slices: 4}, b: {keyed: true, slices: 4}}";
+    let keeper = "gw-1".parse().unwrap();
+    let claim = Claim { target: "t-1".parse().unwrap(), expects: Version(0), keeper };
+    let assign = Assign { service: "a".parse().unwrap(), moves: vec![one_move(0, "t-1")] };
+    [
+        fake::config_record("ana", 0, fleet),
+        encode(1, Change::Keeper(claim)),
+        encode(2, Change::Assign(assign)),
+    ]
+}
+
 /// Guards against owners that differ from the log.
 #[test]
 fn owners_are_those_of_the_log() {
     System::new().block_on(async {
         let (addr, log) = fake::start().await;
-        let owner = "t-1".parse().unwrap();
-        let claim = Claim { target: owner, expects: Version(0), keeper: "gw-1".parse().unwrap() };
-        let first = Move {
-            slice: SliceId(3),
-            expects: Version(0),
-            owner: claim.target.clone(),
-            standby: Some("t-2".parse().unwrap()),
-            provisional: None,
-        };
-        let assign = |service: &str| Assign { service: service.parse().unwrap(), moves: vec![first.clone()] };
-        // The fold refuses owners of slices that no configuration has.
-        let fleet = "services: {a: {keyed: true, slices: 4}, b: {keyed: true, slices: 4}}";
-        log.borrow_mut().records.extend([
-            fake::config_record("ana", 0, fleet),
-            encode(1, Change::Keeper(claim)),
-            encode(2, Change::Assign(assign("a"))),
-            encode(3, Change::Assign(assign("b"))),
-        ]);
-        let report = owners(Reader::new(addr), Some(&"b".parse().unwrap())).await.unwrap();
-        assert_eq!(report.to_string(), "b/3: owner t-1, standby t-2, keeper gw-1, fence 3.0");
+        log.borrow_mut().records.extend(assigned_records());
+        let report = owners(Reader::new(addr), Some(&"a".parse().unwrap())).await.unwrap();
+        assert_eq!(report.to_string(), "a/3: owner t-1, standby t-2, keeper gw-1, fence 2.0");
         let json = serde_json::to_value(&report).unwrap();
-        assert_eq!(json[0]["fence"]["offset"], 3);
+        assert_eq!(json[0]["fence"]["offset"], 2);
+        let none = owners(Reader::new(addr), Some(&"b".parse().unwrap())).await.unwrap();
+        assert_eq!(none.to_string(), "");
     });
 }
 
