--- a/crates/catkin/tests/decode.rs
+++ b/crates/catkin/tests/decode.rs
@@ -8,15 +8,15 @@
         record::{self, Assign, Carve, Change, Chunk, Claim, Intent, Move, Publish, Record, Writer},
         settings::{self, Gateway, Standin},
         types::{
-            Fence, Key, Offset, RequestId, Revision, Sequence, Service, Share, Size, SliceId, Span, TargetId,
-            Time, Version, VmId,
+            Fence, Key, Offset, Revision, Sequence, Service, Share, Size, SliceId, Span, TargetId, Time,
+            Version, VmId,
         },
         wire::{
             self, Answer, Body, Class, DATAGRAM_BYTES_MAX, Datagram, FRAME_BYTES_MAX, Frame, Gossip, Head,
         },
     },
     proptest::{collection::vec, option, prelude::*},
-    std::str::FromStr,
+    std::{str::FromStr, sync::Arc},
 };
 
 /// A fixed seed, so that every run tries the same cases.
@@ -29,10 +29,7 @@
     }
 }
 
-fn id<T>() -> impl Strategy<Value = T>
-where
-    T: FromStr<Err = catkin::Error> + std::fmt::Debug,
-{
+fn id<T: FromStr<Err = catkin::Error> + std::fmt::Debug>() -> impl Strategy<Value = T> {
     "[a-zA-Z0-9._-]{1,20}".prop_map(|text| text.parse().unwrap())
 }
 
@@ -40,153 +37,85 @@
     (any::<u64>(), any::<u32>()).prop_map(|(offset, step)| Fence { offset: Offset(offset), step })
 }
 
-fn slices() -> impl Strategy<Value = Vec<(SliceId, Fence)>> {
-    vec((any::<u32>().prop_map(SliceId), fence()), 0..5)
-}
-
-fn one_move() -> impl Strategy<Value = Move> {
-    let parts =
-        (any::<u32>(), any::<u64>(), id::<TargetId>(), option::of(id::<TargetId>()), option::of(fence()));
-    parts.prop_map(|(slice, expects, owner, standby, provisional)| Move {
-        slice: SliceId(slice),
-        expects: Version(expects),
-        owner,
-        standby,
-        provisional,
-    })
-}
-
-fn intent() -> impl Strategy<Value = Intent> {
-    (id::<Service>(), any::<u128>(), any::<bool>()).prop_map(|(service, digest, done)| Intent {
-        service,
-        digest,
-        done,
-    })
-}
-
-fn chunk() -> impl Strategy<Value = Chunk> {
-    (any::<u64>(), any::<[u32; 3]>(), vec(any::<u8>(), 0..200))
-        .prop_map(|(at, [part, parts, checksum], data)| Chunk { at: Offset(at), part, parts, checksum, data })
-}
-
-fn change() -> impl Strategy<Value = Change> {
-    prop_oneof![
-        (any::<u64>(), ".{0,20}", ".{0,200}").prop_map(|(expects, author, text)| Change::Config(Publish {
-            expects: Revision(expects),
-            author: author.into(),
-            text: text.into(),
-        })),
-        (id::<TargetId>(), any::<u64>(), id::<VmId>()).prop_map(|(target, expects, keeper)| {
-            Change::Keeper(Claim { target, expects: Version(expects), keeper })
-        }),
-        (id::<Service>(), vec(one_move(), 0..5))
-            .prop_map(|(service, moves)| Change::Assign(Assign { service, moves })),
-        (id::<Service>(), ".{1,50}", any::<u64>()).prop_map(|(service, key, expects)| Change::Carve(Carve {
-            service,
-            key: Key::new(key).unwrap(),
-            expects: Version(expects),
-        })),
-        vec(intent(), 0..5).prop_map(Change::Intents),
-        chunk().prop_map(Change::Chunk),
-    ]
-}
-
-fn any_record() -> impl Strategy<Value = Record> {
-    (id::<VmId>(), any::<u64>(), any::<u64>(), change()).prop_map(|(id, boot, sequence, change)| Record {
-        writer: Writer { id, boot },
-        sequence: Sequence(sequence),
-        change,
-    })
-}
-
-fn headers() -> impl Strategy<Value = Vec<(std::sync::Arc<str>, bytes::Bytes)>> {
-    vec(("[a-z-]{1,10}".prop_map(Into::into), vec(any::<u8>(), 0..20).prop_map(Into::into)), 0..4)
+prop_compose! {
+    fn one_move()(
+        slice in any::<u32>(), expects in any::<u64>(), owner in id(), standby in option::of(id()),
+        provisional in option::of(fence()),
+    ) -> Move {
+        Move { slice: SliceId(slice), expects: Version(expects), owner, standby, provisional }
+    }
 }
 
-fn head() -> impl Strategy<Value = Head> {
-    let names = (id::<RequestId>(), id::<Service>(), id::<TargetId>(), option::of("[a-z]{1,9}"));
-    let numbers =
-        (option::of((any::<u32>(), fence())), any::<bool>(), any::<u64>(), option::of(any::<u64>()));
-    (names, numbers, "[A-Z]{3,6}", "/[a-z/]{0,20}", headers()).prop_map(
-        |((request, service, target, key), (slice, flag, left, length), method, path, headers)| Head {
-            request,
-            service,
-            target,
-            slice: slice.map(|(slice, fence)| (SliceId(slice), fence)),
-            key: key.map(|key| Key::new(key).unwrap()),
-            class: if flag { Class::Long } else { Class::Short },
-            idempotent: flag,
-            left: Span::from_micros(left),
-            method: method.into(),
-            path: path.into(),
-            headers,
-            length,
-            operation: length.map(|number| number.to_string().into()),
-        },
-    )
+prop_compose! {
+    fn change()(
+        number in any::<u64>(), small in any::<u32>(), text in ".{1,90}", service in id::<Service>(),
+        target in id(), keeper in id(), moves in vec(one_move(), 0..4), data in vec(any::<u8>(), 0..99),
+        kind in 0..6,
+    ) -> Change {
+        let (expects, digest) = (Version(number), u128::from(number) << (small % 64));
+        match kind {
+            0 => Change::Config(Publish { expects: Revision(number), author: "a".into(), text: text.into() }),
+            1 => Change::Keeper(Claim { target, expects, keeper }),
+            2 => Change::Assign(Assign { service, moves }),
+            3 => Change::Carve(Carve { service, key: Key::new(text).unwrap(), expects }),
+            4 => Change::Intents(vec![Intent { service, digest, done: small % 2 == 0 }]),
+            _ => Change::Chunk(Chunk { at: Offset(number), part: small, parts: small, checksum: small, data }),
+        }
+    }
 }
 
-fn frame() -> impl Strategy<Value = Frame> {
-    prop_oneof![
-        head().prop_map(Frame::Request),
-        vec(any::<u8>(), 0..200).prop_map(|bytes| Frame::Body(bytes.into())),
-        Just(Frame::End),
-        Just(Frame::Cancel),
-        Just(Frame::PullState),
-        (any::<u16>(), headers(), option::of(any::<u64>()), id::<TargetId>(), option::of(fence())).prop_map(
-            |(status, headers, length, target, fence)| {
-                Frame::Answer(Answer { status, headers, length, target, fence })
-            }
-        ),
-        (any::<u16>(), ".{0,50}").prop_map(|(code, detail)| Frame::Failed { code, detail: detail.into() }),
-        (id::<TargetId>(), slices()).prop_map(|(target, slices)| Frame::AskStopped { target, slices }),
-        (id::<TargetId>(), slices()).prop_map(|(target, slices)| Frame::Stopped { target, slices }),
-        (any::<u64>(), any::<u32>(), vec(any::<u8>(), 0..99)).prop_map(|(at, left, data)| Frame::State {
-            at: Offset(at),
-            left,
-            data: data.into()
-        }),
-        (id::<TargetId>(), any::<u64>(), option::of(id::<TargetId>()), slices()).prop_map(
-            |(target, keeper, standby, slices)| Frame::KeeperNoted {
-                target,
-                keeper: Offset(keeper),
-                standby,
-                slices
-            }
-        ),
-        (id::<TargetId>(), any::<u64>(), option::of(id::<TargetId>())).prop_map(
-            |(target, keeper, standby)| Frame::AskKeeper { target, keeper: Offset(keeper), standby }
-        ),
-        (id::<TargetId>(), any::<u64>(), id::<TargetId>(), slices()).prop_map(
-            |(from, keeper, to, slices)| { Frame::HandOver { from, keeper: Offset(keeper), to, slices } }
-        ),
-    ]
+prop_compose! {
+    fn any_record()(id in id(), boot in any::<u64>(), sequence in any::<u64>(), change in change()) -> Record {
+        Record { writer: Writer { id, boot }, sequence: Sequence(sequence), change }
+    }
 }
 
-fn body() -> impl Strategy<Value = Body> {
-    let gossip = (id::<TargetId>(), any::<u32>(), any::<bool>(), any::<u32>());
-    let gossip = gossip.prop_map(|(target, depth, open, rate)| Gossip { target, depth, open, rate });
-    prop_oneof![
-        any::<u64>().prop_map(|number| Body::Probe { number }),
-        any::<u64>().prop_map(|number| Body::Ack { number }),
-        (any::<u64>(), id::<VmId>()).prop_map(|(number, to)| Body::Relay { number, to }),
-        (any::<u64>(), id::<VmId>()).prop_map(|(number, from)| Body::Relayed { number, from }),
-        vec(gossip, 0..5).prop_map(Body::Loads),
-    ]
+prop_compose! {
+    fn frame()(
+        number in option::of(any::<u64>()), small in any::<u16>(), flag in any::<bool>(), text in ".{1,90}",
+        (request, service) in (id(), id()), (target, to) in (id::<TargetId>(), id::<TargetId>()),
+        slices in vec((any::<u32>().prop_map(SliceId), fence()), 0..4), data in vec(any::<u8>(), 0..99),
+        kind in 0..10,
+    ) -> Frame {
+        let keeper = Offset(number.unwrap_or_default());
+        let text: Arc<str> = text.into();
+        let headers = vec![("x".into(), data.clone().into())];
+        let fence = slices.first().map(|(_, fence)| *fence);
+        match kind {
+            0 => Frame::Request(Head {
+                request, service, target, slice: slices.first().copied(), key: Key::new(text.clone()).ok(),
+                operation: Some(text.clone()), class: if flag { Class::Long } else { Class::Short },
+                idempotent: flag, left: Span::from_micros(keeper.0), method: "GET".into(), path: text, headers,
+                length: number,
+            }),
+            1 => Frame::Body(data.into()),
+            2 => if flag { Frame::End } else { Frame::Cancel },
+            3 => Frame::Answer(Answer { status: small, headers, length: number, target, fence }),
+            4 => Frame::Failed { code: small, detail: text },
+            5 => if flag { Frame::PullState } else { Frame::AskStopped { target, slices } },
+            6 => Frame::State { at: keeper, left: small.into(), data: data.into() },
+            7 => Frame::Stopped { target, slices },
+            8 => Frame::KeeperNoted { target, keeper, standby: flag.then_some(to), slices },
+            _ => Frame::HandOver { from: target, keeper, to, slices },
+        }
+    }
 }
 
-fn datagram() -> impl Strategy<Value = Datagram> {
-    (id::<VmId>(), any::<[u64; 4]>(), any::<bool>(), body()).prop_map(
-        |(from, [boot, clock, offset, revision], leaving, body)| Datagram {
-            from,
-            boot,
-            clock: Time::from_micros(clock),
-            offset: Offset(offset),
-            revision: Revision(revision),
-            leaving,
-            body,
-        },
-    )
+prop_compose! {
+    fn datagram()(
+        from in id::<VmId>(), to in id::<VmId>(), target in id(), [boot, clock, offset, number] in any::<[u64; 4]>(),
+        small in any::<u32>(), flag in any::<bool>(), kind in 0..5,
+    ) -> Datagram {
+        let body = match kind {
+            0 => Body::Probe { number },
+            1 => Body::Ack { number },
+            2 => Body::Relay { number, to },
+            3 => Body::Relayed { number, from: to },
+            _ => Body::Loads(vec![Gossip { target, depth: small, open: flag, rate: small }]),
+        };
+        let (clock, revision) = (Time::from_micros(clock), Revision(number));
+        Datagram { from, boot, clock, offset: Offset(offset), revision, leaving: flag, body }
+    }
 }
 
 const GATEWAY: &str = include_str!("../../../examples/socavon/gateway-1.yaml");
