catkinctl publish: settle every failed append by reading the log

awc reports a connection that closes instead of an answer as SendRequestError::Connect(Disconnected), and catkin-net takes that for a connection that was never opened. The append may have taken effect, so that publish reported a failure for a configuration in force. The client opens a connection for each request, because a kept one that the other side closes made a running gateway look silent.

--- a/crates/catkinctl/src/gateways.rs
+++ b/crates/catkinctl/src/gateways.rs
@@ -1,6 +1,7 @@
 //! Asks the gateways of the VM list.
 
 use {
+    crate::client::client,
     awc::Client,
     catkin::{
         Code, Error,
@@ -40,7 +41,7 @@
 impl Gateways {
     /// Makes a client of the VM list at an address.
     pub fn new(vms: SocketAddr) -> Self {
-        Self { client: Client::default(), vms }
+        Self { client: client(), vms }
     }
 
     /// Returns the HTTP client.
--- a/crates/catkinctl/src/lib.rs
+++ b/crates/catkinctl/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod check;
 mod cli;
+mod client;
 pub mod diff;
 pub mod drain;
 pub mod gateways;
--- a/crates/catkinctl/src/publish.rs
+++ b/crates/catkinctl/src/publish.rs
@@ -72,9 +72,9 @@
 /// # Errors
 ///
 /// A code of group 2 if the text is not valid or must not follow the
-/// configuration in force, `Code::LogUnavailable` if
-/// nothing was appended, `Code::AppendUnknown` if the log could not be read
-/// within the limit, so that the record may yet be accepted.
+/// configuration in force, `Code::LogUnavailable` if the log could not be read
+/// before the append, `Code::AppendUnknown` if the record was not found within
+/// the limit, so that it may yet be accepted.
 pub async fn publish(mut reader: Reader, text: &str, author: &str, limit: Span) -> Result<Published, Error> {
     let fleet = config::parse(text)?;
     let end = Instant::now() + limit.as_duration();
@@ -94,22 +94,24 @@
 
 async fn append(reader: &mut Reader, record: &Record, end: Instant) -> Result<Published, Error> {
     let bytes = record::encode(record)?;
-    let mut unknown = false;
     loop {
-        match reader.log().append(&bytes, APPEND_LIMIT).await {
+        let error = match reader.log().append(&bytes, APPEND_LIMIT).await {
             Ok(offset) => {
                 return settle(reader, record, Some(offset), end).await?.ok_or_else(|| lost(offset));
             }
-            Err(e) if e.code() == Code::AppendUnknown => unknown = true,
-            Err(e) if !unknown => return Err(e),
-            Err(_) => actix_rt::time::sleep(RETRY_PAUSE).await,
-        }
+            Err(error) => error,
+        };
+        // An error that speaks of the connection does not prove that nothing
+        // was sent: awc also reports a connection that closes instead of an
+        // answer in this way.
         if let Some(published) = settle(reader, record, None, end).await? {
             return Ok(published);
         }
         if Instant::now() >= end {
-            return Err(Error::new(Code::AppendUnknown, "the record is not in the log; it may yet arrive"));
+            let detail = format!("the record is not in the log and may yet arrive: {error}");
+            return Err(Error::new(Code::AppendUnknown, detail));
         }
+        actix_rt::time::sleep(RETRY_PAUSE).await;
     }
 }
 
--- a/crates/catkinctl/src/reader.rs
+++ b/crates/catkinctl/src/reader.rs
@@ -1,7 +1,7 @@
 //! Reads the log with the fold.
 
 use {
-    awc::Client,
+    crate::client::client,
     catkin::{
         Code, Error,
         fold::{State, Verdict},
@@ -26,7 +26,7 @@
 impl Reader {
     /// Makes a reader that starts at the first record.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { log: Log::new(Client::default(), addr), state: State::new(), unjudged: Vec::new() }
+        Self { log: Log::new(client(), addr), state: State::new(), unjudged: Vec::new() }
     }
 
     /// Returns the client of the log.
--- a/crates/catkinctl/tests/ctl/publish.rs
+++ b/crates/catkinctl/tests/ctl/publish.rs
@@ -7,6 +7,11 @@
         publish::{Published, publish},
         reader::Reader,
     },
+    std::net::SocketAddr,
+    tokio::{
+        io::{AsyncReadExt, copy, copy_bidirectional},
+        net::{TcpListener, TcpStream},
+    },
 };
 
 const LIMIT: Span = Span::from_secs(60);
@@ -59,3 +64,44 @@
     let (published, ..) = run(&[Fault::LoseRequest], Span::ZERO);
     assert_eq!(published.unwrap_err().code(), Code::AppendUnknown);
 }
+
+/// Passes connections on to the log, and closes the first one with an append
+/// when its answer arrives.
+async fn cut_first_append(log: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let mut cut = false;
+        while let Ok((mut client, _)) = listener.accept().await {
+            let mut server = TcpStream::connect(log).await.unwrap();
+            let mut method = [0; 1];
+            client.peek(&mut method).await.unwrap();
+            let first = &method == b"P" && !cut;
+            cut |= first;
+            actix_rt::spawn(async move {
+                if !first {
+                    return drop(copy_bidirectional(&mut client, &mut server).await);
+                }
+                let (mut answer, mut request) = server.split();
+                tokio::select! {
+                    _ = copy(&mut client, &mut request) => {}
+                    _ = answer.read_u8() => {}
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against "nothing was appended" when the connection closes instead
+/// of an answer: the HTTP client reports that as a connection that failed.
+#[test]
+fn settles_a_closed_connection_by_reading() {
+    actix_rt::System::new().block_on(async {
+        let (addr, log) = fake::start().await;
+        let proxy = cut_first_append(addr).await;
+        let published = publish(Reader::new(proxy), FLEET, "ana", LIMIT).await.unwrap();
+        assert_eq!(published, Published::Accepted { revision: 1.into(), offset: 0.into() });
+        assert_eq!((log.borrow().appends, log.borrow().records.len()), (1, 1));
+    });
+}
