gateway: empty a draining target before it is closed

Ruled out: a larger share a round, because it breaks the bound on slices in motion (a_round_moves_a_bounded_share failed with 70 slices). Change: plans run every 50 ms while a kept target leaves, and the gossip of loads says that a target drains.

--- a/crates/catkin-gateway/src/balance.rs
+++ b/crates/catkin-gateway/src/balance.rs
@@ -3,6 +3,7 @@
 use {
     crate::{append, node::Node},
     catkin::{
+        api::{Life, Role},
         fold::State,
         lease::Keeper,
         place::{Inputs, Plan, Planner, own_totals},
@@ -16,16 +17,19 @@
     },
 };
 
-/// Time between two plans. A plan moves a bounded share of the slices, so
-/// that a leaving target is empty after a few plans.
+/// Time between two plans.
 const PERIOD: Duration = Duration::from_millis(250);
+/// Time between two plans while a kept target is leaving. A plan moves a
+/// bounded share of the slices, and a target that leaves gets no new work
+/// after 2 s.
+const LEAVE_PERIOD: Duration = Duration::from_millis(50);
 
 /// Plans moves until the process ends.
 pub(crate) async fn run(node: Rc<Node>) {
     let mut planner = Planner::new(node.set.vm.clone());
-    let mut tick = actix_rt::time::interval(PERIOD);
     loop {
-        tick.tick().await;
+        let period = if is_leaving(&node) { LEAVE_PERIOD } else { PERIOD };
+        actix_rt::time::sleep(period).await;
         if node.log_up.get() && node.ready.get() {
             let plan = plan(&node, &mut planner);
             carry_out(&node, plan);
@@ -33,6 +37,17 @@
     }
 }
 
+/// Returns whether a kept target that leaves still owns slices.
+fn is_leaving(node: &Node) -> bool {
+    let list = node.list.borrow();
+    let state = node.state.borrow();
+    let keeper = node.keeper.borrow();
+    let leaving = list.vms.iter().filter(|vm| vm.role == Role::Target && vm.state == Life::Leaving);
+    let kept = leaving.filter_map(|vm| TargetId::new(vm.id.clone()).ok()).filter(|id| keeper.keeps(id));
+    let kept: BTreeSet<TargetId> = kept.collect();
+    !kept.is_empty() && state.rows().any(|(.., row)| kept.contains(&row.owner))
+}
+
 fn plan(node: &Node, planner: &mut Planner) -> Plan {
     let now = node.now();
     let state = node.state.borrow();
--- a/crates/catkin-gateway/src/control.rs
+++ b/crates/catkin-gateway/src/control.rs
@@ -4,7 +4,7 @@
     crate::{append, follow, node::Node, peer, reports},
     catkin::{
         Code, Error,
-        api::{Command, Life, Order, Reply, Role, VmList, path},
+        api::{Command, Held, Life, Order, Reply, Role, VmList, path},
         event::Kind,
         fold::State,
         lease::Action,
@@ -223,9 +223,32 @@
         Some(addr) => catkin_net::post(&node.client, addr, page, &command, COMMAND_LIMIT).await,
         None => Err(Error::new(Code::NoOwner, "not in the VM list")),
     };
+    show_command(&node, &target, &command, result.as_ref());
     settle(&node, &target, sent, result);
 }
 
+/// Records the events of an accepted grant or release.
+fn show_command(node: &Node, target: &TargetId, command: &Command, result: Result<&Reply, &Error>) {
+    let Ok(reply) = result else { return };
+    let Some(service) = node.listed(target.as_str()).and_then(|vm| vm.service) else { return };
+    let target = target.clone();
+    match &command.order {
+        Order::Grant { slices } if reply.accepted => {
+            for Held { slice, fence } in slices.iter().copied() {
+                let (service, target) = (service.clone(), target.clone());
+                node.record(Kind::SliceGranted { service, slice, target, fence });
+            }
+        }
+        Order::Release { slices } if reply.accepted => {
+            for Held { slice, fence } in slices.iter().copied() {
+                let (service, target) = (service.clone(), target.clone());
+                node.record(Kind::SliceReleased { service, slice, target, fence });
+            }
+        }
+        _ => {}
+    }
+}
+
 async fn inspect(node: Rc<Node>, target: TargetId) {
     let sent = node.now();
     let result = match node.target(&target) {
--- a/crates/catkin-gateway/src/follow.rs
+++ b/crates/catkin-gateway/src/follow.rs
@@ -5,10 +5,10 @@
     catkin::{
         Code, Error,
         event::Kind,
-        fold::State,
+        fold::{Keeper, State},
         record::{self, Change},
         snapshot::{self, Choice, Join, Scan},
-        types::{Offset, Span, VmId},
+        types::{Fence, Offset, Span, VmId},
     },
     catkin_net::Read,
     std::{rc::Rc, time::Duration},
@@ -129,8 +129,12 @@
     if !verdict.is_accepted() {
         node.metrics.drop("record");
     }
-    take_chunk(&mut node.join.borrow_mut(), bytes);
     let settled = node.appender.borrow_mut().read(verdict);
+    match record::decode(bytes).map(|record| record.change) {
+        Ok(Change::Chunk(chunk)) => drop(node.join.borrow_mut().push(chunk)),
+        Ok(change) => show_change(node, offset, &change),
+        Err(_) => {}
+    }
     if let Some(settled) = settled {
         node.protect.settle(node, &settled);
     }
@@ -143,6 +147,37 @@
     show(node);
 }
 
+/// Records the events of a record as far as it was accepted.
+fn show_change(node: &Node, offset: Offset, change: &Change) {
+    let kinds: Vec<Kind> = match change {
+        Change::Keeper(claim) => {
+            let state = node.state.borrow();
+            let row = state.keeper(&claim.target).filter(|row| row.fence == offset);
+            let claimed = |row: &Keeper| Kind::KeeperClaimed {
+                target: claim.target.clone(),
+                keeper: row.vm.clone(),
+                fence: offset,
+            };
+            row.map(claimed).into_iter().collect()
+        }
+        Change::Assign(assign) => {
+            let state = node.state.borrow();
+            let rows = assign.moves.iter().filter_map(|change| {
+                let row = state.row(&assign.service, change.slice)?;
+                (row.fence == Fence::new(offset)).then(|| Kind::SliceAssigned {
+                    service: assign.service.clone(),
+                    slice: change.slice,
+                    target: row.owner.clone(),
+                    fence: row.fence,
+                })
+            });
+            rows.collect()
+        }
+        _ => Vec::new(),
+    };
+    kinds.into_iter().for_each(|kind| node.record(kind));
+}
+
 fn show(node: &Node) {
     let state = node.state.borrow();
     node.metrics.offset.set(i64::try_from(state.next().0).unwrap_or(i64::MAX));
--- a/crates/catkin-gateway/src/heartbeat.rs
+++ b/crates/catkin-gateway/src/heartbeat.rs
@@ -1,7 +1,7 @@
 //! UDP datagrams between gateways.
 
 use {
-    crate::node::Node,
+    crate::{node::Node, reports},
     catkin::{
         Code, Error,
         event::Kind,
@@ -75,7 +75,7 @@
             target: target.clone(),
             depth: table.depth(target),
             rate: rates.get(target).copied().unwrap_or_default() as u32,
-            open: table.is_open(target),
+            open: !node.draining.borrow().contains(target),
         })
         .collect();
     loads.chunks(GOSSIP_TARGETS).map(|part| Body::Loads(part.to_vec())).collect()
@@ -94,8 +94,8 @@
         let mut tables = node.loads.borrow_mut();
         tables.values_mut().for_each(|rows| loads.iter().for_each(|load| rows.hear(now, load)));
         node.rates.borrow_mut().extend(loads.iter().map(|load| (load.target.clone(), load.rate)));
-        let closed = loads.iter().filter(|load| !load.open).map(|load| load.target.clone());
-        node.draining.borrow_mut().extend(closed);
+        drop(tables);
+        loads.iter().filter(|load| !load.open).for_each(|load| reports::close(node, &load.target));
     }
     node.members.borrow_mut().receive(node.now(), &datagram.from, &datagram)
 }
