--- a/crates/catkinctl/tests/ctl/operate.rs
+++ b/crates/catkinctl/tests/ctl/operate.rs
@@ -9,14 +9,22 @@
         admin::{Health, Status},
         api::{Command, Held, Order, Reply, Stamp, path},
         config,
+        fold::State,
         record::{self, Assign, Change, Claim, Move, Record, Writer},
         settings::{Standin, parse},
+        snapshot::split,
         types::{Fence, Offset, Revision, Sequence, SliceId, Span, Time, Version},
     },
     catkin_net::{get, listen, post, reply_json, serve},
     catkin_standin::{Running, start},
     catkinctl::{
-        drain::drain, gateways::Gateways, history::history, output::Report, owners::owners, reader::Reader,
+        drain::drain,
+        gateways::Gateways,
+        history::history,
+        output::Report,
+        owners::owners,
+        publish::{Published, publish},
+        reader::Reader,
         status::status,
     },
     std::{cell::Cell, net::SocketAddr, rc::Rc},
@@ -115,26 +123,31 @@
     assert!(reply.accepted);
 }
 
-/// Guards against a drain that reports success before the target stopped.
+/// Guards against a drain that reports success before the target stopped, or
+/// while its lease has expired and the log still names it as owner.
 #[test]
-fn drain_ends_when_the_target_holds_nothing() {
+fn drain_ends_when_the_target_owns_and_holds_nothing() {
     System::new().block_on(async {
         let text = "targets: [{id: t-1, service: a, zone: z-1, addr: '127.0.0.1:0', slots: 2, work: 1ms, fenced: true}]";
         let targets = start(&parse::<Standin>(text).unwrap()).await.unwrap();
         let addr = targets.targets[0];
         let row = format!("{{id: t-1, role: target, service: a, zone: z-1, addr: '{addr}', state: live}}");
         let (_running, gateways) = platform(&[row]).await;
-        let target = "t-1".parse().unwrap();
-        let held = Held { slice: SliceId(3), fence: Fence::new(Offset(7)) };
+        let (log_addr, log) = fake::start().await;
+        log.borrow_mut().records.extend(assigned_records());
+        let held = Held { slice: SliceId(3), fence: Fence::new(Offset(2)) };
         order(&gateways, addr, 1, path::RENEW, |clock| Order::Renew { until: clock.after(LIMIT) }).await;
         order(&gateways, addr, 2, path::GRANT, |_| Order::Grant { slices: vec![held] }).await;
-        let report = drain(&gateways, &target, Span::ZERO, |_| ()).await.unwrap();
-        assert!(!report.is_success());
-        assert_eq!(report.to_string(), "t-1: draining, holds 1 slices, runs 0 requests");
+        let target = "t-1".parse().unwrap();
+        let once = async || drain(&gateways, Reader::new(log_addr), &target, Span::ZERO, |_| ()).await.unwrap();
+        assert_eq!(once().await.to_string(), "t-1: draining, owns 1 slices, holds 1, runs 0 requests");
         order(&gateways, addr, 3, path::RELEASE, |_| Order::Release { slices: vec![held] }).await;
-        let report = drain(&gateways, &target, LIMIT, |_| ()).await.unwrap();
-        assert_eq!(report.to_string(), "t-1: drained, holds 0 slices, runs 0 requests");
-        let missing = drain(&gateways, &"t-2".parse().unwrap(), LIMIT, |_| ()).await.unwrap_err();
+        assert_eq!(once().await.to_string(), "t-1: draining, owns 1 slices, holds 0, runs 0 requests");
+        let assign = Change::Assign(Assign { service: "a".parse().unwrap(), moves: vec![one_move(1, "t-3")] });
+        log.borrow_mut().records.push(encode(3, assign));
+        assert_eq!(once().await.to_string(), "t-1: drained, owns 0 slices, holds 0, runs 0 requests");
+        let other = "t-2".parse().unwrap();
+        let missing = drain(&gateways, Reader::new(log_addr), &other, LIMIT, |_| ()).await.unwrap_err();
         assert_eq!(missing.code(), Code::BadUsage);
     });
 }
@@ -168,33 +181,72 @@
     record::encode(&Record { writer, sequence: Sequence(sequence), change }).unwrap()
 }
 
+fn one_move(expects: u64, owner: &str) -> Move {
+    Move {
+        slice: SliceId(3),
+        expects: Version(expects),
+        owner: owner.parse().unwrap(),
+        standby: Some("t-2".parse().unwrap()),
+        provisional: None,
+    }
+}
+
+/// A configuration, the keeper of t-1, and t-1 as the owner of slice 3 of a.
+/// The fold refuses owners of slices that no configuration has.
+fn assigned_records() -> [Vec<u8>; 3] {
+    let fleet = "services: {a: {keyed: true, slices: 4}, b: {keyed: true, slices: 4}}";
+    let keeper = "gw-1".parse().unwrap();
+    let claim = Claim { target: "t-1".parse().unwrap(), expects: Version(0), keeper };
+    let assign = Assign { service: "a".parse().unwrap(), moves: vec![one_move(0, "t-1")] };
+    [
+        fake::config_record("ana", 0, fleet),
+        encode(1, Change::Keeper(claim)),
+        encode(2, Change::Assign(assign)),
+    ]
+}
+
 /// Guards against owners that differ from the log.
 #[test]
 fn owners_are_those_of_the_log() {
     System::new().block_on(async {
         let (addr, log) = fake::start().await;
-        let owner = "t-1".parse().unwrap();
-        let claim = Claim { target: owner, expects: Version(0), keeper: "gw-1".parse().unwrap() };
-        let first = Move {
-            slice: SliceId(3),
-            expects: Version(0),
-            owner: claim.target.clone(),
-            standby: Some("t-2".parse().unwrap()),
-            provisional: None,
-        };
-        let assign = |service: &str| Assign { service: service.parse().unwrap(), moves: vec![first.clone()] };
-        // The fold refuses owners of slices that no configuration has.
-        let fleet = "services: {a: {keyed: true, slices: 4}, b: {keyed: true, slices: 4}}";
-        log.borrow_mut().records.extend([
-            fake::config_record("ana", 0, fleet),
-            encode(1, Change::Keeper(claim)),
-            encode(2, Change::Assign(assign("a"))),
-            encode(3, Change::Assign(assign("b"))),
-        ]);
-        let report = owners(Reader::new(addr), Some(&"b".parse().unwrap())).await.unwrap();
-        assert_eq!(report.to_string(), "b/3: owner t-1, standby t-2, keeper gw-1, fence 3.0");
+        log.borrow_mut().records.extend(assigned_records());
+        let report = owners(Reader::new(addr), Some(&"a".parse().unwrap())).await.unwrap();
+        assert_eq!(report.to_string(), "a/3: owner t-1, standby t-2, keeper gw-1, fence 2.0");
         let json = serde_json::to_value(&report).unwrap();
-        assert_eq!(json[0]["fence"]["offset"], 3);
+        assert_eq!(json[0]["fence"]["offset"], 2);
+        let none = owners(Reader::new(addr), Some(&"b".parse().unwrap())).await.unwrap();
+        assert_eq!(none.to_string(), "");
+    });
+}
+
+/// Guards against commands that fail, or start from an empty state, once old
+/// records have expired.
+#[test]
+fn a_snapshot_stands_for_expired_records() {
+    System::new().block_on(async {
+        let (addr, log) = fake::start().await;
+        let records: Vec<_> = (0..4).map(|n| fake::config_record("ana", n, fake::FLEET)).collect();
+        let mut state = State::new();
+        (0..).zip(&records[..3]).for_each(|(n, bytes)| drop(state.apply(Offset(n), bytes)));
+        {
+            let mut log = log.borrow_mut();
+            log.first = 2;
+            log.records.extend(records[2..].to_vec());
+        }
+        let expired = history(Reader::new(addr)).await.unwrap_err();
+        assert_eq!(expired.code(), Code::LogExpired);
+
+        let chunks = split(&state).unwrap();
+        log.borrow_mut().records.extend((1..).zip(chunks).map(|(n, chunk)| encode(n, Change::Chunk(chunk))));
+        let lines = history(Reader::new(addr)).await.unwrap().to_string();
+        let expected = [
+            "offset 2: revision 3 by ana: verdict unknown, records before it have expired",
+            "offset 3: revision 4 by ana: accepted",
+        ];
+        assert_eq!(lines.lines().collect::<Vec<_>>(), expected);
+        let published = publish(Reader::new(addr), fake::FLEET, "eva", LIMIT).await.unwrap();
+        assert_eq!(published, Published::Accepted { revision: Revision(5), offset: Offset(5) });
     });
 }
 
@@ -206,7 +258,7 @@
         let text = |slices| format!("services: {{a: {{keyed: true, slices: {slices}}}}}");
         log.borrow_mut().records.push(fake::config_record("ana", 0, &text(8)));
         config::parse(&text(16)).unwrap();
-        let result = catkinctl::publish::publish(Reader::new(addr), &text(16), "eva", LIMIT).await;
+        let result = publish(Reader::new(addr), &text(16), "eva", LIMIT).await;
         assert_eq!(result.unwrap_err().path(), Some("services.a.slices"));
         assert_eq!(log.borrow().appends, 0);
     });
