--- a/crates/catkin/src/lease/keeper.rs
+++ b/crates/catkin/src/lease/keeper.rs
@@ -196,7 +196,7 @@
 
     /// Silence during a pause of this process says nothing about a target.
     fn excuse_pause(&mut self, now: Time) {
-        let paused = self.ticked.is_some_and(|last| now.since(last) >= self.timings.period);
+        let paused = self.ticked.is_some_and(|last| now.since(last) > self.timings.period);
         self.ticked = Some(now);
         if paused {
             self.kept.values_mut().for_each(|kept| kept.excuse(now));
--- a/crates/catkin/src/lease/kept.rs
+++ b/crates/catkin/src/lease/kept.rs
@@ -70,6 +70,8 @@
     pub(super) lent: BTreeMap<SliceId, (TargetId, Fence)>,
     /// Fences up to which the target never gets a slice again, and since when.
     barred: BTreeMap<SliceId, (Fence, Time)>,
+    /// Slices barred for a hand-over that has not begun.
+    leaving: BTreeSet<SliceId>,
     /// Slices handed over provisionally, with the standby.
     pub(super) handed: BTreeMap<SliceId, (TargetId, Fence)>,
     pub(super) moving: BTreeMap<SliceId, Moving>,
@@ -109,6 +111,7 @@
             parents: BTreeMap::new(),
             lent: BTreeMap::new(),
             barred: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             handed: BTreeMap::new(),
             moving: BTreeMap::new(),
             clear: BTreeSet::new(),
@@ -194,9 +197,31 @@
         if let Some((parent, old)) = self.parents.get(&slice).copied() {
             self.bar_one(now, parent, old);
         }
+        self.leaving.remove(&slice);
         self.bar_one(now, slice, fence);
     }
 
+    /// Bars a slice for a hand-over, which [`Kept::stay`] can undo.
+    pub(super) fn leave(&mut self, now: Time, slice: SliceId, fence: Fence) {
+        if !self.is_barred(slice, fence) {
+            self.bar(now, slice, fence);
+            self.leaving.insert(slice);
+        }
+    }
+
+    /// Grants slices again whose hand-over has not begun.
+    pub(super) fn stay(&mut self) {
+        for slice in std::mem::take(&mut self.leaving) {
+            self.barred.remove(&slice);
+        }
+    }
+
+    /// Begins a hand-over, which can't be undone.
+    pub(super) fn hand_over(&mut self, slice: SliceId, standby: TargetId, fence: Fence) {
+        self.leaving.remove(&slice);
+        self.handed.insert(slice, (standby, fence));
+    }
+
     fn bar_one(&mut self, now: Time, slice: SliceId, fence: Fence) {
         let entry = self.barred.entry(slice).or_insert((fence, now));
         if entry.0 < fence {
--- a/crates/catkin/src/lease/moves.rs
+++ b/crates/catkin/src/lease/moves.rs
@@ -74,10 +74,13 @@
     pub(super) fn move_slices(&mut self, now: Time, actions: &mut Vec<Action>) {
         let targets: Vec<TargetId> = self.kept.keys().cloned().collect();
         for target in targets {
+            if !self.log_up && self.is_lost(now, &target) {
+                self.hand_over(now, &target);
+                continue;
+            }
+            self.kept.get_mut(&target).into_iter().for_each(Kept::stay);
             if self.log_up {
                 self.append_moves(now, &target, actions);
-            } else {
-                self.hand_over(now, &target);
             }
         }
     }
@@ -120,9 +123,6 @@
     /// move to another target that may reach the log rules this out.
     fn hand_over(&mut self, now: Time, target: &TargetId) {
         let Some(kept) = self.kept.get(target) else { return };
-        if !kept.is_lost(now, &self.timings) {
-            return;
-        }
         let due: Vec<(SliceId, Want)> = kept
             .wants
             .iter()
@@ -136,12 +136,12 @@
             .collect();
         let Some(kept) = self.kept.get_mut(target) else { return };
         for (slice, want) in due {
-            kept.bar(now, slice, want.fence);
+            kept.leave(now, slice, want.fence);
             if !kept.has_stopped(now, &self.timings, slice, want.fence) {
                 continue;
             }
             if let Some(standby) = want.standby {
-                kept.handed.insert(slice, (standby, want.fence.with_next_step()));
+                kept.hand_over(slice, standby, want.fence.with_next_step());
             }
         }
     }
