--- /dev/null
+++ b/crates/catkin/tests/outage/sim.rs
@@ -0,0 +1,328 @@
+//! Keepers, servers and a log in virtual time, with fixed latencies.
+
+use {
+    catkin::{
+        api::{Command, Held, Life, Listed, Order, Reply, Role, VmList},
+        append::Appender,
+        fold::State,
+        lease::{Action, Holder, Keeper, Timings},
+        record::{Assign, Change, Claim, Move, Publish, Writer},
+        types::{Offset, Revision, Service, SliceId, TargetId, Time, Version, VmId},
+        wire::Frame,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Time between two ticks of a gateway, in milliseconds.
+const TICK: u64 = 10;
+/// One way between two processes.
+const HOP: u64 = 1;
+/// From an append to its answer, and from a record to its readers.
+const LOG_HOP: u64 = 15;
+
+pub(crate) struct Vm {
+    pub(crate) id: VmId,
+    pub(crate) keeper: Keeper,
+    pub(crate) state: State,
+    pub(crate) up: bool,
+    pub(crate) paused: bool,
+    appender: Appender,
+}
+
+pub(crate) struct Server {
+    pub(crate) id: TargetId,
+    pub(crate) holder: Holder,
+    /// Whether messages reach it. Its clock runs on.
+    pub(crate) up: bool,
+}
+
+enum Event {
+    Command { vm: usize, server: usize, sent: u64, command: Option<Command> },
+    Reply { vm: usize, sent: u64, reply: Reply },
+    Ask { from: usize, to: usize, frame: Frame },
+    Answer { from: usize, to: usize, frame: Frame },
+    Append { vm: usize, bytes: Vec<u8> },
+    Appended { vm: usize, offset: Offset },
+    Read { vm: usize, head: Option<u64>, upto: usize },
+}
+
+pub(crate) struct Sim {
+    /// Milliseconds.
+    pub(crate) now: u64,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) log: Vec<Vec<u8>>,
+    pub(crate) log_up: bool,
+    pub(crate) gone: BTreeSet<usize>,
+    pub(crate) gone_vms: BTreeSet<usize>,
+    /// Commands and their bytes as JSON, by the name of the order.
+    pub(crate) sent: BTreeMap<&'static str, (u64, u64)>,
+    events: BTreeMap<(u64, u64), Event>,
+    serial: u64,
+}
+
+pub(crate) fn service() -> Service {
+    "plan".parse().unwrap()
+}
+
+fn time(ms: u64) -> Time {
+    Time::from_micros(ms * 1_000)
+}
+
+impl Sim {
+    /// Assigns slices to servers in turn. The keeper of server `n` is VM
+    /// `n + 1` and its standby server `n + 2`, so that the three differ in
+    /// zone when there are three zones.
+    pub(crate) fn new(vms: usize, servers: usize, slices: u32, fenced: bool) -> Self {
+        let vms = (0..vms).map(|n| new_vm(&format!("vm-{n}"))).collect();
+        let servers = (0..servers).map(|n| new_server(&format!("t-{n}"))).collect();
+        let mut sim = Self {
+            now: 10_000,
+            vms,
+            servers,
+            log: Vec::new(),
+            log_up: true,
+            gone: BTreeSet::new(),
+            gone_vms: BTreeSet::new(),
+            sent: BTreeMap::new(),
+            events: BTreeMap::new(),
+            serial: 0,
+        };
+        let text = format!("services: {{plan: {{keyed: true, slices: {slices}, fenced: {fenced}}}}}");
+        let publish = Publish { expects: Revision(0), author: "op".into(), text: text.into() };
+        sim.push(0, Change::Config(publish));
+        sim.run(100);
+        for server in 0..sim.servers.len() {
+            sim.claim((server + 1) % sim.vms.len(), server);
+        }
+        let moves = (0..slices).map(|slice| sim.first(slice)).collect();
+        sim.push(0, Change::Assign(Assign { service: service(), moves }));
+        sim.run(2_000);
+        sim
+    }
+
+    fn first(&self, slice: u32) -> Move {
+        let count = self.servers.len();
+        let owner = slice as usize % count;
+        Move {
+            slice: SliceId(slice),
+            expects: Version(0),
+            owner: self.servers[owner].id.clone(),
+            standby: Some(self.servers[(owner + 2) % count].id.clone()),
+            provisional: None,
+        }
+    }
+
+    pub(crate) fn push(&mut self, vm: usize, change: Change) {
+        self.vms[vm].appender.push(change).unwrap();
+    }
+
+    pub(crate) fn claim(&mut self, vm: usize, server: usize) {
+        let target = self.servers[server].id.clone();
+        let expects = self.vms[vm].state.keeper(&target).map(|k| k.version).unwrap_or_default();
+        let keeper = self.vms[vm].id.clone();
+        self.push(vm, Change::Keeper(Claim { target, expects, keeper }));
+    }
+
+    /// Lets time pass, one millisecond at a time.
+    pub(crate) fn run(&mut self, ms: u64) {
+        self.run_with(ms, |_| {});
+    }
+
+    /// Lets time pass and looks at every millisecond.
+    pub(crate) fn run_with(&mut self, ms: u64, mut look: impl FnMut(&Self)) {
+        for _ in 0..ms {
+            self.now += 1;
+            while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= self.now) {
+                let event = entry.remove();
+                self.handle(event);
+            }
+            for vm in 0..self.vms.len() {
+                if (self.now + vm as u64).is_multiple_of(TICK) && self.runs(vm) {
+                    self.tick(vm);
+                }
+            }
+            look(self);
+        }
+    }
+
+    fn runs(&self, vm: usize) -> bool {
+        self.vms[vm].up && !self.vms[vm].paused
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.serial += 1;
+        self.events.insert((self.now + delay, self.serial), event);
+    }
+
+    fn tick(&mut self, number: usize) {
+        let (now, list, log_up, upto) = (time(self.now), self.list(), self.log_up, self.log.len());
+        let vm = &mut self.vms[number];
+        vm.keeper.sync(now, &vm.state, &list, log_up);
+        let actions = vm.keeper.tick(now);
+        if log_up {
+            self.after(LOG_HOP, Event::Read { vm: number, head: None, upto });
+        }
+        actions.into_iter().for_each(|action| self.act(number, action));
+        if let Some(bytes) = self.vms[number].appender.take().map(<[u8]>::to_vec) {
+            self.after(LOG_HOP, Event::Append { vm: number, bytes });
+        }
+    }
+
+    fn act(&mut self, vm: usize, action: Action) {
+        let sent = self.now;
+        match action {
+            Action::Command { target, command } => {
+                self.count(&command);
+                let server = self.find(&target);
+                self.after(HOP, Event::Command { vm, server, sent, command: Some(command) });
+            }
+            Action::Inspect { target } => {
+                let server = self.find(&target);
+                self.after(HOP, Event::Command { vm, server, sent, command: None });
+            }
+            Action::Append(change) => self.push(vm, change),
+            Action::Ask { vm: to, frame } => {
+                let to = self.vms.iter().position(|vm| vm.id == to).unwrap();
+                self.after(HOP, Event::Ask { from: vm, to, frame });
+            }
+            Action::ReadHead if self.log_up => {
+                let upto = self.log.len();
+                self.after(LOG_HOP, Event::Read { vm, head: Some(sent), upto });
+            }
+            Action::ReadHead => {}
+        }
+    }
+
+    fn count(&mut self, command: &Command) {
+        let name = match command.order {
+            Order::Renew { .. } => "renew",
+            _ => "other",
+        };
+        let bytes = serde_json::to_vec(command).unwrap().len() as u64;
+        let entry = self.sent.entry(name).or_default();
+        *entry = (entry.0 + 1, entry.1 + bytes);
+    }
+
+    fn find(&self, target: &TargetId) -> usize {
+        self.servers.iter().position(|server| server.id == *target).unwrap()
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = time(self.now);
+        match event {
+            Event::Command { vm, server, sent, command } if self.servers[server].up => {
+                let holder = &mut self.servers[server].holder;
+                let reply = match command {
+                    Some(command) => holder.command(now, &command),
+                    None => holder.status(now),
+                };
+                self.after(HOP, Event::Reply { vm, sent, reply });
+            }
+            Event::Reply { vm, sent, reply } if self.runs(vm) => {
+                self.vms[vm].keeper.reply(now, time(sent), &reply);
+            }
+            Event::Ask { from, to, frame } if self.runs(to) => {
+                if let Some(frame) = self.vms[to].keeper.ask(now, &frame) {
+                    self.after(HOP, Event::Answer { from: to, to: from, frame });
+                }
+            }
+            Event::Answer { from, to, frame } if self.runs(to) => {
+                let from = self.vms[from].id.clone();
+                self.vms[to].keeper.answer(now, &from, &frame);
+            }
+            Event::Append { vm, bytes } => self.append(vm, bytes),
+            Event::Appended { vm, offset } => self.vms[vm].appender.appended(offset),
+            Event::Read { vm, head, upto } if self.runs(vm) => self.read(vm, head, upto),
+            _ => {}
+        }
+    }
+
+    fn append(&mut self, vm: usize, bytes: Vec<u8>) {
+        if !self.log_up {
+            let error = catkin::Error::new(catkin::Code::LogUnavailable, "down");
+            return self.vms[vm].appender.failed(&error);
+        }
+        self.log.push(bytes);
+        let offset = Offset(self.log.len() as u64 - 1);
+        self.after(LOG_HOP, Event::Appended { vm, offset });
+    }
+
+    fn read(&mut self, number: usize, head: Option<u64>, upto: usize) {
+        let (now, list, log_up) = (time(self.now), self.list(), self.log_up);
+        let vm = &mut self.vms[number];
+        while vm.state.next().0 < upto as u64 {
+            let offset = vm.state.next();
+            let verdict = vm.state.apply(offset, &self.log[offset.0 as usize]);
+            vm.appender.read(verdict);
+        }
+        if let Some(began) = head {
+            vm.keeper.sync(now, &vm.state, &list, log_up);
+            vm.keeper.at_head(time(began));
+        }
+    }
+
+    fn list(&self) -> VmList {
+        let entry = |id: &str, role| Listed {
+            id: id.into(),
+            role,
+            service: Some(service()),
+            zone: "a".parse().unwrap(),
+            addr: "127.0.0.1:1".parse().unwrap(),
+            admin: None,
+            state: Life::Live,
+        };
+        let vms = self.vms.iter().enumerate().filter(|(n, _)| !self.gone_vms.contains(n));
+        let servers = self.servers.iter().enumerate().filter(|(n, _)| !self.gone.contains(n));
+        let vms = vms.map(|(_, vm)| entry(vm.id.as_str(), Role::Entry));
+        VmList { vms: vms.chain(servers.map(|(_, s)| entry(s.id.as_str(), Role::Target))).collect() }
+    }
+
+    /// Returns what the servers hold now by their own clocks, reachable or
+    /// not.
+    pub(crate) fn holdings(&self) -> Vec<(usize, Held)> {
+        let now = time(self.now);
+        let leased = self.servers.iter().enumerate().filter(|(_, server)| server.holder.is_leased(now));
+        let held = leased.flat_map(|(n, server)| {
+            let held = server.holder.clone().status(now).slices;
+            held.into_iter().map(move |held| (n, held))
+        });
+        held.collect()
+    }
+
+    /// Returns whether the keeper of a server sends it a request under a grant
+    /// now, and the server can be reached.
+    pub(crate) fn is_served(&self, server: usize, held: Held) -> bool {
+        let now = time(self.now);
+        let server = &self.servers[server];
+        let grant = Some((held.slice, held.fence));
+        let sends = |vm: &Vm| vm.up && !vm.paused && vm.keeper.admit(now, &server.id, grant).is_ok();
+        server.up && self.vms.iter().any(sends)
+    }
+
+    /// Returns the slices that the log assigns to a server.
+    pub(crate) fn owned(&self, server: usize) -> Vec<SliceId> {
+        let id = &self.servers[server].id;
+        self.vms[0].state.rows().filter(|(_, _, row)| row.owner == *id).map(|(_, slice, _)| slice).collect()
+    }
+
+    /// Returns the number of records that assign slices.
+    pub(crate) fn assigns(&self) -> usize {
+        let assign = |bytes: &&Vec<u8>| {
+            catkin::record::decode(bytes).is_ok_and(|record| matches!(record.change, Change::Assign(_)))
+        };
+        self.log.iter().filter(assign).count()
+    }
+}
+
+fn new_vm(id: &str) -> Vm {
+    let id: VmId = id.parse().unwrap();
+    let keeper = Keeper::new(id.clone(), 1, Timings::default());
+    let appender = Appender::new(Writer { id: id.clone(), boot: 1 });
+    Vm { id, keeper, state: State::new(), up: true, paused: false, appender }
+}
+
+fn new_server(id: &str) -> Server {
+    let id: TargetId = id.parse().unwrap();
+    Server { holder: Holder::new(id.clone(), 1), id, up: true }
+}
