--- a/crates/catkin/src/append.rs
+++ b/crates/catkin/src/append.rs
@@ -50,7 +50,9 @@
 pub struct Settled {
     /// Its number.
     pub sequence: Sequence,
-    /// Refusals; empty if the whole record was accepted.
+    /// Refusals; empty if the whole record was accepted. `Code::Duplicate`
+    /// says that an earlier copy was applied in a part of the log that this
+    /// process did not read: the state tells what became of it.
     pub refused: Vec<Error>,
 }
 
--- /dev/null
+++ b/crates/catkin/tests/fold.rs
@@ -0,0 +1,342 @@
+//! The fold of the log: one verdict for all readers.
+
+use {
+    catkin::{
+        Code,
+        append::Appender,
+        fold::{INTENTS_MAX, State, Verdict, WRITERS_MAX},
+        record::{self, Assign, Carve, Change, Claim, Intent, Move, Publish, Record, Writer},
+        types::{Fence, Key, Offset, Revision, Sequence, Service, SliceId, TargetId, Version},
+    },
+    proptest::prelude::*,
+};
+
+const FLEET: &str = "services: {plan: {keyed: true, slices: 2}}";
+
+fn writer(number: u64) -> Writer {
+    Writer { id: format!("vm-{}", number % 3).parse().unwrap(), boot: number / 3 + 1 }
+}
+
+fn target(number: u64) -> TargetId {
+    format!("t-{}", number % 3).parse().unwrap()
+}
+
+fn plan() -> Service {
+    "plan".parse().unwrap()
+}
+
+fn key(number: u64) -> Key {
+    format!("key-{number}").parse().unwrap()
+}
+
+fn encode(writer: &Writer, sequence: u64, change: Change) -> Vec<u8> {
+    record::encode(&Record { writer: writer.clone(), sequence: Sequence(sequence), change }).unwrap()
+}
+
+fn publish(expects: u64, text: &str) -> Change {
+    Change::Config(Publish { expects: Revision(expects), author: "op".into(), text: text.into() })
+}
+
+fn claim(expects: u64, number: u64, keeper: &Writer) -> Change {
+    Change::Keeper(Claim { target: target(number), expects: Version(expects), keeper: keeper.id.clone() })
+}
+
+fn assign(slice: u32, expects: u64, owner: u64, provisional: Option<Fence>) -> Change {
+    let change = Move {
+        slice: SliceId(slice),
+        expects: Version(expects),
+        owner: target(owner),
+        standby: Some(target(owner + 1)),
+        provisional,
+    };
+    Change::Assign(Assign { service: plan(), moves: vec![change] })
+}
+
+fn intent(digest: u128, done: bool) -> Change {
+    Change::Intents(vec![Intent { service: plan(), digest, done }])
+}
+
+fn carve(number: u64, expects: u64) -> Change {
+    Change::Carve(Carve { service: plan(), key: key(number), expects: Version(expects) })
+}
+
+fn codes(verdict: &Verdict) -> Vec<Code> {
+    verdict.refused.iter().map(catkin::Error::code).collect()
+}
+
+/// Any change, with small numbers so that changes meet. Provisional fences
+/// name offsets, which differ in a log with copies.
+fn changes(provisional: bool) -> impl Strategy<Value = Change> {
+    prop_oneof![
+        (0..3_u64, 1..4_u32).prop_map(|(expects, slices)| publish(
+            expects,
+            &format!("services: {{plan: {{keyed: true, slices: {slices}}}}}")
+        )),
+        (0..4_u64, 0..3_u64, 0..3_u64).prop_map(|(expects, number, vm)| claim(expects, number, &writer(vm))),
+        (0..4_u32, 0..3_u64, 0..3_u64, Just(provisional)).prop_map(|(slice, expects, owner, provisional)| {
+            let fence = Fence::new(Offset(expects)).with_next_step();
+            assign(slice, expects, owner, (provisional && slice == 1).then_some(fence))
+        }),
+        (0..3_u64, 0..4_u64).prop_map(|(number, expects)| carve(number, expects)),
+        (0..4_u128, any::<bool>()).prop_map(|(digest, done)| intent(digest, done)),
+    ]
+}
+
+/// What stands at one offset of the log.
+fn entries() -> impl Strategy<Value = Vec<u8>> {
+    let record = (0..6_u64, 1..6_u64, changes(true));
+    let whole =
+        record.prop_map(|(number, sequence, change)| encode(&writer(number), sequence, change)).boxed();
+    let cut = (whole.clone(), any::<prop::sample::Index>()).prop_map(|(mut bytes, at)| {
+        bytes.truncate(at.index(bytes.len()));
+        bytes
+    });
+    prop_oneof![8 => whole, 1 => cut, 1 => prop::collection::vec(any::<u8>(), 0..40)]
+}
+
+fn apply_all(state: &mut State, log: &[Vec<u8>]) -> Vec<Vec<Code>> {
+    let first = state.next().0 as usize;
+    let rest = log.iter().enumerate().skip(first);
+    rest.map(|(at, bytes)| codes(&state.apply(Offset(at as u64), bytes))).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, rng_seed: prop::test_runner::RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    /// Guards against readers that disagree: one reads from the start, one
+    /// joins by an encoded state at any prefix and sees some records twice.
+    #[test]
+    fn readers_agree_at_every_prefix(
+        log in prop::collection::vec(entries(), 1..40),
+        join in any::<prop::sample::Index>(),
+        back in 0..5_u64,
+    ) {
+        let mut first = State::new();
+        let join = join.index(log.len());
+        apply_all(&mut first, &log[..join]);
+        let mut second = State::decode(&first.encode().unwrap()).unwrap();
+        prop_assert_eq!(&first, &second);
+        for offset in (join as u64).saturating_sub(back)..join as u64 {
+            let verdict = second.apply(Offset(offset), &log[offset as usize]);
+            prop_assert_eq!(codes(&verdict), [Code::Duplicate]);
+        }
+        for (offset, bytes) in log.iter().enumerate().skip(join) {
+            let offset = Offset(offset as u64);
+            prop_assert_eq!(codes(&first.apply(offset, bytes)), codes(&second.apply(offset, bytes)));
+            prop_assert_eq!(first.digest().unwrap(), second.digest().unwrap());
+        }
+    }
+
+    /// Guards against a duplicate that changes the state: a log in which each
+    /// record may stand twice folds to the rows of the log without copies.
+    #[test]
+    fn duplicates_change_nothing(
+        log in prop::collection::vec((0..6_u64, changes(false), any::<bool>()), 1..30),
+    ) {
+        let mut single = State::new();
+        let mut double = State::new();
+        for (at, (number, change, copy)) in log.into_iter().enumerate() {
+            let bytes = encode(&writer(number), at as u64 + 1, change);
+            let (one, two) = (codes(&single.apply(single.next(), &bytes)), codes(&double.apply(double.next(), &bytes)));
+            prop_assert_eq!(one, two);
+            if copy {
+                let verdict = double.apply(double.next(), &bytes);
+                prop_assert_eq!(codes(&verdict), [Code::Duplicate]);
+            }
+        }
+        let rows = |state: &State| {
+            let rows = state.rows().map(|(_, slice, row)| (slice, row.owner.clone(), row.version));
+            rows.collect::<Vec<_>>()
+        };
+        prop_assert_eq!(rows(&single), rows(&double));
+        prop_assert_eq!(single.intents(), double.intents());
+        prop_assert_eq!(single.config().revision, double.config().revision);
+    }
+
+    /// Guards against a lost answer that hides or doubles a change: every
+    /// append may fail for certain, take effect without an answer, or neither.
+    #[test]
+    fn lost_answers_are_settled_by_reading(fates in prop::collection::vec(0..4_u8, 1..40)) {
+        let mut appender = Appender::new(writer(0));
+        let mut state = State::new();
+        let mut unread = Vec::new();
+        let mut settled = Vec::new();
+        let count = 10_u64;
+        for digest in 0..count {
+            appender.push(intent(u128::from(digest), false)).unwrap();
+        }
+        let mut fates = fates.into_iter().chain(std::iter::repeat(0));
+        while !appender.is_empty() {
+            let Some(bytes) = appender.take().map(<[u8]>::to_vec) else {
+                prop_assert!(appender.is_unknown());
+                appender.again();
+                continue;
+            };
+            prop_assert!(appender.take().is_none(), "one append is outstanding");
+            let fate = fates.next().unwrap_or_default();
+            if fate == 1 {
+                appender.failed(&catkin::Error::new(Code::LogUnavailable, "refused"));
+                continue;
+            }
+            let lost = fate == 2;
+            unread.extend((!lost).then(|| state.apply(state.next(), &bytes)));
+            if fate > 0 {
+                appender.failed(&catkin::Error::new(Code::AppendUnknown, "no answer"));
+                prop_assert!(appender.is_unknown());
+            } else {
+                appender.appended(Offset(state.next().0 - 1));
+            }
+            // The log is read only after some of the unknown appends.
+            if fate != 3 {
+                settled.extend(unread.drain(..).filter_map(|verdict| appender.read(verdict)));
+            }
+        }
+        prop_assert!(settled.iter().all(|done| done.refused.is_empty()));
+        let all: Vec<u64> = settled.iter().map(|done| done.sequence.0).collect();
+        prop_assert_eq!(all, (1..=count).collect::<Vec<_>>());
+        prop_assert_eq!(state.intents() as u64, count);
+    }
+
+    /// Guards against a panic on any bytes.
+    #[test]
+    fn any_bytes_are_skipped_or_applied(
+        bytes in prop::collection::vec(any::<u8>(), 0..200),
+        offset in any::<u64>(),
+        framed in any::<bool>(),
+    ) {
+        let mut data = bytes;
+        if framed {
+            let mut head = vec![0xC1];
+            head.extend(crc32fast::hash(&data).to_le_bytes());
+            head.append(&mut data);
+            data = head;
+        }
+        let mut state = State::new();
+        state.apply(Offset(offset), &data);
+        let skipped = state.skipped();
+        prop_assert!(skipped.foreign + skipped.torn <= 1);
+        let _ = State::decode(&data);
+    }
+}
+
+/// A state with a configuration, keepers of all targets and both slices owned
+/// by target 0.
+fn ready() -> State {
+    let mut state = State::new();
+    let changes = [
+        publish(0, FLEET),
+        claim(0, 0, &writer(0)),
+        claim(0, 1, &writer(0)),
+        assign(0, 0, 0, None),
+        assign(1, 0, 0, None),
+    ];
+    for (at, change) in changes.into_iter().enumerate() {
+        let verdict = state.apply(Offset(at as u64), &encode(&writer(0), at as u64 + 1, change));
+        assert!(verdict.is_accepted(), "{:?}", verdict.refused);
+    }
+    state
+}
+
+fn next(state: &mut State, number: u64, change: Change) -> Vec<Code> {
+    let sequence = state.sequence(&writer(number)).unwrap_or_default().next();
+    codes(&state.apply(state.next(), &encode(&writer(number), sequence.0, change)))
+}
+
+/// Guards against an append of a dead process that takes effect late.
+#[test]
+fn only_the_claiming_process_moves_slices() {
+    let mut state = ready();
+    assert_eq!(next(&mut state, 1, assign(0, 1, 1, None)), [Code::NotKeeper]);
+    assert_eq!(next(&mut state, 3, assign(0, 1, 1, None)), [Code::NotKeeper], "a new process of the same VM");
+    assert_eq!(next(&mut state, 0, assign(0, 1, 1, None)), []);
+    assert_eq!(next(&mut state, 0, assign(0, 1, 2, None)), [Code::StaleVersion]);
+    assert_eq!(next(&mut state, 0, assign(7, 0, 1, None)), [Code::UnknownSlice]);
+}
+
+/// Guards against a provisional move that is logged on top of another row.
+#[test]
+fn provisional_move_becomes_durable_only_on_its_row() {
+    let mut state = ready();
+    let fence = state.row(&plan(), SliceId(0)).unwrap().fence;
+    let wrong = Fence::new(Offset(99)).with_next_step();
+    assert_eq!(next(&mut state, 0, assign(0, 1, 1, Some(wrong))), [Code::StaleVersion]);
+    assert_eq!(next(&mut state, 0, assign(0, 1, 2, Some(fence.with_next_step()))), [Code::StaleVersion]);
+    assert_eq!(next(&mut state, 0, assign(0, 1, 1, Some(fence.with_next_step()))), []);
+    let row = state.row(&plan(), SliceId(0)).unwrap();
+    assert!(row.fence > fence.with_next_step(), "the logged fence is above the provisional one");
+    assert_eq!(row.previous, Some((target(0), fence)));
+}
+
+/// Guards against a key that two slices hold: readers that have not read the
+/// carve must be refused by the old fence.
+#[test]
+fn carved_key_gets_a_slice_and_its_old_slice_a_new_fence() {
+    let mut state = ready();
+    let old = state.slice(&plan(), &key(1)).unwrap();
+    let before = state.row(&plan(), old).unwrap().clone();
+    assert_eq!(next(&mut state, 1, carve(1, 1)), [Code::NotKeeper]);
+    assert_eq!(next(&mut state, 0, carve(1, 1)), []);
+    let slice = state.slice(&plan(), &key(1)).unwrap();
+    assert_eq!(slice, SliceId(2));
+    let row = state.row(&plan(), slice).unwrap();
+    assert_eq!((row.owner.clone(), row.parent), (target(0), Some((old, before.fence))));
+    assert!(state.row(&plan(), old).unwrap().fence > before.fence);
+    assert_eq!(next(&mut state, 0, carve(1, 1)), [Code::UnknownSlice], "a key is carved once");
+}
+
+/// Guards against readers at two revisions that map one key to two slices.
+#[test]
+fn number_of_slices_never_changes() {
+    let mut state = ready();
+    let more = FLEET.replace("slices: 2", "slices: 3");
+    assert_eq!(next(&mut state, 0, publish(1, &more)), [Code::ConfigRange]);
+    assert_eq!(next(&mut state, 0, publish(1, "services: {}")), []);
+    assert_eq!(next(&mut state, 0, publish(2, &more)), [Code::ConfigRange], "not after a removal either");
+    assert_eq!(next(&mut state, 0, publish(2, FLEET)), []);
+}
+
+/// Guards against two winners of one idempotency key, and against a mark by a
+/// process that did not win.
+#[test]
+fn first_intent_wins_and_its_writer_marks_it() {
+    let mut state = ready();
+    assert_eq!(next(&mut state, 1, intent(5, false)), []);
+    assert_eq!(next(&mut state, 2, intent(5, false)), [Code::TakenIntent]);
+    assert_eq!(next(&mut state, 2, intent(5, true)), [Code::TakenIntent]);
+    assert_eq!(next(&mut state, 1, intent(5, false)), [Code::TakenIntent]);
+    assert!(!state.intent(5).unwrap().done);
+    assert_eq!(next(&mut state, 1, intent(5, true)), []);
+    assert!(state.intent(5).unwrap().done);
+}
+
+/// Guards against tables that grow without bound.
+#[test]
+fn tables_are_bounded() {
+    let mut state = State::new();
+    let per_record = 1_024_u128;
+    for block in 0..(INTENTS_MAX as u128 / per_record + 2) {
+        let digests = block * per_record..(block + 1) * per_record;
+        let intents = digests.map(|digest| Intent { service: plan(), digest, done: false }).collect();
+        assert_eq!(next(&mut state, 0, Change::Intents(intents)), []);
+    }
+    assert_eq!(state.intents(), INTENTS_MAX);
+    assert!(state.intent(0).is_none() && state.intent(2 * per_record).is_some());
+    for number in 0..(WRITERS_MAX as u64 + 10) {
+        let change = intent(0, true);
+        state.apply(state.next(), &encode(&writer(3 * number + 5), 1, change));
+    }
+    assert_eq!(state.writers(), WRITERS_MAX);
+    let bytes = state.encode().unwrap();
+    println!("{} bytes for {INTENTS_MAX} intents and {WRITERS_MAX} writers", bytes.len());
+    assert_eq!(State::decode(&bytes).unwrap(), state);
+}
+
+/// Guards against a state that goes on after records that it never saw.
+#[test]
+fn record_after_a_gap_changes_nothing() {
+    let mut state = ready();
+    let before = state.digest().unwrap();
+    let bytes = encode(&writer(0), 99, intent(1, false));
+    assert_eq!(codes(&state.apply(Offset(state.next().0 + 1), &bytes)), [Code::LogExpired]);
+    assert_eq!(state.digest().unwrap(), before);
+}
--- /dev/null
+++ b/crates/catkin/tests/snapshot.rs
@@ -0,0 +1,197 @@
+//! Snapshots of the fold in the log.
+
+use {
+    catkin::{
+        Code,
+        fold::State,
+        record::{self, Change, Chunk, Intent, Record, Writer},
+        snapshot::{CHUNK_BYTES, Choice, Join, Limits, Scan, Schedule, View, advance, choose, rank, split},
+        types::{Offset, Sequence, Span, Time, VmId},
+    },
+    std::collections::BTreeMap,
+};
+
+fn encode(sequence: u64, change: Change) -> Vec<u8> {
+    let writer = Writer { id: "vm-0".parse().unwrap(), boot: 1 };
+    record::encode(&Record { writer, sequence: Sequence(sequence), change }).unwrap()
+}
+
+/// A state with `count` records, each of which has 1,000 intents.
+fn state(count: u64) -> State {
+    let mut state = State::new();
+    for number in 0..count {
+        let digests = (0..1_000).map(|n| u128::from(number) << 64 | n);
+        let intents = digests.map(|digest| Intent { service: "plan".parse().unwrap(), digest, done: false });
+        let bytes = encode(number + 1, Change::Intents(intents.collect()));
+        assert!(state.apply(state.next(), &bytes).is_accepted());
+    }
+    state
+}
+
+fn join(chunks: impl IntoIterator<Item = Chunk>) -> Join {
+    let mut join = Join::new();
+    chunks.into_iter().for_each(|chunk| {
+        join.push(chunk);
+    });
+    join
+}
+
+/// Guards against a snapshot that changes the state or does not fit a record.
+#[test]
+fn chunks_in_any_order_give_the_state() {
+    let state = state(30);
+    let mut chunks = split(&state).unwrap();
+    assert!(chunks.len() > 1 && chunks.iter().all(|chunk| chunk.data.len() <= CHUNK_BYTES));
+    chunks.iter().for_each(|chunk| assert!(!encode(1, Change::Chunk(chunk.clone())).is_empty()));
+    chunks.reverse();
+    assert_eq!(join(chunks.clone()).newest(), Some(&state));
+    let twice = chunks.iter().chain(&chunks).cloned();
+    assert_eq!(join(twice).newest(), Some(&state), "two writers complete each other");
+}
+
+/// Guards against the use of a snapshot that was cut in the middle or
+/// changed.
+#[test]
+fn cut_snapshot_is_never_used() {
+    let (old, new) = (state(2), state(30));
+    let chunks = split(&new).unwrap();
+    for missing in 0..chunks.len() {
+        let mut cut = chunks.clone();
+        cut.remove(missing);
+        let join = join(split(&old).unwrap().into_iter().chain(cut));
+        assert_eq!(join.newest(), Some(&old), "without chunk {missing}");
+    }
+    let mut changed = chunks.clone();
+    changed[0].data[100] ^= 1;
+    let broken = join(changed);
+    assert!(broken.newest().is_none() && broken.broken() == 1);
+    let mut moved = chunks;
+    moved.iter_mut().for_each(|chunk| chunk.at = Offset(chunk.at.0 + 1));
+    assert!(join(moved).newest().is_none(), "the state is not the one of this offset");
+}
+
+/// Guards against an older snapshot that displaces a newer one, and against
+/// incomplete snapshots that pile up.
+#[test]
+fn newest_complete_snapshot_counts() {
+    let (old, new) = (state(2), state(3));
+    let mut join = join(split(&new).unwrap());
+    assert!(!join.push(split(&old).unwrap().remove(0)));
+    assert_eq!(join.newest(), Some(&new));
+}
+
+fn scan(first: u64, join: &Join) -> Option<Scan<'_>> {
+    Some(Scan { first: Offset(first), join })
+}
+
+fn chosen(choice: Choice) -> Option<u64> {
+    match choice {
+        Choice::State(state) => Some(state.next().0),
+        Choice::Wait => None,
+    }
+}
+
+/// Guards against a start from a state whose later records have expired, and
+/// against a start without any state while the log is down.
+#[test]
+fn vm_starts_from_the_newest_usable_state() {
+    let empty = Join::new();
+    let with_snapshot = join(split(&state(3)).unwrap());
+    let peers = [state(2), state(4), State::new()];
+    assert_eq!(chosen(choose(scan(0, &empty), &[])), Some(0), "a new log");
+    assert_eq!(chosen(choose(scan(2, &with_snapshot), &peers)), Some(3));
+    assert_eq!(chosen(choose(scan(4, &with_snapshot), &peers)), Some(4), "the snapshot is too old");
+    assert_eq!(chosen(choose(scan(5, &with_snapshot), &peers)), None);
+    assert_eq!(chosen(choose(scan(1, &empty), &[])), None);
+    assert_eq!(chosen(choose(None, &peers)), Some(4), "the highest offset while the log is down");
+    assert_eq!(chosen(choose(None, &[State::new()])), None);
+}
+
+/// Guards against offsets that go back.
+#[test]
+fn older_state_is_refused() {
+    let mut current = state(3);
+    assert_eq!(advance(&mut current, state(2)).unwrap_err().code(), Code::Duplicate);
+    assert_eq!(current.next(), Offset(3));
+    advance(&mut current, state(4)).unwrap();
+    assert_eq!(current.next(), Offset(4));
+}
+
+const VMS: u64 = 4;
+
+fn limits() -> Limits {
+    Limits { records: 1_000, ..Limits::default() }
+}
+
+fn view(head: u64, newest: Option<u64>, rank: u64) -> View {
+    View { first: Offset(0), head: Offset(head), newest: newest.map(Offset), up: true, rank }
+}
+
+fn seconds(count: u64) -> Time {
+    Time::from_micros(count * 1_000_000)
+}
+
+/// Guards against two writers in the normal case, and against none when the
+/// first in rank is lost.
+#[test]
+fn one_vm_writes_and_the_next_one_steps_in() {
+    let mut vms: Vec<Schedule> = (0..VMS).map(|_| Schedule::new(limits())).collect();
+    let mut due = |at: u64, newest| {
+        let view = |rank| view(10, newest, rank);
+        let ranked = vms.iter_mut().zip(0..);
+        ranked.map(|(vm, rank)| vm.tick(seconds(at), &view(rank))).collect::<Vec<_>>()
+    };
+    assert_eq!(due(0, None), [true, false, false, false]);
+    assert_eq!(due(1, None), [false; 4], "the first one is writing");
+    assert_eq!(due(2, Some(10)), [false; 4], "the snapshot is complete");
+    assert_eq!(due(301, Some(10)), [false; 4]);
+    assert_eq!(due(302, Some(10)), [true, false, false, false], "the age bound");
+    assert!(due(307, Some(10))[1], "the first one was lost");
+}
+
+/// Guards against needed records that expire before the next snapshot.
+#[test]
+fn snapshot_is_due_before_its_records_expire() {
+    let due = |view: View| {
+        let mut schedule = Schedule::new(limits());
+        schedule.tick(seconds(0), &View { head: Offset(view.newest.unwrap_or_default().0 + 1), ..view });
+        schedule.tick(seconds(1), &view)
+    };
+    assert!(due(view(1_000, Some(0), 0)), "the record bound");
+    assert!(!due(view(999, Some(0), 0)));
+    let shrinking = View { first: Offset(400), ..view(900, Some(500), 0) };
+    assert!(due(shrinking), "the snapshot is in the older half");
+    assert!(!due(View { first: Offset(400), ..view(900, Some(700), 0) }));
+}
+
+/// Guards against a log whose snapshot expired during an outage.
+#[test]
+fn snapshot_is_due_at_once_after_a_long_outage() {
+    let mut schedule = Schedule::new(limits());
+    assert!(!schedule.tick(seconds(0), &view(10, Some(9), 0)));
+    let down = View { up: false, ..view(10, Some(9), 0) };
+    assert!(!schedule.tick(seconds(10), &down));
+    assert!(!schedule.tick(seconds(39), &view(10, Some(9), 0)), "a short outage");
+    assert!(!schedule.tick(seconds(40), &down));
+    assert!(schedule.tick(seconds(70), &view(10, Some(9), 0)));
+    assert!(!schedule.tick(seconds(71), &view(12, Some(10), 0)));
+}
+
+/// Guards against one VM that writes every snapshot, and against two VMs with
+/// one rank.
+#[test]
+fn ranks_differ_and_take_turns() {
+    let vms: Vec<VmId> = (0..VMS).map(|n| format!("vm-{n}").parse().unwrap()).collect();
+    let mut firsts: BTreeMap<VmId, u32> = BTreeMap::new();
+    for newest in 0..100 {
+        let ranks = |vm: &VmId| rank(vm, &vms, Some(Offset(newest)));
+        let mut all: Vec<u64> = vms.iter().map(ranks).collect();
+        let first = vms.iter().find(|vm| ranks(vm) == 0).unwrap();
+        *firsts.entry(first.clone()).or_default() += 1;
+        all.sort_unstable();
+        assert_eq!(all, (0..VMS).collect::<Vec<_>>());
+    }
+    assert!(firsts.len() == VMS as usize && firsts.values().all(|count| *count >= 10), "{firsts:?}");
+    let span: Span = Limits::default().stagger;
+    assert!(!span.is_zero());
+}
