--- /dev/null
+++ b/crates/catkin-gateway/src/heartbeat.rs
@@ -0,0 +1,121 @@
+//! UDP datagrams between gateways.
+
+use {
+    crate::node::Node,
+    catkin::{
+        Code, Error,
+        event::Kind,
+        member::Event,
+        place::own_totals,
+        types::VmId,
+        wire::{self, Body, DATAGRAM_BYTES_MAX, Datagram, Gossip},
+    },
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::net::UdpSocket,
+};
+
+const TICK: Duration = Duration::from_millis(50);
+/// Gateways that hear the loads of the kept targets.
+const GOSSIP_PEERS: usize = 11;
+/// Loads in one datagram; with ids of ordinary length they fit.
+const GOSSIP_TARGETS: usize = 20;
+
+/// Opens the socket for datagrams.
+///
+/// # Errors
+///
+/// `Code::BadValue` if the address can't be bound.
+pub(crate) async fn bind(addr: SocketAddr) -> Result<UdpSocket, Error> {
+    UdpSocket::bind(addr).await.map_err(|e| Error::new(Code::BadValue, format!("can't bind UDP {addr}: {e}")))
+}
+
+/// Sends and receives datagrams until the process ends.
+pub(crate) async fn run(node: Rc<Node>, socket: UdpSocket) {
+    let mut tick = actix_rt::time::interval(TICK);
+    // One byte more than is allowed tells a datagram that is too large.
+    let mut buffer = [0; DATAGRAM_BYTES_MAX + 1];
+    loop {
+        let bodies = tokio::select! {
+            _ = tick.tick() => on_tick(&node),
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, _)) => receive(&node, &buffer[..length]),
+                // A peer that does not listen makes the next receive fail.
+                Err(_) => Vec::new(),
+            },
+        };
+        send(&node, &socket, bodies).await;
+    }
+}
+
+fn on_tick(node: &Node) -> Vec<(VmId, Body)> {
+    let now = node.now();
+    let mut members = node.members.borrow_mut();
+    let mut bodies = members.tick(now);
+    for change in members.changes() {
+        log::info!("{change}");
+        match change.event {
+            Event::Suspected => node.record(Kind::PeerSuspected { peer: change.vm }),
+            Event::Recovered => node.record(Kind::PeerAlive { peer: change.vm }),
+            _ => {}
+        }
+    }
+    let peers = members.live().map(|live| live.vm).filter(|vm| *vm != node.set.vm).take(GOSSIP_PEERS);
+    bodies.extend(peers.flat_map(|vm| gossip(node).into_iter().map(move |body| (vm.clone(), body))));
+    bodies
+}
+
+/// Makes the datagrams with the loads of the kept targets.
+fn gossip(node: &Node) -> Vec<Body> {
+    let state = node.state.borrow();
+    let table = node.queues.table.borrow();
+    let rates = own_totals(node.now(), &state, &node.slices.borrow(), &node.set.vm);
+    let kept = state.keepers().filter(|(_, keeper)| keeper.vm == node.set.vm);
+    let loads: Vec<Gossip> = kept
+        .map(|(target, _)| Gossip {
+            target: target.clone(),
+            depth: table.depth(target),
+            rate: rates.get(target).copied().unwrap_or_default() as u32,
+            open: table.is_open(target),
+        })
+        .collect();
+    loads.chunks(GOSSIP_TARGETS).map(|part| Body::Loads(part.to_vec())).collect()
+}
+
+fn receive(node: &Node, bytes: &[u8]) -> Vec<(VmId, Body)> {
+    let datagram: Datagram = match wire::decode(bytes) {
+        Ok(datagram) => datagram,
+        Err(_) => {
+            node.metrics.drop("datagram");
+            return Vec::new();
+        }
+    };
+    if let Body::Loads(loads) = &datagram.body {
+        let now = node.now();
+        let mut tables = node.loads.borrow_mut();
+        tables.values_mut().for_each(|rows| loads.iter().for_each(|load| rows.hear(now, load)));
+        node.rates.borrow_mut().extend(loads.iter().map(|load| (load.target.clone(), load.rate)));
+        let closed = loads.iter().filter(|load| !load.open).map(|load| load.target.clone());
+        node.draining.borrow_mut().extend(closed);
+    }
+    node.members.borrow_mut().receive(node.now(), &datagram.from, &datagram)
+}
+
+async fn send(node: &Node, socket: &UdpSocket, bodies: Vec<(VmId, Body)>) {
+    for (to, body) in bodies {
+        let Some(addr) = node.peer(&to) else { continue };
+        let datagram = Datagram {
+            from: node.set.vm.clone(),
+            boot: node.boot,
+            clock: node.now(),
+            offset: node.state.borrow().next(),
+            revision: node.state.borrow().config().revision,
+            leaving: node.leaving.get(),
+            body,
+        };
+        match wire::encode(&datagram, DATAGRAM_BYTES_MAX) {
+            // A datagram that is lost is sent again at a later tick.
+            Ok(bytes) => drop(socket.send_to(&bytes, addr).await),
+            Err(_) => node.metrics.drop("datagram"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-gateway/src/route.rs
@@ -0,0 +1,84 @@
+//! Which target gets a request, and which gateway keeps that target.
+
+use {
+    crate::node::Node,
+    catkin::{
+        Code, Error,
+        choose::Rule,
+        types::{Fence, Key, Service, SliceId, TargetId, VmId},
+    },
+    std::rc::Rc,
+};
+
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Route {
+    /// The target.
+    pub(crate) target: TargetId,
+    /// Slice and fence, for a service divided by key.
+    pub(crate) slice: Option<(SliceId, Fence)>,
+    /// The gateway that keeps the target.
+    pub(crate) keeper: VmId,
+}
+
+/// Finds the route of a request.
+///
+/// # Errors
+///
+/// `Code::NoOwner` if no target may serve it at this moment.
+pub(crate) fn find(node: &Node, service: &Service, key: Option<&Key>) -> Result<Route, Error> {
+    let state = node.state.borrow();
+    let slice = key.and_then(|key| state.slice(service, key));
+    let (target, slice) = match slice {
+        Some(slice) => {
+            let row = state.row(service, slice).ok_or_else(|| no_owner(service))?;
+            (row.owner.clone(), Some((slice, row.fence)))
+        }
+        None => (pick(node, service)?, None),
+    };
+    let keeper = state.keeper(&target).ok_or_else(|| no_owner(service))?;
+    Ok(Route { target, slice, keeper: keeper.vm.clone() })
+}
+
+fn pick(node: &Node, service: &Service) -> Result<TargetId, Error> {
+    let loads = node.loads.borrow();
+    let random = [node.next_random(), node.next_random()];
+    let target = loads.get(service).and_then(|rows| rows.choose(node.now(), Rule::Two, random));
+    target.ok_or_else(|| no_owner(service))
+}
+
+/// Counts a request while it is on its way to a target.
+pub(crate) struct Count {
+    node: Rc<Node>,
+    service: Service,
+    target: TargetId,
+    is_fault: bool,
+}
+
+impl Count {
+    /// Begins to count.
+    pub(crate) fn new(node: &Rc<Node>, service: &Service, target: &TargetId) -> Self {
+        if let Some(rows) = node.loads.borrow_mut().get_mut(service) {
+            rows.begin(target);
+        }
+        Self { node: node.clone(), service: service.clone(), target: target.clone(), is_fault: false }
+    }
+
+    /// Says that the target could not be reached, refused or did not answer.
+    pub(crate) fn set_fault(&mut self) {
+        self.is_fault = true;
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        if let Some(rows) = self.node.loads.borrow_mut().get_mut(&self.service) {
+            rows.end(now, &self.target, self.is_fault);
+        }
+    }
+}
+
+fn no_owner(service: &Service) -> Error {
+    Error::new(Code::NoOwner, format!("no target of {service} may serve the request"))
+}
--- a/crates/catkin-standin/src/lib.rs
+++ b/crates/catkin-standin/src/lib.rs
@@ -4,19 +4,22 @@
 //! address and any number of targets, each on its own address. Every one of
 //! them takes faults over HTTP while it runs (`POST /faults`).
 //!
-//! - [`LogService`] appends and reads records and forgets the oldest.
-//! - [`VmTable`] is the VM list, which lags.
-//! - [`Target`] accepts the commands of a keeper and runs work.
+//! - [`Echo`] is the answer to work.
 //! - [`Ledger`] counts what a target ran and when it owned which slice.
+//! - [`read_journal`] reads what a target that has gone ran.
 //! - [`PlatformFaults`] and [`TargetFaults`] are the bodies of `/faults`.
 
+mod answer;
 mod body;
 mod echo;
 mod faults;
+mod journal;
 mod ledger;
 mod list;
 mod log;
 mod platform;
+mod report;
+mod run;
 mod start;
 mod target;
 mod work;
@@ -24,9 +27,8 @@
 pub use {
     echo::{Echo, checksum, header},
     faults::{Cold, PlatformFaults, TargetFaults},
+    journal::read_journal,
     ledger::{Counts, Interval, Ledger, Run},
-    list::{Removal, VmTable},
-    log::LogService,
+    list::Removal,
     start::{Running, start},
-    target::Target,
 };
