--- a/crates/catkin-load/src/audit.rs
+++ b/crates/catkin-load/src/audit.rs
@@ -51,6 +51,8 @@
     pub shared_service: Findings,
     /// Slices that two targets held at the same time.
     pub shared_ownership: Findings,
+    /// Kinds of work of which too few requests ran.
+    pub unserved: Findings,
     /// Ledgers that could not be read.
     pub unread: Findings,
     /// Events that a stand-in did not take.
@@ -59,7 +61,7 @@
 
 impl Checks {
     /// Returns the violations with their names.
-    pub fn all(&self) -> [(&'static str, &Findings); 9] {
+    pub fn all(&self) -> [(&'static str, &Findings); 10] {
         [
             ("lost", &self.lost),
             ("doubled", &self.doubled),
@@ -68,6 +70,7 @@
             ("cut unseen", &self.hidden_cut),
             ("served by two", &self.shared_service),
             ("owned by two", &self.shared_ownership),
+            ("kinds unserved", &self.unserved),
             ("ledgers unread", &self.unread),
             ("events failed", &self.failed_events),
         ]
@@ -79,6 +82,13 @@
     }
 }
 
+/// Looks at the answers to callers alone, for lack of ledgers.
+pub(crate) fn audit_answers(records: &[Record]) -> Checks {
+    let mut checks = Checks::default();
+    records.iter().for_each(|record| check_body(&mut checks, record));
+    checks
+}
+
 /// Compares the records of callers with the ledgers of targets.
 pub fn audit(records: &[Record], ledgers: &[Ledger]) -> Checks {
     let runs = runs_by_call(ledgers);
@@ -86,7 +96,8 @@
     let mut operations: BTreeMap<&Arc<str>, Vec<&(TargetId, Run)>> = BTreeMap::new();
     for record in records {
         let own = runs.get(&record.call).map_or(&[][..], Vec::as_slice);
-        check_answer(&mut checks, record, own);
+        check_body(&mut checks, record);
+        check_runs(&mut checks, record, own);
         if let Some(operation) = &record.operation {
             operations.entry(operation).or_default().extend(own);
         }
@@ -111,7 +122,16 @@
     calls
 }
 
-fn check_answer(checks: &mut Checks, record: &Record, runs: &[(TargetId, Run)]) {
+fn check_body(checks: &mut Checks, record: &Record) {
+    let call = &record.call;
+    match record.answer {
+        Answer::Mixed => checks.mixed.add(|| format!("{call}: answer of {:?} is to another", record.target)),
+        Answer::HiddenCut => checks.hidden_cut.add(|| format!("{call}: whole length, broken body")),
+        _ => {}
+    }
+}
+
+fn check_runs(checks: &mut Checks, record: &Record, runs: &[(TargetId, Run)]) {
     let call = &record.call;
     match record.answer {
         Answer::Ran if runs.is_empty() => {
@@ -120,8 +140,6 @@
         Answer::NotRun(code) if !runs.is_empty() => {
             checks.false_not_run.add(|| format!("{call}: E{code}, ran on {}", targets(runs)));
         }
-        Answer::Mixed => checks.mixed.add(|| format!("{call}: answer of {:?} is to another", record.target)),
-        Answer::HiddenCut => checks.hidden_cut.add(|| format!("{call}: whole length, broken body")),
         _ => {}
     }
 }
--- a/crates/catkin-load/src/experiment.rs
+++ b/crates/catkin-load/src/experiment.rs
@@ -22,7 +22,8 @@
     pub seed: u64,
     /// Addresses of the gateways for callers.
     pub gateways: Vec<SocketAddr>,
-    /// Targets whose ledgers are read at the end.
+    /// Targets whose ledgers are read at the end; without any, only the answers
+    /// to callers are looked at.
     #[serde(default)]
     pub targets: Vec<Standin>,
     /// Rates of arrival, one phase after the other.
@@ -113,6 +114,9 @@
     pub work: Option<Span>,
     /// Deadline that is sent; a later answer counts as late.
     pub deadline: Span,
+    /// Share of the requests that must run for the experiment to pass.
+    #[serde(default)]
+    pub served: Share,
     /// Choice of keys; without it requests have none.
     pub keys: Option<Keys>,
 }
--- a/crates/catkin-load/src/report.rs
+++ b/crates/catkin-load/src/report.rs
@@ -58,11 +58,11 @@
             let answers = tally.answers.iter().map(|(answer, count)| format!("{answer}: {count}"));
             writeln!(f, "{name}: {}", answers.collect::<Vec<_>>().join(", "))?;
         }
-        writeln!(f, "runs in the ledgers: {}", self.checks.runs)?;
         for (name, findings) in self.checks.all() {
             writeln!(f, "{name}: {}", findings.count)?;
             findings.examples.iter().try_for_each(|example| writeln!(f, "  {example}"))?;
         }
-        Ok(())
+        let wrong: u64 = self.checks.all().iter().map(|(_, findings)| findings.count).sum();
+        writeln!(f, "sent: {}, ran: {}, runs: {}, wrong: {wrong}", self.sent(), self.ran(), self.checks.runs)
     }
 }
--- a/crates/catkin-load/src/run.rs
+++ b/crates/catkin-load/src/run.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        audit::{Checks, Findings, audit},
+        audit::{Checks, Findings, audit, audit_answers},
         experiment::{Experiment, Standin},
         plan::plan,
         report::Report,
@@ -37,8 +37,14 @@
     actix_rt::time::sleep(experiment.settle.as_duration()).await;
     let mut unread = Findings::default();
     let ledgers = read_ledgers(&experiment.targets, &mut unread).await;
-    let checks = Checks { unread, failed_events: failed, ..audit(&records, &ledgers) };
-    Ok(report(experiment, &records, checks))
+    let audited = match &experiment.targets[..] {
+        [] => audit_answers(&records),
+        _ => audit(&records, &ledgers),
+    };
+    let checks = Checks { unread, failed_events: failed, ..audited };
+    let mut report = report(experiment, &records, checks);
+    check_served(experiment, &mut report);
+    Ok(report)
 }
 
 async fn send_all(experiment: &Experiment, start: Instant) -> Result<Vec<Record>, Error> {
@@ -120,3 +126,14 @@
         checks,
     }
 }
+
+fn check_served(experiment: &Experiment, report: &mut Report) {
+    for kind in &experiment.kinds {
+        let tally = &report.kinds[&kind.name];
+        let wanted = tally.sent as f64 * kind.served.as_f64();
+        if (tally.ran as f64) < wanted {
+            let (name, ran, sent) = (&kind.name, tally.ran, tally.sent);
+            report.checks.unserved.add(|| format!("{name}: {ran} of {sent} ran, wanted {}", kind.served));
+        }
+    }
+}
