--- a/crates/catkin/src/intent.rs
+++ b/crates/catkin/src/intent.rs
@@ -13,10 +13,12 @@
         Code, Error,
         config::LogDown,
         dispatch::JobId,
-        record::Intent,
+        fold::Taken,
+        record::{Intent, Writer},
         types::{Service, Span, Time},
     },
     std::collections::{BTreeMap, VecDeque},
+    xxhash_rust::xxh3::xxh3_128,
 };
 
 /// Groups that one VM appends in a second, at most. Together 11 VMs stay
@@ -46,6 +48,18 @@
     },
 }
 
+impl Standing {
+    /// Reads the first record of a key as a process sees it.
+    pub fn new(first: Option<&Taken>, own: &Writer) -> Self {
+        match first {
+            None => Self::Free,
+            Some(first) if first.done => Self::Taken { done: true },
+            Some(first) if first.writer == *own => Self::First,
+            Some(_) => Self::Taken { done: false },
+        }
+    }
+}
+
 /// A request with an idempotency key.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -195,6 +209,17 @@
         Some(group)
     }
 
+    /// Returns whether the group that is being appended may be appended again
+    /// now, after an answer was lost, and counts that as an append.
+    pub fn again(&mut self, now: Time) -> bool {
+        let early = self.appended.is_some_and(|at| now.since(at) < APPEND_PERIOD);
+        if early || self.outstanding.is_empty() {
+            return false;
+        }
+        self.appended = Some(now);
+        true
+    }
+
     /// Takes what the fold says about the keys of the group that was
     /// appended, once the record was read back.
     pub fn commit(&mut self, now: Time, standing: impl Fn(u128) -> Standing) -> Vec<Event> {
@@ -365,3 +390,10 @@
 fn down() -> Error {
     Error::new(Code::LogDown, "the log can't be reached")
 }
+
+/// Hashes a service and an idempotency key.
+pub fn digest(service: &Service, key: &str) -> u128 {
+    // A service's name has no byte 0, so that two pairs never give one text.
+    let text = [service.as_str(), "\0", key].concat();
+    xxh3_128(text.as_bytes())
+}
--- a/crates/catkin/src/wire.rs
+++ b/crates/catkin/src/wire.rs
@@ -45,6 +45,8 @@
     pub slice: Option<(SliceId, Fence)>,
     /// Key of the request.
     pub key: Option<Key>,
+    /// Idempotency key of the request.
+    pub operation: Option<Arc<str>>,
     /// Class of the request.
     pub class: Class,
     /// Whether the request may be sent again.
@@ -72,6 +74,8 @@
     pub length: Option<u64>,
     /// Target that handled the request.
     pub target: TargetId,
+    /// Fence under which it was sent, for a service divided by key.
+    pub fence: Option<Fence>,
 }
 
 /// A frame between gateways.
@@ -170,6 +174,8 @@
     pub target: TargetId,
     /// Requests running and waiting.
     pub depth: u32,
+    /// Requests per second to its slices.
+    pub rate: u32,
     /// Whether it takes new work.
     pub open: bool,
 }
