net: count a request as unsent only if no connection was opened

awc reports Connect(Disconnected) when a connection closes between the request and its answer, as when a process is killed in the middle of work. Such a request may have run; taking it for unsent made the log client report an append that took effect as refused, and a caller send an order a second time. Connections can also be closed from within, so that the stand-ins can hang up.

--- a/crates/catkin-net/src/http.rs
+++ b/crates/catkin-net/src/http.rs
@@ -6,8 +6,8 @@
     actix_service::{Service, ServiceFactory, fn_service},
     catkin::{Code, Error},
     serde::Serialize,
-    std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
-    tokio::net::TcpListener,
+    std::{cell::RefCell, collections::HashMap, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{net::TcpListener, sync::Notify},
 };
 
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -24,37 +24,49 @@
         .map_err(|e| Error::new(Code::BadValue, format!("can't listen on {addr}: {e}")))
 }
 
-/// Counts the open connections of a listener and limits them.
+/// The open connections of a listener, and their limit.
 #[derive(Clone, Debug)]
 pub struct Connections {
     max: u32,
-    open: Rc<Cell<u32>>,
+    open: Rc<RefCell<HashMap<SocketAddr, Rc<Notify>>>>,
 }
 
 /// One open connection; dropped with it.
-struct Open(Rc<Cell<u32>>);
+struct Open {
+    connections: Connections,
+    peer: SocketAddr,
+    closed: Rc<Notify>,
+}
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.connections.open.borrow_mut().remove(&self.peer);
     }
 }
 
 impl Connections {
-    /// Makes a count that allows a number of connections.
+    /// Allows a number of connections.
     pub fn new(max: u32) -> Self {
         Self { max, open: Rc::default() }
     }
 
     /// Returns the number of open connections.
     pub fn open(&self) -> u32 {
-        self.open.get()
+        u32::try_from(self.open.borrow().len()).unwrap_or(u32::MAX)
+    }
+
+    /// Closes the connection from an address, whatever it is in the middle of.
+    pub fn close(&self, peer: SocketAddr) {
+        if let Some(closed) = self.open.borrow().get(&peer) {
+            closed.notify_one();
+        }
     }
 
-    fn enter(&self) -> Option<Open> {
-        (self.open.get() < self.max).then(|| {
-            self.open.set(self.open.get() + 1);
-            Open(self.open.clone())
+    fn enter(&self, peer: SocketAddr) -> Option<Open> {
+        (self.open() < self.max).then(|| {
+            let closed = Rc::<Notify>::default();
+            self.open.borrow_mut().insert(peer, closed.clone());
+            Open { connections: self.clone(), peer, closed }
         })
     }
 }
@@ -103,20 +115,22 @@
         .tcp();
     let http = factory.new_service(()).await.map_err(|()| Error::new(Code::Internal, "no HTTP service"))?;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             // Accepting fails while file descriptors are used up.
             actix_rt::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let Some(open) = connections.enter() else {
+        let Some(open) = connections.enter(peer) else {
             continue;
         };
         let _ = stream.set_nodelay(true);
         let stream: TcpStream = stream;
         let exchange = http.call(stream);
         actix_rt::spawn(async move {
-            let _open = open;
-            exchange.await
+            tokio::select! {
+                _ = exchange => {}
+                () = open.closed.notified() => {}
+            }
         });
     }
 }
--- a/crates/catkin-net/src/json.rs
+++ b/crates/catkin-net/src/json.rs
@@ -2,7 +2,10 @@
 
 use {
     actix_http::error::PayloadError,
-    awc::{Client, ClientResponse},
+    awc::{
+        Client, ClientResponse,
+        error::{ConnectError, SendRequestError},
+    },
     bytes::Bytes,
     catkin::{
         Code, Error,
@@ -103,11 +106,18 @@
     }
 }
 
-fn send_code(error: &awc::error::SendRequestError) -> Code {
+/// Returns whether a failed request was certainly not sent.
+///
+/// `awc` also reports `Connect(Disconnected)` when a connection closes between
+/// the request and its answer, so that not every connect error will do.
+pub fn is_unsent(error: &SendRequestError) -> bool {
     match error {
-        awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_) => {
-            Code::ConnectFailed
-        }
-        _ => Code::OutcomeUnknown,
+        SendRequestError::Connect(ConnectError::Disconnected) => false,
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => true,
+        _ => false,
     }
 }
+
+fn send_code(error: &SendRequestError) -> Code {
+    if is_unsent(error) { Code::ConnectFailed } else { Code::OutcomeUnknown }
+}
--- a/crates/catkin-net/src/lib.rs
+++ b/crates/catkin-net/src/lib.rs
@@ -14,6 +14,6 @@
 pub use {
     clock::Monotonic,
     http::{Connections, listen, reply_json, reply_text, serve, serve_limited},
-    json::{get, list_vms, post, read_body},
+    json::{get, is_unsent, list_vms, post, read_body},
     log::{Log, Read},
 };
