standin, load: hang up before an answer; outages in place of key gaps

A connection that closes between request and answer is what a killed process leaves behind, and clients got it wrong. The gap of one key mostly showed how seldom cold keys are asked for; an outage spans the requests that did not run. Tests of lost answers wait for the effect instead of a time-out.

--- a/crates/catkin-load/src/compare.rs
+++ b/crates/catkin-load/src/compare.rs
@@ -21,7 +21,7 @@
     ("p99.9 ms", |tally| tally.latency.p999, millis),
     ("max ms", |tally| tally.latency.max, millis),
     ("gap ms", |tally| tally.gap, millis),
-    ("key gap ms", |tally| tally.key_gap, millis),
+    ("outage ms", |tally| tally.outage, millis),
 ];
 
 fn count(number: u64) -> String {
--- a/crates/catkin-load/src/report.rs
+++ b/crates/catkin-load/src/report.rs
@@ -44,12 +44,12 @@
         writeln!(
             f,
             "{:<16} {:>8} {:>8} {:>6} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
-            "kind", "sent", "ran", "late", "p50", "p90", "p99", "p99.9", "max", "gap", "key gap"
+            "kind", "sent", "ran", "late", "p50", "p90", "p99", "p99.9", "max", "gap", "outage"
         )?;
         for (name, tally) in &self.kinds {
             let time = &tally.latency;
             write!(f, "{name:<16} {:>8} {:>8} {:>6}", tally.sent, tally.ran, tally.late)?;
-            for micros in [time.p50, time.p90, time.p99, time.p999, time.max, tally.gap, tally.key_gap] {
+            for micros in [time.p50, time.p90, time.p99, time.p999, time.max, tally.gap, tally.outage] {
                 write!(f, " {:>9}", millis(micros))?;
             }
             writeln!(f)?;
--- a/crates/catkin-load/src/send.rs
+++ b/crates/catkin-load/src/send.rs
@@ -13,7 +13,7 @@
         types::{Span, TargetId},
         wire::Class,
     },
-    catkin_net::read_body,
+    catkin_net::{is_unsent, read_body},
     catkin_standin::{Echo, header as own},
     std::{
         net::SocketAddr,
@@ -167,7 +167,7 @@
         for addr in order {
             match self.try_send(call, *addr).await {
                 Ok(mut answer) => return read(call, &mut answer).await,
-                Err(SendRequestError::Connect(_)) => {}
+                Err(e) if is_unsent(&e) => {}
                 Err(_) => return (Answer::Lost, None),
             }
         }
--- a/crates/catkin-load/src/tally.rs
+++ b/crates/catkin-load/src/tally.rs
@@ -10,6 +10,7 @@
 
 const HIGHEST_MICROS: u64 = 3_600_000_000;
 const DIGITS: u8 = 3;
+const OUTAGE_PAUSE: Span = Span::from_millis(500);
 
 /// Quantiles of a histogram, in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,11 +48,13 @@
     /// Time by which requests were sent after their planned arrival; high
     /// values show a load generator that is too slow.
     pub lag: Quantiles,
-    /// Longest time without an answer, from the planned arrival of a request
-    /// that did not run to that of the next that did, in microseconds.
+    /// Longest time in which no request ran, from the planned arrival of one
+    /// that did not to that of the next that did, in microseconds.
     pub gap: u64,
-    /// The same for the requests of one key, for the worst key.
-    pub key_gap: u64,
+    /// Longest time in which some requests did not run, although others may
+    /// have, in microseconds. Two that did not run belong together if less
+    /// than half a second lies between their planned arrivals.
+    pub outage: u64,
 }
 
 /// Collects the results of one kind of work.
@@ -73,8 +76,8 @@
         latency,
         refusal: took(|answer| matches!(answer, Answer::NotRun(_))),
         lag: quantiles(records.iter().map(|record| record.lag)),
-        gap: longest_gap(records.iter().copied()).as_micros(),
-        key_gap: key_gap(records).as_micros(),
+        gap: longest_gap(records).as_micros(),
+        outage: longest_outage(records).as_micros(),
     }
 }
 
@@ -92,24 +95,32 @@
     }
 }
 
-fn key_gap(records: &[&Record]) -> Span {
-    let mut keys: BTreeMap<_, Vec<&Record>> = BTreeMap::new();
-    for record in records.iter().filter(|record| record.key.is_some()) {
-        keys.entry(&record.key).or_default().push(record);
-    }
-    keys.into_values().map(|records| longest_gap(records.into_iter())).max().unwrap_or_default()
+fn has_run(record: &Record) -> bool {
+    matches!(record.answer, Answer::Ran | Answer::RanBefore)
 }
 
 /// Returns the longest span from a request that did not run to the next that
 /// did, in the order of arrival. A span that lasts to the end counts as well.
-fn longest_gap<'a>(records: impl Iterator<Item = &'a Record>) -> Span {
+fn longest_gap(records: &[&Record]) -> Span {
     let (mut longest, mut since) = (Span::ZERO, None);
     for record in records {
         let start = *since.get_or_insert(record.at);
         longest = longest.max(record.at.saturating_sub(start));
-        if matches!(record.answer, Answer::Ran | Answer::RanBefore) {
+        if has_run(record) {
             since = None;
         }
     }
     longest
 }
+
+/// Returns the longest span from a request that did not run to another.
+fn longest_outage(records: &[&Record]) -> Span {
+    let (mut longest, mut start, mut last) = (Span::ZERO, None, Span::ZERO);
+    for record in records.iter().filter(|record| !has_run(record)) {
+        let is_new = record.at.saturating_sub(last) > OUTAGE_PAUSE;
+        let start = start.insert(start.filter(|_| !is_new).unwrap_or(record.at));
+        longest = longest.max(record.at.saturating_sub(*start));
+        last = record.at;
+    }
+    longest
+}
--- a/crates/catkin-load/tests/run.rs
+++ b/crates/catkin-load/tests/run.rs
@@ -141,3 +141,20 @@
         assert_eq!(lookup.ran, lookup.sent);
     });
 }
+
+/// Guards against a client that sends a request again although it may have
+/// run, which would run it twice.
+#[test]
+fn request_without_an_answer_is_not_sent_again() {
+    System::new().block_on(async {
+        let running = start(&standin()).await.unwrap();
+        let addr = running.targets[0];
+        let mut experiment = experiment(addr);
+        experiment.gateways = vec![addr, addr];
+        let faults = TargetFaults { hang_up: u32::MAX, ..TargetFaults::default() };
+        Event { target: Some(faults), ..event(addr) }.send(&Client::default()).await.unwrap();
+        let report = measure(&experiment).await;
+        assert!(report.checks.is_clean(), "{report}");
+        assert_eq!((report.ran(), report.checks.runs), (0, report.sent()));
+    });
+}
--- a/crates/catkin-standin/src/answer.rs
+++ b/crates/catkin-standin/src/answer.rs
@@ -19,6 +19,8 @@
     Whole,
     /// Before its first byte; the connection stays open.
     Lost,
+    /// Before its first byte, with the connection.
+    HungUp,
     /// In the middle; the connection stays open.
     Silent,
     /// In the middle, with the connection.
@@ -48,7 +50,7 @@
     }
     match end {
         End::Whole => answer.body(text).map_into_boxed_body(),
-        End::Lost | End::Silent => break_off(answer, &text, stream::pending()),
+        End::Lost | End::HungUp | End::Silent => break_off(answer, &text, stream::pending()),
         End::Cut => break_off(answer, &text, stream::once(cut())),
     }
 }
--- a/crates/catkin-standin/src/faults.rs
+++ b/crates/catkin-standin/src/faults.rs
@@ -21,6 +21,9 @@
     pub slow: Span,
     /// Number of appends that take effect and whose answer never comes.
     pub lose: u32,
+    /// Number of appends that take effect and whose connection closes before
+    /// the answer.
+    pub hang_up: u32,
     /// Number of appends that are refused with status 503.
     pub refuse: u32,
     /// Answers every request to the VM list with status 503.
@@ -57,6 +60,9 @@
     pub cold: Option<Cold>,
     /// Number of requests that run and whose answer never comes.
     pub lose: u32,
+    /// Number of requests that run and whose connection closes before the
+    /// answer.
+    pub hang_up: u32,
     /// Number of answers that stop in the middle on an open connection.
     pub silent: u32,
     /// Number of answers that end in the middle with the connection.
--- a/crates/catkin-standin/src/platform.rs
+++ b/crates/catkin-standin/src/platform.rs
@@ -14,7 +14,7 @@
         settings::StandinPlatform,
         types::{Offset, Span},
     },
-    catkin_net::{Monotonic, reply_json, reply_text},
+    catkin_net::{Connections, Monotonic, reply_json, reply_text},
     std::{
         cell::{Cell, RefCell},
         future::pending,
@@ -30,6 +30,7 @@
     log: LogService,
     list: RefCell<VmTable>,
     faults: Cell<PlatformFaults>,
+    pub(crate) connections: Connections,
 }
 
 impl Platform {
@@ -40,6 +41,7 @@
             log: LogService::new(clock, settings.retention),
             list: RefCell::new(VmTable::new(settings.lag, settings.vms.clone())),
             faults: Cell::default(),
+            connections: Connections::new(u32::MAX),
         }
     }
 
@@ -89,6 +91,12 @@
             self.faults.set(faults);
             return pending().await;
         }
+        if faults.hang_up > 0 {
+            faults.hang_up -= 1;
+            self.faults.set(faults);
+            request.peer_addr().into_iter().for_each(|peer| self.connections.close(peer));
+            return pending().await;
+        }
         Ok(reply_json(200, &Appended { offset }))
     }
 
--- a/crates/catkin-standin/src/run.rs
+++ b/crates/catkin-standin/src/run.rs
@@ -70,11 +70,14 @@
         let body = limit(work.left, exchange).await.map_err(|e| admitted.fail(e))?;
         admitted.commit(&work, &body)?;
         drop(admitted);
-        let end = self.take_end();
-        if end == End::Lost {
-            return pending().await;
+        match self.take_end() {
+            End::Lost => pending().await,
+            End::HungUp => {
+                request.peer_addr().into_iter().for_each(|peer| self.connections.close(peer));
+                pending().await
+            }
+            end => Ok(answer::echo(self, &work, &body, end)),
         }
-        Ok(answer::echo(self, &work, &body, end))
     }
 
     /// Refuses work by the faults that are on.
@@ -142,6 +145,7 @@
         let mut faults = self.faults.get();
         let (left, end) = match &mut faults {
             TargetFaults { lose, .. } if *lose > 0 => (lose, End::Lost),
+            TargetFaults { hang_up, .. } if *hang_up > 0 => (hang_up, End::HungUp),
             TargetFaults { silent, .. } if *silent > 0 => (silent, End::Silent),
             TargetFaults { cut, .. } if *cut > 0 => (cut, End::Cut),
             _ => return End::Whole,
--- a/crates/catkin-standin/src/start.rs
+++ b/crates/catkin-standin/src/start.rs
@@ -34,8 +34,8 @@
     let mut running = Running { platform: None, targets: Vec::new(), tasks: Vec::new() };
     if let Some(platform) = &settings.platform {
         let service = Rc::new(Platform::new(platform));
+        let open = service.connections.clone();
         let handler = move |request| service.clone().handle(request);
-        let open = Connections::new(u32::MAX);
         running.platform = Some(running.spawn(platform.addr, open, handler).await?);
     }
     for target in &settings.targets {
--- a/crates/catkin-standin/tests/platform.rs
+++ b/crates/catkin-standin/tests/platform.rs
@@ -14,8 +14,6 @@
     common::{Env, LIMIT, run},
 };
 
-const SHORT: Span = Span::from_millis(100);
-
 fn log(env: &Env) -> Log {
     Log::new(env.client.clone(), env.platform())
 }
@@ -33,13 +31,20 @@
         |_| {},
         async |env| {
             let log = log(&env);
-            env.fail_platform(PlatformFaults { lose: 1, refuse: 1, ..PlatformFaults::default() }).await;
+            let faults = PlatformFaults { lose: 1, hang_up: 1, refuse: 1, ..PlatformFaults::default() };
+            env.fail_platform(faults).await;
             let refused = log.append(b"refused", LIMIT).await.unwrap_err();
-            let lost = log.append(b"lost", SHORT).await.unwrap_err();
+            let writer = log.clone();
+            let lost = spawn(async move { writer.append(b"lost", LIMIT).await });
+            while log.read(Offset(0), 10, Span::ZERO).await.unwrap().head == Offset(0) {}
+            assert!(!lost.is_finished());
+            lost.abort();
+            let hung = log.append(b"hung", LIMIT).await.unwrap_err();
             let offset = log.append(b"kept", LIMIT).await.unwrap();
-            assert_eq!((refused.code(), lost.code()), (Code::LogUnavailable, Code::AppendUnknown));
+            assert_eq!((refused.code(), hung.code()), (Code::LogUnavailable, Code::AppendUnknown));
             let read = log.read(Offset(0), 10, Span::ZERO).await.unwrap();
-            assert_eq!(read.records, [(Offset(0), b"lost".to_vec()), (offset, b"kept".to_vec())]);
+            let texts: Vec<_> = read.records.iter().map(|(_, data)| &data[..]).collect();
+            assert_eq!((texts, offset), (vec![&b"lost"[..], b"hung", b"kept"], Offset(2)));
         },
     );
 }
--- a/crates/catkin-standin/tests/work.rs
+++ b/crates/catkin-standin/tests/work.rs
@@ -10,13 +10,14 @@
         api::{Load, header, path},
         types::{Share, Span},
     },
-    catkin_net::{get, read_body},
+    catkin_net::{get, is_unsent, read_body},
     catkin_standin::{TargetFaults, header as own, read_journal},
     common::{Env, LIMIT, run},
     std::time::Duration,
 };
 
 const BYTES_MAX: usize = 1 << 20;
+const SHORT: Duration = Duration::from_millis(50);
 const FOREVER_MS: &str = "3600000";
 
 async fn load(env: &Env) -> Load {
@@ -63,16 +64,19 @@
     run(
         |_| {},
         async |env| {
-            env.fail_target(TargetFaults { cut: 1, silent: 1, lose: 1, ..TargetFaults::default() }).await;
-            let short = Duration::from_millis(100);
-            let lost = actix_rt::time::timeout(short, env.work("/a").send()).await;
-            assert!(lost.is_err());
+            let faults = TargetFaults { cut: 1, silent: 1, hang_up: 1, lose: 1, ..TargetFaults::default() };
+            env.fail_target(faults).await;
+            let lost = spawn(env.work("/a").send());
+            env.wait(|ledger| ledger.counts.ran == 1).await;
+            assert!(!lost.is_finished());
+            lost.abort();
+            assert!(!is_unsent(&env.work("/e").send().await.unwrap_err()));
             let mut silent = env.work("/b").send().await.unwrap();
-            assert!(actix_rt::time::timeout(short, silent.body()).await.is_err());
+            assert!(actix_rt::time::timeout(SHORT, silent.body()).await.is_err());
             let cut = read_body(&mut env.work("/c").send().await.unwrap(), BYTES_MAX).await.unwrap_err();
             assert_eq!(cut.code(), Code::AnswerCut);
             assert!(read_body(&mut env.work("/d").send().await.unwrap(), BYTES_MAX).await.is_ok());
-            assert_eq!(env.ledger().await.counts.ran, 4);
+            assert_eq!(env.ledger().await.counts.ran, 5);
         },
     );
 }
@@ -104,8 +108,7 @@
         async |env| {
             env.fail_target(TargetFaults { freeze: Span::from_secs(3_600), ..TargetFaults::default() }).await;
             let work = spawn(env.work("/a").send());
-            let soon = Duration::from_millis(50);
-            assert!(actix_rt::time::timeout(soon, env.work("/b").send()).await.is_err());
+            assert!(actix_rt::time::timeout(SHORT, env.work("/b").send()).await.is_err());
             assert!(!work.is_finished());
             env.fail_target(TargetFaults::default()).await;
             assert!(work.await.unwrap().unwrap().status().is_success());
