--- a/crates/catkin-load/src/report.rs
+++ b/crates/catkin-load/src/report.rs
@@ -44,12 +44,12 @@
         writeln!(
             f,
             "{:<16} {:>8} {:>8} {:>6} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
-            "kind", "sent", "ran", "late", "p50", "p90", "p99", "p99.9", "max", "gap", "key gap"
+            "kind", "sent", "ran", "late", "p50", "p90", "p99", "p99.9", "max", "gap", "outage"
         )?;
         for (name, tally) in &self.kinds {
             let time = &tally.latency;
             write!(f, "{name:<16} {:>8} {:>8} {:>6}", tally.sent, tally.ran, tally.late)?;
-            for micros in [time.p50, time.p90, time.p99, time.p999, time.max, tally.gap, tally.key_gap] {
+            for micros in [time.p50, time.p90, time.p99, time.p999, time.max, tally.gap, tally.outage] {
                 write!(f, " {:>9}", millis(micros))?;
             }
             writeln!(f)?;
@@ -58,11 +58,11 @@
             let answers = tally.answers.iter().map(|(answer, count)| format!("{answer}: {count}"));
             writeln!(f, "{name}: {}", answers.collect::<Vec<_>>().join(", "))?;
         }
-        writeln!(f, "runs in the ledgers: {}", self.checks.runs)?;
         for (name, findings) in self.checks.all() {
             writeln!(f, "{name}: {}", findings.count)?;
             findings.examples.iter().try_for_each(|example| writeln!(f, "  {example}"))?;
         }
-        Ok(())
+        let wrong: u64 = self.checks.all().iter().map(|(_, findings)| findings.count).sum();
+        writeln!(f, "sent: {}, ran: {}, runs: {}, wrong: {wrong}", self.sent(), self.ran(), self.checks.runs)
     }
 }
