--- a/crates/catkin/tests/choose.rs
+++ b/crates/catkin/tests/choose.rs
@@ -106,6 +106,7 @@
     let later = now().after(Span::from_millis(200));
     assert!(share(&loads, later, 0) > 0);
     loads.begin(&id(0));
+    (1..3).for_each(|number| (0..4).for_each(|_| loads.begin(&id(number))));
     assert_eq!(share(&loads, later, 0), 0, "one probe at a time");
 }
 
