member: bound the probes of a node and measure membership

Probes are now limited to 20 a second for each node, what a fleet of 9 needs.

With the limit the first peers of a VM that is cut off counted as lost before the last ones were probed, so it claimed their targets. A VM counts as cut off now when no peer at all was heard for 300 ms; the test a_vm_that_hears_nobody_claims_nothing_at_first had failed.

--- a/crates/catkin-bench/src/main.rs
+++ b/crates/catkin-bench/src/main.rs
@@ -9,6 +9,7 @@
 mod compare;
 mod faults;
 mod measure;
+mod member;
 mod overload;
 mod peak;
 mod world;
@@ -36,6 +37,7 @@
     ("balance", balance::measures),
     ("faults", faults::measures),
     ("compare", compare::measures),
+    ("member", member::measures),
 ];
 
 fn main() -> ExitCode {
--- a/crates/catkin/src/member.rs
+++ b/crates/catkin/src/member.rs
@@ -50,8 +50,17 @@
 /// Time from suspicion to loss. Two rounds of probes fit in, which keeps
 /// false losses rare when one datagram in ten is dropped.
 const SUSPICION: Span = Span::from_millis(200);
+/// Time that one probe costs. It bounds the probes of a node at 20 a second,
+/// what a fleet of 9 VMs needs. A VM that watches many peers probes each of
+/// them less often.
+const PROBE_COST: Span = Span::from_millis(50);
+/// Time that can be saved for probes.
+const CREDIT_MAX: Span = Span::from_millis(200);
 /// Time between two probes of a lost peer.
 const LOST_PROBE_AFTER: Span = Span::from_secs(1);
+/// Silence of all peers from which this VM counts as cut off. It is shorter
+/// than the time after which the first of them counts as lost.
+const ALONE_AFTER: Span = Span::from_millis(300);
 /// Time between two ticks from which this process counts as paused.
 const PAUSE: Span = Span::from_millis(300);
 /// Time for which an unlisted peer is remembered after its last datagram.
@@ -205,6 +214,9 @@
     passes: VecDeque<Pass>,
     number: u64,
     ticked: Option<Time>,
+    credit: Span,
+    /// Last answer of any peer.
+    heard: Option<Time>,
     alone: Option<Time>,
     changes: Vec<Change>,
 }
@@ -227,6 +239,8 @@
             passes: VecDeque::new(),
             number: 0,
             ticked: None,
+            credit: CREDIT_MAX,
+            heard: None,
             alone: None,
             changes: Vec::new(),
         }
@@ -337,11 +351,23 @@
         if self.ticked.is_some_and(|last| now.since(last) >= PAUSE) {
             self.resume(now);
         }
+        let passed = self.ticked.map_or(Span::ZERO, |last| now.since(last));
+        self.credit = (self.credit + passed).min(CREDIT_MAX);
         self.ticked = Some(now);
         self.forget(now);
         let mut output = Vec::new();
-        for vm in self.checked() {
-            self.check(now, &vm, &mut output);
+        let mut due: Vec<(Time, VmId)> = self
+            .checked()
+            .into_iter()
+            .filter_map(|vm| Some((self.check(now, &vm, &mut output)?, vm)))
+            .collect();
+        due.sort();
+        for (_, vm) in due {
+            if self.credit < PROBE_COST {
+                break;
+            }
+            self.credit = self.credit - PROBE_COST;
+            self.probe(now, &vm, &mut output);
         }
         self.note_alone(now);
         output
@@ -350,6 +376,7 @@
     /// Restarts all waits after this process was paused: the peers may have
     /// answered while it did not run.
     fn resume(&mut self, now: Time) {
+        self.heard = Some(now);
         for peer in self.peers.values_mut() {
             peer.quiet = Some(now);
             peer.probe = None;
@@ -377,16 +404,14 @@
         self.watched.iter().chain(rest).take(CHECKED_MAX).cloned().collect()
     }
 
-    fn check(&mut self, now: Time, vm: &VmId, output: &mut Vec<(VmId, Body)>) {
+    /// Follows the probe of a peer up or returns since when a new one is due.
+    fn check(&mut self, now: Time, vm: &VmId, output: &mut Vec<(VmId, Body)>) -> Option<Time> {
         let after = if self.vm < *vm { PROBE_AFTER } else { PROBE_AFTER + PROBE_SLACK };
-        let Some(peer) = self.peers.get_mut(vm).filter(|p| p.listed) else { return };
+        let peer = self.peers.get_mut(vm).filter(|p| p.listed)?;
         let quiet = *peer.quiet.get_or_insert(now);
         let Some(probe) = peer.probe else {
-            let wait = if peer.is_lost() { LOST_PROBE_AFTER } else { after };
-            if now.since(quiet) >= wait {
-                self.probe(now, vm, output);
-            }
-            return;
+            let due = quiet.after(if peer.is_lost() { LOST_PROBE_AFTER } else { after });
+            return (now >= due).then_some(due);
         };
         let waited = now.since(probe.sent);
         if !probe.relayed && waited >= ACK_WAIT {
@@ -399,6 +424,7 @@
         } else if waited >= ACK_WAIT + RELAY_WAIT {
             self.fail(now, vm, output);
         }
+        None
     }
 
     fn probe(&mut self, now: Time, vm: &VmId, output: &mut Vec<(VmId, Body)>) {
@@ -451,8 +477,8 @@
     }
 
     fn note_alone(&mut self, now: Time) {
-        let answers = |vm: &VmId| self.peers.get(vm).is_some_and(|p| p.health == Health::Answers);
-        if self.watched.len() < 2 || self.watched.iter().any(answers) {
+        let heard = *self.heard.get_or_insert(now);
+        if self.watched.len() < 2 || now.since(heard) < ALONE_AFTER {
             self.alone = None;
         } else {
             self.alone.get_or_insert(now);
@@ -503,6 +529,7 @@
     }
 
     fn recover(&mut self, now: Time, vm: &VmId) {
+        self.heard = Some(now);
         let Some(peer) = self.peers.get_mut(vm) else { return };
         peer.quiet = Some(now);
         peer.probe = None;
@@ -596,7 +623,7 @@
         self.watched.iter()
     }
 
-    /// Returns since when no watched peer answers, if there are at least two.
+    /// Returns since when no peer at all answers, if at least two are watched.
     /// The fault is then more likely with this VM than with all of them.
     pub fn alone_since(&self) -> Option<Time> {
         self.alone
