--- a/crates/catkin-bench/src/main.rs
+++ b/crates/catkin-bench/src/main.rs
@@ -9,6 +9,7 @@
 mod compare;
 mod faults;
 mod measure;
+mod member;
 mod once;
 mod overload;
 mod peak;
@@ -38,6 +39,7 @@
     ("faults", faults::measures),
     ("once", once::measures),
     ("compare", compare::measures),
+    ("member", member::measures),
 ];
 
 fn main() -> ExitCode {
