Carry the hybrid clock in messages, and never call a sent request not run

Cause of the second: awc reports Connect(Disconnected) when a target closes the connection after the request was sent, and the gateway took every connect error for "never sent". It now asks catkin_net::is_unsent, which the log client already uses. The fold also refuses a configuration that turns a service divided by key into one that is not, as catkinctl does.

--- a/crates/catkin-bench/src/member.rs
+++ b/crates/catkin-bench/src/member.rs
@@ -4,6 +4,7 @@
     crate::measure::{Bound, Measure},
     catkin::{
         api::{Life, Listed, Role, VmList},
+        event::{Timestamp, Wall},
         member::{Event, Members, TICK, WATCHED_MAX},
         types::{Offset, Revision, Span, Time, VmId, Zone},
         wire::{Body, DATAGRAM_BYTES_MAX, Datagram, encode},
@@ -20,6 +21,8 @@
 const CONTROL_BYTES_MAX: f64 = 3_000.0;
 /// Number of a process, as a start time in microseconds.
 const BOOT: u64 = 1_764_830_000_000_000;
+/// A reading of the wall clock; its size does not change for decades.
+const WALL: Wall = Wall::from_micros(BOOT);
 /// Headers of IPv4 and UDP.
 const HEADER_BYTES: usize = 28;
 /// Time in which a key is served again after a loss.
@@ -149,7 +152,7 @@
         let datagram = Datagram {
             from: from.clone(),
             boot: BOOT,
-            clock: self.now,
+            stamp: Timestamp { wall: WALL, count: 0 },
             offset: Offset(50_000_000),
             revision: Revision(10_000),
             leaving: false,
--- a/crates/catkin-gateway/src/accept.rs
+++ b/crates/catkin-gateway/src/accept.rs
@@ -163,6 +163,7 @@
     let left = ask.end.since(node.now());
     let head = Head {
         request: ask.id.clone(),
+        stamp: node.stamp(),
         service: ask.service.clone(),
         target: route.target,
         slice: route.slice,
--- a/crates/catkin-gateway/src/execute.rs
+++ b/crates/catkin-gateway/src/execute.rs
@@ -139,10 +139,7 @@
 }
 
 fn send_error(error: &SendRequestError) -> Error {
-    let code = match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => Code::ConnectFailed,
-        _ => Code::OutcomeUnknown,
-    };
+    let code = if catkin_net::is_unsent(error) { Code::ConnectFailed } else { Code::OutcomeUnknown };
     Error::new(code, error.to_string())
 }
 
@@ -170,6 +167,7 @@
         headers: pass(answer.headers()),
         length,
         target: head.target.clone(),
+        stamp: node.stamp(),
         fence: head.slice.map(|(_, fence)| fence),
     };
     let stall = node.set.limits.stall.as_duration();
--- a/crates/catkin-gateway/src/heartbeat.rs
+++ b/crates/catkin-gateway/src/heartbeat.rs
@@ -89,6 +89,7 @@
             return Vec::new();
         }
     };
+    node.observe(datagram.stamp);
     if let Body::Loads(loads) = &datagram.body {
         let now = node.now();
         let mut tables = node.loads.borrow_mut();
@@ -106,7 +107,7 @@
         let datagram = Datagram {
             from: node.set.vm.clone(),
             boot: node.boot,
-            clock: node.now(),
+            stamp: node.stamp(),
             offset: node.state.borrow().next(),
             revision: node.state.borrow().config().revision,
             leaving: node.leaving.get(),
--- a/crates/catkin-gateway/src/node.rs
+++ b/crates/catkin-gateway/src/node.rs
@@ -8,7 +8,7 @@
         append::Appender,
         choose::Loads,
         config::Policy,
-        event::{Kind, Ring, Wall},
+        event::{Kind, Ring, Timestamp, Wall},
         fold::State,
         lease::{Keeper, Timings},
         member::Members,
@@ -162,6 +162,17 @@
         self.events.borrow_mut().push(wall(), offset, kind);
     }
 
+    /// Returns a timestamp for a message.
+    pub(crate) fn stamp(&self) -> Timestamp {
+        self.events.borrow_mut().stamp(wall())
+    }
+
+    /// Takes the timestamp of a message, so that later events are ordered
+    /// after those of its sender.
+    pub(crate) fn observe(&self, stamp: Timestamp) {
+        self.events.borrow_mut().observe(stamp);
+    }
+
     /// Uses the retry budget of a service.
     pub(crate) fn budget<T>(
         &self,
--- a/crates/catkin-gateway/src/peer.rs
+++ b/crates/catkin-gateway/src/peer.rs
@@ -157,6 +157,7 @@
     let (frame, is_sent) = upload(&mut conn, body.into_stream()).await?;
     match frame {
         Frame::Answer(answer) => {
+            node.observe(answer.stamp);
             let length = answer.length;
             let body = Body::Stream(length, read_answer(node.clone(), addr, conn));
             Ok(Reply { answer, body })
@@ -329,6 +330,7 @@
 /// the connection cancels the request.
 async fn serve_request(node: &Rc<Node>, conn: &mut Conn, head: Head) -> Result<(), Error> {
     let _open = Forwarded::new(node);
+    node.observe(head.stamp);
     let (parts, body) = mpsc::channel::<Part>(PARTS_IN_FLIGHT);
     let body = match head.length {
         Some(0) => Body::Whole(Bytes::new()),
--- a/crates/catkin-gateway/src/queue.rs
+++ b/crates/catkin-gateway/src/queue.rs
@@ -5,6 +5,7 @@
     catkin::{
         Code, Error,
         dispatch::{Event, Job, JobId, Outcome, Table},
+        event::Kind,
         types::{TargetId, Time},
         wire::Head,
     },
@@ -99,6 +100,12 @@
     let now = node.now();
     let job = Job { id, target: head.target.clone(), class: head.class, deadline: end, length: None };
     queues.table.borrow_mut().push(now, job)?;
+    node.record(Kind::Queued {
+        request: head.request.clone(),
+        service: head.service.clone(),
+        target: head.target.clone(),
+        slice: head.slice.map(|(slice, _)| slice),
+    });
     let permit = Permit { node: node.clone(), id, target: head.target.clone(), outcome: Outcome::Cancelled };
     let (start, started) = oneshot::channel();
     queues.waiters.borrow_mut().insert(id, start);
--- a/crates/catkin/src/fold.rs
+++ b/crates/catkin/src/fold.rs
@@ -242,6 +242,7 @@
             return Err(Error::new(Code::ConfigConflict, detail));
         }
         let fleet = config::parse(&publish.text)?;
+        config::check_change(&self.config.fleet, &fleet)?;
         self.slices.check(&fleet)?;
         self.slices.configure(&fleet);
         self.config = Current {
--- a/crates/catkin/src/wire.rs
+++ b/crates/catkin/src/wire.rs
@@ -7,7 +7,8 @@
 use {
     crate::{
         Code, Error,
-        types::{Fence, Key, Offset, RequestId, Revision, Service, SliceId, Span, TargetId, Time, VmId},
+        event::Timestamp,
+        types::{Fence, Key, Offset, RequestId, Revision, Service, SliceId, Span, TargetId, VmId},
     },
     bytes::Bytes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -37,6 +38,8 @@
 pub struct Head {
     /// Id of the request.
     pub request: RequestId,
+    /// Hybrid logical clock of the sender.
+    pub stamp: Timestamp,
     /// The service.
     pub service: Service,
     /// The target that the accepting gateway chose.
@@ -74,6 +77,8 @@
     pub length: Option<u64>,
     /// Target that handled the request.
     pub target: TargetId,
+    /// Hybrid logical clock of the sender.
+    pub stamp: Timestamp,
     /// Fence under which it was sent, for a service divided by key.
     pub fence: Option<Fence>,
 }
@@ -187,8 +192,8 @@
     pub from: VmId,
     /// Number of the sender's process.
     pub boot: u64,
-    /// Reading of the sender's clock.
-    pub clock: Time,
+    /// Hybrid logical clock of the sender.
+    pub stamp: Timestamp,
     /// Log offset of the sender.
     pub offset: Offset,
     /// Configuration in force at the sender.
--- a/crates/catkin/tests/decode.rs
+++ b/crates/catkin/tests/decode.rs
@@ -4,12 +4,13 @@
 use {
     catkin::{
         Code, config,
+        event::{Timestamp, Wall},
         fold::State,
         record::{self, Assign, Carve, Change, Chunk, Claim, Intent, Move, Publish, Record, Writer},
         settings::{self, Gateway, Standin},
         types::{
-            Fence, Key, Offset, Revision, Sequence, Service, Share, Size, SliceId, Span, TargetId, Time,
-            Version, VmId,
+            Fence, Key, Offset, Revision, Sequence, Service, Share, Size, SliceId, Span, TargetId, Version,
+            VmId,
         },
         wire::{
             self, Answer, Body, Class, DATAGRAM_BYTES_MAX, Datagram, FRAME_BYTES_MAX, Frame, Gossip, Head,
@@ -81,16 +82,17 @@
         let text: Arc<str> = text.into();
         let headers = vec![("x".into(), data.clone().into())];
         let fence = slices.first().map(|(_, fence)| *fence);
+        let stamp = Timestamp { wall: Wall::from_micros(keeper.0), count: small.into() };
         match kind {
             0 => Frame::Request(Head {
-                request, service, target, slice: slices.first().copied(), key: Key::new(text.clone()).ok(),
+                stamp, request, service, target, slice: slices.first().copied(), key: Key::new(text.clone()).ok(),
                 operation: Some(text.clone()), class: if flag { Class::Long } else { Class::Short },
                 idempotent: flag, left: Span::from_micros(keeper.0), method: "GET".into(), path: text, headers,
                 length: number,
             }),
             1 => Frame::Body(data.into()),
             2 => if flag { Frame::End } else { Frame::Cancel },
-            3 => Frame::Answer(Answer { status: small, headers, length: number, target, fence }),
+            3 => Frame::Answer(Answer { status: small, headers, length: number, target, stamp, fence }),
             4 => Frame::Failed { code: small, detail: text },
             5 => if flag { Frame::PullState } else { Frame::AskStopped { target, slices } },
             6 => Frame::State { at: keeper, left: small.into(), data: data.into() },
@@ -113,8 +115,9 @@
             3 => Body::Relayed { number, from: to },
             _ => Body::Loads(vec![Gossip { target, depth: small, open: flag, rate: small }]),
         };
-        let (clock, revision) = (Time::from_micros(clock), Revision(number));
-        Datagram { from, boot, clock, offset: Offset(offset), revision, leaving: flag, body }
+        let stamp = Timestamp { wall: Wall::from_micros(clock), count: small };
+        let revision = Revision(number);
+        Datagram { from, boot, stamp, offset: Offset(offset), revision, leaving: flag, body }
     }
 }
 
--- a/crates/catkin/tests/fleet/mod.rs
+++ b/crates/catkin/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 use {
     catkin::{
         api::{Life, Listed, Role, VmList},
+        event::Timestamp,
         fold::{State, Verdict},
         member::{Change as Seen, Event, Members, TICK},
         place::{Assigner, Claims, Inputs, Loads, Planner, own_totals, watched},
@@ -115,7 +116,7 @@
         let datagram = Datagram {
             from: from.clone(),
             boot: sender.boot(),
-            clock: self.now,
+            stamp: Timestamp::default(),
             offset: Offset(0),
             revision: Revision(0),
             leaving: sender.is_leaving(&from),
--- a/crates/catkin/tests/member.rs
+++ b/crates/catkin/tests/member.rs
@@ -4,6 +4,7 @@
 
 use {
     catkin::{
+        event::Timestamp,
         member::{Event, WATCHED_MAX},
         types::{Span, Time, VmId},
         wire::Body,
@@ -86,7 +87,7 @@
     let late = catkin::wire::Datagram {
         from: vm(1),
         boot: 1,
-        clock: net.now,
+        stamp: Timestamp::default(),
         offset: 0.into(),
         revision: 0.into(),
         leaving: true,
@@ -167,7 +168,7 @@
         let datagram = catkin::wire::Datagram {
             from: vm(*number),
             boot: 1,
-            clock: Time::default(),
+            stamp: Timestamp::default(),
             offset: 0.into(),
             revision: 0.into(),
             leaving: false,
