gateway: carry the load of a target in answers and send load datagrams once a second

Load datagrams to eight gateways every 50 ms are far above the 3 KB/s that a node may spend for control; answers tell the depth at no extra message.

--- a/crates/catkin-gateway/src/accept.rs
+++ b/crates/catkin-gateway/src/accept.rs
@@ -153,8 +153,9 @@
     let route = route::find(node, &ask.service, ask.key.as_ref())?;
     let mut count = Count::new(node, &ask.service, &route.target);
     let result = send_to(node, ask, route, body).await;
-    if result.is_err() {
-        count.set_fault();
+    match &result {
+        Ok(reply) => route::hear(node, &ask.service, &reply.answer),
+        Err(_) => count.set_fault(),
     }
     result
 }
--- a/crates/catkin-gateway/src/execute.rs
+++ b/crates/catkin-gateway/src/execute.rs
@@ -167,6 +167,7 @@
         headers: pass(answer.headers()),
         length,
         target: head.target.clone(),
+        depth: node.queues.table.borrow().depth(&head.target),
         stamp: node.stamp(),
         fence: head.slice.map(|(_, fence)| fence),
     };
--- a/crates/catkin-gateway/src/heartbeat.rs
+++ b/crates/catkin-gateway/src/heartbeat.rs
@@ -15,6 +15,9 @@
 };
 
 const TICK: Duration = Duration::from_millis(50);
+/// Ticks between two datagrams with loads to one gateway. Answers carry the
+/// load of their target, so these only serve plans and idle targets.
+const GOSSIP_TICKS: u64 = 20;
 /// Gateways that hear the loads of the kept targets.
 const GOSSIP_PEERS: usize = 11;
 /// Loads in one datagram; with ids of ordinary length they fit.
@@ -32,11 +35,15 @@
 /// Sends and receives datagrams until the process ends.
 pub(crate) async fn run(node: Rc<Node>, socket: UdpSocket) {
     let mut tick = actix_rt::time::interval(TICK);
+    let mut ticks = 0;
     // One byte more than is allowed tells a datagram that is too large.
     let mut buffer = [0; DATAGRAM_BYTES_MAX + 1];
     loop {
         let bodies = tokio::select! {
-            _ = tick.tick() => on_tick(&node),
+            _ = tick.tick() => {
+                ticks += 1;
+                on_tick(&node, ticks)
+            }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, _)) => receive(&node, &buffer[..length]),
                 // A peer that does not listen makes the next receive fail.
@@ -47,7 +54,7 @@
     }
 }
 
-fn on_tick(node: &Node) -> Vec<(VmId, Body)> {
+fn on_tick(node: &Node, ticks: u64) -> Vec<(VmId, Body)> {
     let now = node.now();
     let mut members = node.members.borrow_mut();
     let mut bodies = members.tick(now);
@@ -59,6 +66,9 @@
             _ => {}
         }
     }
+    if !ticks.is_multiple_of(GOSSIP_TICKS) {
+        return bodies;
+    }
     let peers = members.live().map(|live| live.vm).filter(|vm| *vm != node.set.vm).take(GOSSIP_PEERS);
     bodies.extend(peers.flat_map(|vm| gossip(node).into_iter().map(move |body| (vm.clone(), body))));
     bodies
--- a/crates/catkin-gateway/src/route.rs
+++ b/crates/catkin-gateway/src/route.rs
@@ -6,6 +6,7 @@
         Code, Error,
         choose::Rule,
         types::{Fence, Key, Service, SliceId, TargetId, VmId},
+        wire::{Answer, Gossip},
     },
     std::rc::Rc,
 };
@@ -47,6 +48,14 @@
     target.ok_or_else(|| no_owner(service))
 }
 
+/// Takes the load of a target from an answer.
+pub(crate) fn hear(node: &Node, service: &Service, answer: &Answer) {
+    let gossip = Gossip { target: answer.target.clone(), depth: answer.depth, rate: 0, open: true };
+    if let Some(rows) = node.loads.borrow_mut().get_mut(service) {
+        rows.hear(node.now(), &gossip);
+    }
+}
+
 /// Counts a request while it is on its way to a target.
 pub(crate) struct Count {
     node: Rc<Node>,
--- a/crates/catkin/src/wire.rs
+++ b/crates/catkin/src/wire.rs
@@ -77,6 +77,9 @@
     pub length: Option<u64>,
     /// Target that handled the request.
     pub target: TargetId,
+    /// Requests running and waiting at its keeper. It saves a datagram for
+    /// each target that answers.
+    pub depth: u32,
     /// Hybrid logical clock of the sender.
     pub stamp: Timestamp,
     /// Fence under which it was sent, for a service divided by key.
--- a/crates/catkin/tests/decode.rs
+++ b/crates/catkin/tests/decode.rs
@@ -92,7 +92,7 @@
             }),
             1 => Frame::Body(data.into()),
             2 => if flag { Frame::End } else { Frame::Cancel },
-            3 => Frame::Answer(Answer { status: small, headers, length: number, target, stamp, fence }),
+            3 => Frame::Answer(Answer { status: small, headers, length: number, target, depth: small.into(), stamp, fence }),
             4 => Frame::Failed { code: small, detail: text },
             5 => if flag { Frame::PullState } else { Frame::AskStopped { target, slices } },
             6 => Frame::State { at: keeper, left: small.into(), data: data.into() },
