load: count repeated operations as settled; find work after a drain

The second of two requests with one idempotency key is refused by design and must not count as an outage.

--- a/crates/catkin-load/src/report.rs
+++ b/crates/catkin-load/src/report.rs
@@ -43,12 +43,16 @@
         writeln!(f, "experiment {}, seed {}, {} of arrivals; times in ms", self.name, self.seed, self.span)?;
         writeln!(
             f,
-            "{:<16} {:>8} {:>8} {:>6} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
-            "kind", "sent", "ran", "late", "p50", "p90", "p99", "p99.9", "max", "gap", "outage"
+            "{:<16} {:>8} {:>8} {:>8} {:>6} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
+            "kind", "sent", "ran", "settled", "late", "p50", "p90", "p99", "p99.9", "max", "gap", "outage"
         )?;
         for (name, tally) in &self.kinds {
             let time = &tally.latency;
-            write!(f, "{name:<16} {:>8} {:>8} {:>6}", tally.sent, tally.ran, tally.late)?;
+            write!(
+                f,
+                "{name:<16} {:>8} {:>8} {:>8} {:>6}",
+                tally.sent, tally.ran, tally.settled, tally.late
+            )?;
             for micros in [time.p50, time.p90, time.p99, time.p999, time.max, tally.gap, tally.outage] {
                 write!(f, " {:>9}", millis(micros))?;
             }
--- a/crates/catkin-load/src/run.rs
+++ b/crates/catkin-load/src/run.rs
@@ -131,8 +131,9 @@
     for kind in &experiment.kinds {
         let tally = &report.kinds[&kind.name];
         let wanted = tally.sent as f64 * kind.served.as_f64();
-        if (tally.ran as f64) < wanted {
-            let (name, ran, sent) = (&kind.name, tally.ran, tally.sent);
+        let ran = tally.ran + tally.settled;
+        if (ran as f64) < wanted {
+            let (name, sent) = (&kind.name, tally.sent);
             report.checks.unserved.add(|| format!("{name}: {ran} of {sent} ran, wanted {}", kind.served));
         }
     }
--- a/crates/catkin-load/src/tally.rs
+++ b/crates/catkin-load/src/tally.rs
@@ -5,7 +5,7 @@
     catkin::types::Span,
     hdrhistogram::Histogram,
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 const HIGHEST_MICROS: u64 = 3_600_000_000;
@@ -38,6 +38,9 @@
     pub ran: u64,
     /// Those of them that were answered after their deadline.
     pub late: u64,
+    /// Requests that did not run because another with their idempotency key
+    /// did.
+    pub settled: u64,
     /// Requests by what their callers were told.
     pub answers: BTreeMap<String, u64>,
     /// Time from planned arrival to answer of requests that ran.
@@ -59,6 +62,8 @@
 
 /// Collects the results of one kind of work.
 pub(crate) fn tally(records: &[&Record], deadline: Span) -> Tally {
+    let served = is_served(records);
+    let times: Vec<_> = records.iter().map(|record| record.at).zip(served.iter().copied()).collect();
     let took = |wanted: fn(&Answer) -> bool| {
         quantiles(records.iter().filter(|record| wanted(&record.answer)).map(|record| record.took))
     };
@@ -72,12 +77,13 @@
         sent: records.len() as u64,
         ran: latency.count,
         late: records.iter().filter(is_late).count() as u64,
+        settled: served.iter().filter(|served| **served).count() as u64 - latency.count,
         answers,
         latency,
         refusal: took(|answer| matches!(answer, Answer::NotRun(_))),
         lag: quantiles(records.iter().map(|record| record.lag)),
-        gap: longest_gap(records).as_micros(),
-        outage: longest_outage(records).as_micros(),
+        gap: longest_gap(&times).as_micros(),
+        outage: longest_outage(&times).as_micros(),
     }
 }
 
@@ -95,32 +101,39 @@
     }
 }
 
-fn has_run(record: &Record) -> bool {
-    matches!(record.answer, Answer::Ran | Answer::RanBefore)
+/// Returns for each request whether it, or another with its idempotency key,
+/// ran.
+fn is_served(records: &[&Record]) -> Vec<bool> {
+    let ran = |record: &Record| matches!(record.answer, Answer::Ran | Answer::RanBefore);
+    let operations: BTreeSet<_> =
+        records.iter().filter(|record| ran(record)).filter_map(|record| record.operation.as_ref()).collect();
+    let settled = |record: &Record| record.operation.as_ref().is_some_and(|key| operations.contains(key));
+    records.iter().map(|record| ran(record) || settled(record)).collect()
 }
 
-/// Returns the longest span from a request that did not run to the next that
-/// did, in the order of arrival. A span that lasts to the end counts as well.
-fn longest_gap(records: &[&Record]) -> Span {
+/// Returns the longest span from a request that was not served to the next
+/// that was, in the order of arrival. A span that lasts to the end counts as
+/// well.
+fn longest_gap(times: &[(Span, bool)]) -> Span {
     let (mut longest, mut since) = (Span::ZERO, None);
-    for record in records {
-        let start = *since.get_or_insert(record.at);
-        longest = longest.max(record.at.saturating_sub(start));
-        if has_run(record) {
+    for (at, served) in times {
+        let start = *since.get_or_insert(*at);
+        longest = longest.max(at.saturating_sub(start));
+        if *served {
             since = None;
         }
     }
     longest
 }
 
-/// Returns the longest span from a request that did not run to another.
-fn longest_outage(records: &[&Record]) -> Span {
+/// Returns the longest span from a request that was not served to another.
+fn longest_outage(times: &[(Span, bool)]) -> Span {
     let (mut longest, mut start, mut last) = (Span::ZERO, None, Span::ZERO);
-    for record in records.iter().filter(|record| !has_run(record)) {
-        let is_new = record.at.saturating_sub(last) > OUTAGE_PAUSE;
-        let start = start.insert(start.filter(|_| !is_new).unwrap_or(record.at));
-        longest = longest.max(record.at.saturating_sub(*start));
-        last = record.at;
+    for (at, _) in times.iter().filter(|(_, served)| !served) {
+        let is_new = at.saturating_sub(last) > OUTAGE_PAUSE;
+        let start = start.insert(start.filter(|_| !is_new).unwrap_or(*at));
+        longest = longest.max(at.saturating_sub(*start));
+        last = *at;
     }
     longest
 }
--- a/crates/catkin-load/tests/audit.rs
+++ b/crates/catkin-load/tests/audit.rs
@@ -103,3 +103,13 @@
     assert_eq!(names(&checks), ["owned by two"]);
     assert_eq!(checks.shared_ownership.count, 2);
 }
+
+/// Guards against work for targets that leave.
+#[test]
+fn work_after_a_drain_is_found() {
+    let second = 1_000_000;
+    for (arrived, names_found) in [(3 * second, vec![]), (4 * second, vec!["work after drain"])] {
+        let ledger = Ledger { drained: Some(second), arrived: Some(arrived), ..ledger("t-1", &[], &[]) };
+        assert_eq!(names(&audit(&[], &[ledger])), names_found);
+    }
+}
