--- /dev/null
+++ b/crates/catkin-bench/src/wall.rs
@@ -0,0 +1,81 @@
+//! Wall-clock cost of the decision code. These figures depend on the machine
+//! and have no bound.
+
+use {
+    crate::measure::Measure,
+    catkin::{
+        choose::{Loads, Rule},
+        config::Policy,
+        dispatch::{Job, JobId, Outcome, Table},
+        types::{Span, TargetId, Time},
+        wire::Class,
+    },
+    std::{hint::black_box, time::Instant},
+};
+
+const ROUNDS: u64 = 200_000;
+const WAITING: u64 = 100;
+const TARGETS: u64 = 20;
+
+/// Returns the measures of this group.
+pub(crate) fn measures(_seed: u64) -> Vec<Measure> {
+    vec![
+        Measure::info("wall.dispatch_idle", per_round(dispatch(0)), "ns_per_request"),
+        Measure::info("wall.dispatch_100_waiting", per_round(dispatch(WAITING)), "ns_per_request"),
+        Measure::info("wall.choose_of_20", per_round(choose()), "ns_per_request"),
+    ]
+}
+
+fn per_round(mut round: impl FnMut(u64)) -> f64 {
+    (0..ROUNDS / 10).for_each(&mut round);
+    let start = Instant::now();
+    (0..ROUNDS).for_each(round);
+    start.elapsed().as_nanos() as f64 / ROUNDS as f64
+}
+
+fn target(number: u64) -> TargetId {
+    TargetId::new(format!("target-{number}")).expect("the name is an id")
+}
+
+/// One request goes through a queue that holds others.
+fn dispatch(waiting: u64) -> impl FnMut(u64) {
+    let target = target(0);
+    let policy = Policy { queue_wait: Span::from_secs(60), ..Policy::default() };
+    let mut table = Table::new();
+    table.set(&target, &policy);
+    let mut now = Time::default();
+    let mut number = 0;
+    let mut running = Vec::new();
+    move |_| {
+        now = now.after(Span::from_micros(100));
+        while u64::from(table.depth(&target)) <= waiting {
+            number += 1;
+            let deadline = now.after(Span::from_secs(60));
+            let job = Job {
+                id: JobId(number),
+                target: target.clone(),
+                class: Class::Short,
+                deadline,
+                length: None,
+            };
+            let _ = black_box(table.push(now, job));
+        }
+        for event in table.poll(now, &target) {
+            if let catkin::dispatch::Event::Start(id) = event {
+                running.push(id);
+            }
+        }
+        if let Some(id) = running.pop() {
+            table.finish(now, id, Outcome::Ok);
+        }
+    }
+}
+
+fn choose() -> impl FnMut(u64) {
+    let mut loads = Loads::new();
+    (0..TARGETS).for_each(|number| loads.add(Time::default(), &target(number), false));
+    move |round| {
+        let random = [round.wrapping_mul(0x9E37_79B9_7F4A_7C15), round.wrapping_mul(0xD1B5_4A32_D192_ED03)];
+        black_box(loads.choose(Time::default(), Rule::Two, random));
+    }
+}
