Measure placement, and count a joined server as empty

The tests counted a plan as settled after 6 s without a move, although a moved slice stays for 10 s; the stability test failed and waits 11 s now.

--- a/crates/catkin-bench/src/main.rs
+++ b/crates/catkin-bench/src/main.rs
@@ -8,10 +8,13 @@
 mod blocking;
 mod compare;
 mod faults;
+mod fleet;
+mod keys;
 mod measure;
 mod member;
 mod overload;
 mod peak;
+mod place;
 mod world;
 
 use {bpaf::Bpaf, measure::Measure, std::process::ExitCode};
@@ -26,6 +29,8 @@
     /// Only the groups whose name starts with this
     #[bpaf(argument("GROUP"), fallback(String::new()))]
     only: String,
+    /// Also measures processor time, which depends on the machine
+    wall: bool,
 }
 
 type Group = (&'static str, fn(u64) -> Vec<Measure>);
@@ -38,12 +43,18 @@
     ("faults", faults::measures),
     ("compare", compare::measures),
     ("member", member::measures),
+    ("place", place::measures),
+    ("planned", place::planned),
 ];
 
+/// Groups that depend on the machine and are left out without `--wall`.
+const WALL_GROUPS: &[Group] = &[("wall", place::wall)];
+
 fn main() -> ExitCode {
     let options = options().run();
     let mut missed = false;
-    for (_, measures) in GROUPS.iter().filter(|(name, _)| name.starts_with(&options.only)) {
+    let wall = WALL_GROUPS.iter().filter(|_| options.wall);
+    for (_, measures) in GROUPS.iter().chain(wall).filter(|(name, _)| name.starts_with(&options.only)) {
         for measure in measures(options.seed) {
             println!("{measure}");
             missed |= measure.is_missed();
--- /dev/null
+++ b/crates/catkin-bench/src/place.rs
@@ -0,0 +1,226 @@
+//! Imbalance, churn and time to settle of the placement of slices.
+
+use {
+    crate::{
+        fleet::{Fleet, Size},
+        keys::Keys,
+        measure::{Bound, Measure},
+    },
+    catkin::{
+        place::{Loads, MOTION_SHARE, Planner},
+        types::{Key, Service, SliceId, Span, Time},
+    },
+    std::{hint::black_box, time::Instant},
+};
+
+const IMBALANCE_MAX: f64 = 1.25;
+/// Share of the slices that may move when one of n servers joins or leaves,
+/// in units of 1/n.
+const CHURN_MAX: f64 = 1.2;
+/// The hottest keys change within minutes, so a change must have settled
+/// within one.
+const SETTLE_MAX: f64 = 60.0;
+/// Memory for control on a node, in MB.
+const MEMORY_MAX: f64 = 32.0;
+/// Share of a core for control on a node, in percent.
+const CORE_MAX: f64 = 4.3;
+/// Time between two rounds of the planner.
+const ROUND: Span = Span::from_secs(1);
+const ROUNDS_MAX: usize = 240;
+/// Hottest keys that change at once.
+const CHANGED: usize = 58;
+
+/// The exponent of the key choice decides how much of the load the hottest
+/// key has. It can't be spread, so it must stay below the load of a server.
+const SIZES: [Size; 3] = [
+    Size { name: "planoteca", vms: 8, servers: 15, zones: 4, slices: 8_192, exponent: 0.9, keys: 1e6 },
+    Size { name: "lookup", vms: 9, servers: 20, zones: 3, slices: 8_192, exponent: 0.9, keys: 1e6 },
+    Size {
+        name: "nodes2100",
+        vms: 21,
+        servers: 2_079,
+        zones: 8,
+        slices: 65_536,
+        exponent: 0.65,
+        keys: 1.7e9,
+    },
+];
+
+/// Returns the measures at the sizes of today.
+pub(crate) fn measures(seed: u64) -> Vec<Measure> {
+    let mut list: Vec<Measure> = SIZES[..2].iter().flat_map(|size| placement(seed, size)).collect();
+    list.extend(sketch());
+    list
+}
+
+/// Returns the measures at the planned size.
+pub(crate) fn planned(seed: u64) -> Vec<Measure> {
+    placement(seed, &SIZES[2])
+}
+
+fn placement(seed: u64, size: &Size) -> Vec<Measure> {
+    let name = |what: &str| format!("place.{}.{what}", size.name);
+    let mut fleet = Fleet::new(seed, size);
+    let mut list = vec![
+        Measure::new(name("slices.first"), fleet.count_imbalance(), "ratio", Bound::Max(IMBALANCE_MAX)),
+        Measure::info(name("load.first"), fleet.load_imbalance(), "ratio"),
+    ];
+    let levelled = settle(&mut fleet);
+    list.push(Measure::new(name("load.levelled"), levelled.imbalance, "ratio", Bound::Max(IMBALANCE_MAX)));
+    list.push(Measure::info(name("slices.levelled"), fleet.count_imbalance(), "ratio"));
+    list.push(Measure::info(name("levelled.moved"), levelled.moved * 100.0, "%"));
+    list.extend(change(&name, &mut fleet));
+    list.extend(churn(&name, &mut fleet));
+    list
+}
+
+fn change(name: &impl Fn(&str) -> String, fleet: &mut Fleet) -> Vec<Measure> {
+    fleet.change_hottest(CHANGED);
+    let before = fleet.load_imbalance();
+    let settled = settle(fleet);
+    vec![
+        Measure::info(name("hot58.before"), before, "ratio"),
+        Measure::new(name("hot58.after"), settled.imbalance, "ratio", Bound::Max(IMBALANCE_MAX)),
+        Measure::info(name("hot58.rounds"), settled.rounds as f64, "rounds"),
+        Measure::new(name("hot58.time"), settled.seconds, "s", Bound::Max(SETTLE_MAX)),
+        Measure::info(name("hot58.moved"), settled.moved * 100.0, "%"),
+        Measure::info(name("hot58.carved"), settled.carved as f64, "keys"),
+    ]
+}
+
+fn churn(name: &impl Fn(&str) -> String, fleet: &mut Fleet) -> Vec<Measure> {
+    let servers = fleet.servers() as f64;
+    fleet.leave();
+    let left = settle(fleet);
+    fleet.join();
+    let joined = settle(fleet);
+    vec![
+        Measure::new(name("churn.leave"), left.handed * servers, "1/n", Bound::Max(CHURN_MAX)),
+        Measure::new(name("churn.leave.all"), left.moved * servers, "1/n", Bound::Max(CHURN_MAX)),
+        Measure::info(name("churn.leave.time"), left.last, "s"),
+        Measure::new(name("churn.join"), joined.handed * servers, "1/n", Bound::Max(CHURN_MAX)),
+        Measure::new(name("churn.join.all"), joined.moved * servers, "1/n", Bound::Max(CHURN_MAX)),
+        Measure::info(name("churn.join.time"), joined.last, "s"),
+        Measure::new(
+            name("motion"),
+            left.motion.max(joined.motion) * 100.0,
+            "%/round",
+            Bound::Max(MOTION_SHARE * 100.0),
+        ),
+    ]
+}
+
+struct Settled {
+    imbalance: f64,
+    /// Rounds with moves until the imbalance stays within its bound.
+    rounds: usize,
+    seconds: f64,
+    /// Virtual time until the last move.
+    last: f64,
+    /// Share of the slices moved, and of those moved from a leaving or to a
+    /// joined server.
+    moved: f64,
+    handed: f64,
+    carved: usize,
+    /// Largest share moved in one round.
+    motion: f64,
+}
+
+/// Plans until nothing has moved for a while.
+fn settle(fleet: &mut Fleet) -> Settled {
+    let mut settled = Settled {
+        imbalance: fleet.load_imbalance(),
+        rounds: 0,
+        seconds: 0.0,
+        last: 0.0,
+        moved: 0.0,
+        handed: 0.0,
+        carved: 0,
+        motion: 0.0,
+    };
+    let slices = fleet.slices() as f64;
+    let (mut quiet, mut working) = (0, 0);
+    for round in 1..=ROUNDS_MAX {
+        let step = fleet.round(ROUND);
+        settled.moved += step.moved as f64 / slices;
+        settled.handed += step.handed as f64 / slices;
+        settled.carved += step.carved;
+        settled.motion = settled.motion.max(step.moved as f64 / slices);
+        working += usize::from(step.moved > 0);
+        settled.imbalance = fleet.load_imbalance();
+        if settled.imbalance > IMBALANCE_MAX {
+            (settled.rounds, settled.seconds) = (working, round as f64 * ROUND.as_secs_f64());
+        }
+        if step.moved > 0 {
+            settled.last = round as f64 * ROUND.as_secs_f64();
+        }
+        quiet = if step.moved + step.repaired + step.carved == 0 { quiet + 1 } else { 0 };
+        if quiet == 15 {
+            break;
+        }
+    }
+    settled
+}
+
+/// Returns the memory of the loads and sketches for few and for many keys.
+fn sketch() -> Vec<Measure> {
+    let service = Service::new("plans").unwrap_or_else(|e| unreachable!("{e}"));
+    let bytes = |keys: u32| {
+        let mut loads = Loads::new();
+        for number in 0..2_000_000u32 {
+            let now = Time::from_micros(u64::from(number) * 10);
+            let key = number.wrapping_mul(2_654_435_761) % keys;
+            let text = Key::new(format!("drawing-{key:032}")).unwrap_or_else(|e| unreachable!("{e}"));
+            loads.note(now, &service, SliceId(key % 8_192), &text, 1.0);
+            if number.is_multiple_of(100_000) {
+                loads.sweep(now);
+            }
+        }
+        loads.bytes() as f64 / 1e6
+    };
+    let (few, many) = (bytes(100_000), bytes(1_000_000));
+    vec![
+        Measure::info("place.sketch.100k_keys", few, "MB"),
+        Measure::new("place.sketch.1m_keys", many, "MB", Bound::Max(MEMORY_MAX)),
+        Measure::new("place.sketch.growth", many / few, "ratio", Bound::Max(1.0)),
+    ]
+}
+
+/// Returns the processor time of one plan round of one VM.
+pub(crate) fn wall(seed: u64) -> Vec<Measure> {
+    let sizes = [(9, 20, 8_192), (50, 200, 32_768), (420, 1_680, 65_536)];
+    let mut list = Vec::new();
+    for (vms, servers, slices) in sizes {
+        let size = Size { name: "wall", vms, servers, zones: 8, slices, exponent: 0.65, keys: 1e6 };
+        let mut fleet = Fleet::new(seed, &size);
+        fleet.feed(ROUND);
+        let millis = median(|| {
+            let mut planner = Planner::new(fleet.first_vm());
+            let start = Instant::now();
+            black_box(fleet.plan_of(&mut planner));
+            start.elapsed().as_secs_f64() * 1e3
+        });
+        let name = |what: &str| format!("place.wall.{servers}_servers_{slices}_slices.{what}");
+        list.push(Measure::info(name("plan"), millis, "ms"));
+        let core = millis / (ROUND.as_secs_f64() * 1e3) * 100.0;
+        list.push(Measure::new(name("core"), core, "%", Bound::Max(CORE_MAX)));
+        list.extend(fleet.wall(&name));
+    }
+    list
+}
+
+pub(crate) fn median(mut run: impl FnMut() -> f64) -> f64 {
+    let mut times: Vec<f64> = (0..9).map(|_| run()).collect();
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
+
+/// Makes the loads of keys for a size.
+pub(crate) fn keys(seed: u64, size: &Size) -> Keys {
+    Keys::new(
+        seed,
+        size.exponent,
+        size.keys,
+        f64::from(u32::try_from(size.servers).unwrap_or(u32::MAX)) * 500.0,
+    )
+}
--- a/crates/catkin/src/place/plan.rs
+++ b/crates/catkin/src/place/plan.rs
@@ -31,6 +31,9 @@
 /// Load relative to the mean from which slices are moved. It lies below the
 /// bound of 1.25 on the imbalance of work in progress.
 const LOAD_HIGH: f64 = 1.1;
+/// Load relative to the mean up to which a standby takes the slices of a
+/// leaving server, so that they need not move again by load.
+const LOAD_EVEN: f64 = 1.05;
 /// Load of a key relative to the mean server from which it is carved out.
 const CARVE_FROM: f64 = 0.05;
 /// Load of the rest of a slice relative to its hot key below which a carve
@@ -120,6 +123,9 @@
     service: &'a Service,
     seats: Vec<Seat<'a>>,
     loads: Vec<f64>,
+    /// Sums over the seats.
+    owned: usize,
+    load: f64,
     /// Slices by the seat of their owner, of those that this VM keeps.
     own: BTreeMap<usize, Vec<Item<'a>>>,
     /// Slices of own targets that are leaving or lost.
@@ -192,7 +198,9 @@
             seats.iter().enumerate().map(|(at, seat)| (&seat.server.id, at)).collect();
         let mut table = Table {
             service,
-            loads: loads_of(&seats, inputs.totals),
+            loads: Vec::new(),
+            owned: 0,
+            load: 0.0,
             seats,
             own: BTreeMap::new(),
             homeless: Vec::new(),
@@ -205,6 +213,9 @@
         for (_, slice, row) in inputs.state.rows().filter(|(name, ..)| *name == service) {
             self.add_row(now, inputs, &mut table, targets, slice, row);
         }
+        table.loads = loads_of(&table.seats, inputs.totals);
+        table.owned = table.seats.iter().map(|seat| seat.owned).sum();
+        table.load = table.loads.iter().sum();
         table.set_budget(inputs, targets, &self.vm);
         table
     }
@@ -248,10 +259,16 @@
     }
 }
 
+/// Returns the loads of the seats. One without slices has no load; one whose
+/// load is not known counts as the mean of the others.
 fn loads_of(seats: &[Seat<'_>], totals: &BTreeMap<TargetId, f64>) -> Vec<f64> {
-    let known: Vec<f64> = seats.iter().filter_map(|seat| totals.get(&seat.server.id).copied()).collect();
-    let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
-    seats.iter().map(|seat| totals.get(&seat.server.id).copied().unwrap_or(mean)).collect()
+    let known = |seat: &Seat<'_>| {
+        if seat.owned == 0 { Some(0.0) } else { totals.get(&seat.server.id).copied() }
+    };
+    let loads: Vec<Option<f64>> = seats.iter().map(known).collect();
+    let count = loads.iter().flatten().count().max(1);
+    let mean = loads.iter().flatten().sum::<f64>() / count as f64;
+    loads.into_iter().map(|load| load.unwrap_or(mean)).collect()
 }
 
 impl Table<'_> {
@@ -264,18 +281,19 @@
         let sources: BTreeSet<&TargetId> = from.chain(leaving.map(|t| &t.id)).collect();
         let own = |id: &&&TargetId| inputs.state.keeper(id).is_some_and(|keeper| keeper.vm == *vm);
         let own = sources.iter().filter(own).count();
-        let all = (self.slices as f64 * MOTION_SHARE).ceil() as usize;
+        let all = ((self.slices as f64 * MOTION_SHARE) as usize).max(1);
         let moving = inputs.moving.iter().filter(|(service, _)| service == self.service).count();
-        self.budget = (all * own).div_ceil(sources.len().max(1)).saturating_sub(moving);
-        self.repairs = all.div_ceil(inputs.members.live().count().max(1)).saturating_sub(moving);
+        let share = (all * own / sources.len().max(1)).max(1);
+        self.budget = share.saturating_sub(moving);
+        self.repairs = (all / inputs.members.live().count().max(1)).max(1).saturating_sub(moving);
     }
 
     fn mean_count(&self) -> f64 {
-        self.seats.iter().map(|seat| seat.owned).sum::<usize>() as f64 / self.seats.len() as f64
+        self.owned as f64 / self.seats.len() as f64
     }
 
     fn mean_load(&self) -> f64 {
-        self.loads.iter().sum::<f64>() / self.loads.len() as f64
+        self.load / self.loads.len() as f64
     }
 
     /// Gives the slices of leaving servers to their standbys or, where these
@@ -288,7 +306,8 @@
                 continue;
             }
             let full = self.count_max().max(self.mean_count().ceil() as usize);
-            let open = standby.filter(|at| self.seats[*at].owned < full);
+            let load = |at: usize| self.loads[at] + item.load <= self.mean_load() * LOAD_EVEN;
+            let open = standby.filter(|at| self.seats[*at].owned < full && load(*at));
             let Some(to) = open.or_else(|| self.least(item.slice)) else { continue };
             self.budget = self.budget.saturating_sub(usize::from(!lost));
             self.shift(&item, None, to);
@@ -307,6 +326,9 @@
         if let Some(from) = from {
             self.seats[from].owned -= 1;
             self.loads[from] -= item.load;
+        } else {
+            self.owned += 1;
+            self.load += item.load;
         }
         self.seats[to].owned += 1;
         self.loads[to] += item.load;
--- a/crates/catkin/tests/fleet/mod.rs
+++ b/crates/catkin/tests/fleet/mod.rs
@@ -257,6 +257,9 @@
 }
 
 const ROUND: Span = Span::from_millis(500);
+/// Rounds without a move after which a plan has settled: longer than the 10 s
+/// for which a moved slice stays.
+const QUIET_ROUNDS: usize = 22;
 
 impl Moves {
     pub fn new(vms: usize, servers: usize, zones: usize, slices: u32) -> Self {
@@ -344,7 +347,7 @@
             self.round();
             moved += self.moved;
             quiet = if self.moved + self.repaired == 0 { quiet + 1 } else { 0 };
-            if quiet == 12 {
+            if quiet == QUIET_ROUNDS {
                 return moved;
             }
         }
