--- a/crates/catkin-load/src/lib.rs
+++ b/crates/catkin-load/src/lib.rs
@@ -14,6 +14,7 @@
 mod event;
 mod experiment;
 mod keys;
+mod overhead;
 mod plan;
 mod report;
 mod run;
@@ -26,6 +27,7 @@
     event::{Action, Event},
     experiment::{Experiment, Kind, Method, Phase, Standin},
     keys::{Chooser, Keys},
+    overhead::overhead,
     plan::{Arrival, plan},
     report::Report,
     run::run,
--- a/crates/catkin-load/src/main.rs
+++ b/crates/catkin-load/src/main.rs
@@ -3,7 +3,7 @@
 use {
     bpaf::Bpaf,
     catkin::{Code, Error, settings},
-    catkin_load::{Experiment, Report, compare, run},
+    catkin_load::{Experiment, Report, compare, overhead, run},
     std::{
         fs,
         path::{Path, PathBuf},
@@ -44,12 +44,23 @@
         #[bpaf(positional("SECOND"))]
         second: PathBuf,
     },
+    /// Says what gateways add to direct calls; exits with 1 if it is too much
+    #[bpaf(command)]
+    Overhead {
+        /// Report of direct calls, in JSON
+        #[bpaf(positional("DIRECT"))]
+        direct: PathBuf,
+        /// Report of calls through gateways, in JSON
+        #[bpaf(positional("ROUTED"))]
+        routed: PathBuf,
+    },
 }
 
 fn main() -> ExitCode {
     let result = match command().run() {
         Command::Run { out, seed, check, file } => run_file(&file, seed, check, out.as_deref()),
         Command::Compare { first, second } => compare_files(&first, &second),
+        Command::Overhead { direct, routed } => overhead_files(&direct, &routed),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
@@ -81,6 +92,12 @@
     Ok(true)
 }
 
+fn overhead_files(direct: &Path, routed: &Path) -> Result<bool, Error> {
+    let (text, is_met) = overhead(&read(direct)?, &read(routed)?);
+    print!("{text}");
+    Ok(is_met)
+}
+
 fn read(file: &Path) -> Result<Report, Error> {
     let text = fs::read_to_string(file).map_err(|e| fail(file, &e))?;
     serde_json::from_str(&text).map_err(|e| fail(file, &e))
