gateway: send idempotent requests again when their key or its keeper moved

Cause: a lookup that was on its way to a frozen target or a lost gateway waited for its whole deadline, although the log had named another owner or keeper; and a lookup whose owner refused connections used up its two tries before the owner was replaced. Ruled out: the takeover itself (the outage of a key is below 0.8 s). Change: such a request is given up 100 ms after the move was read, and a refused connection of the owner of a key counts as a move.

--- a/crates/catkin-gateway/src/accept.rs
+++ b/crates/catkin-gateway/src/accept.rs
@@ -29,7 +29,8 @@
 };
 
 const DEADLINE_MAX: Span = Span::from_secs(3_600);
-const MOVE_POLL: Duration = Duration::from_millis(10);
+const MOVE_POLL_MIN: Duration = Duration::from_millis(10);
+const MOVE_POLL_MAX: Duration = Duration::from_millis(50);
 
 /// What a request of a caller asks for.
 struct Ask {
@@ -109,6 +110,7 @@
 /// Sends a request until it is answered or must not be sent again.
 async fn send(node: &Rc<Node>, ask: &Ask, mut body: Body) -> Result<Reply, Error> {
     let mut history = History::new(ask.is_idempotent, ask.end);
+    let mut pause = MOVE_POLL_MIN;
     loop {
         let spare = body.copy();
         let error = match send_once(node, ask, body).await {
@@ -119,19 +121,25 @@
             Err(error) => error,
         };
         let Some(spare) = spare else { return Err(error) };
-        if !is_moving(&error) || node.now().after(Span::from(MOVE_POLL)) >= ask.end {
+        if !is_moving(ask, &error) || node.now().after(Span::from(pause)) >= ask.end {
             settle(node, ask, &mut history, error)?;
         }
         node.metrics.retry();
         body = spare;
-        actix_rt::time::sleep(MOVE_POLL).await;
+        actix_rt::time::sleep(pause).await;
+        pause = MOVE_POLL_MAX.min(pause * 2);
     }
 }
 
 /// Returns whether no target was asked because the key or its keeper moves.
-/// Waiting for the move puts no load on targets and needs no retry budget.
-fn is_moving(error: &Error) -> bool {
-    matches!(error.code(), Code::NoOwner | Code::PeerUnreachable | Code::Leaving)
+/// Waiting for the move puts no load on targets and needs no retry budget. The
+/// owner of a key that can't be reached is about to lose it.
+fn is_moving(ask: &Ask, error: &Error) -> bool {
+    match error.code() {
+        Code::NoOwner | Code::PeerUnreachable | Code::Leaving => true,
+        Code::ConnectFailed => ask.key.is_some(),
+        _ => false,
+    }
 }
 
 /// Decides whether a failed request is sent again.
@@ -152,7 +160,12 @@
 async fn send_once(node: &Rc<Node>, ask: &Ask, body: Body) -> Result<Reply, Error> {
     let route = route::find(node, &ask.service, ask.key.as_ref())?;
     let mut count = Count::new(node, &ask.service, &route.target);
-    let result = send_to(node, ask, route, body).await;
+    let can_move = ask.is_idempotent && matches!(body, Body::Whole(_));
+    let moved = route::moved(node, &ask.service, &route);
+    let result = tokio::select! {
+        result = send_to(node, ask, route.clone(), body) => result,
+        () = moved, if can_move => Err(Error::new(Code::OutcomeUnknown, "the key or its keeper moved")),
+    };
     match &result {
         Ok(reply) => route::hear(node, &ask.service, &reply.answer),
         Err(_) => count.set_fault(),
--- a/crates/catkin-gateway/src/route.rs
+++ b/crates/catkin-gateway/src/route.rs
@@ -8,9 +8,13 @@
         types::{Fence, Key, Service, SliceId, TargetId, VmId},
         wire::{Answer, Gossip},
     },
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
 };
 
+/// Time for the answers of work in progress when a key moves. A release waits
+/// for this work, so that most of it ends well.
+const MOVED_WAIT: Duration = Duration::from_millis(100);
+
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub(crate) struct Route {
@@ -41,6 +45,25 @@
     Ok(Route { target, slice, keeper: keeper.vm.clone() })
 }
 
+/// Waits until a request that was sent along a route can hardly be answered
+/// any more: the log has named another owner or keeper, and the time for work
+/// in progress has passed. A frozen target or gateway gives no other sign.
+pub(crate) async fn moved(node: &Node, service: &Service, route: &Route) {
+    while is_current(node, service, route) {
+        node.advanced.notified().await;
+    }
+    actix_rt::time::sleep(MOVED_WAIT).await;
+}
+
+fn is_current(node: &Node, service: &Service, route: &Route) -> bool {
+    let state = node.state.borrow();
+    let is_kept = state.keeper(&route.target).is_some_and(|row| row.vm == route.keeper);
+    let is_owned = |(slice, fence): (SliceId, Fence)| {
+        state.row(service, slice).is_some_and(|row| row.owner == route.target && row.fence == fence)
+    };
+    is_kept && route.slice.is_none_or(is_owned)
+}
+
 fn pick(node: &Node, service: &Service) -> Result<TargetId, Error> {
     let loads = node.loads.borrow();
     let random = [node.next_random(), node.next_random()];
