--- a/crates/catkin-load/tests/plan.rs
+++ b/crates/catkin-load/tests/plan.rs
@@ -2,12 +2,13 @@
 
 use {
     catkin::{
-        settings::{Settings, parse},
+        settings::{Settings, parse, read},
         types::{Share, Span},
     },
     catkin_load::{Chooser, Experiment, Keys, plan},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
+    std::path::Path,
 };
 
 const DRAWS: usize = 20_000;
@@ -90,3 +91,14 @@
         Some("kinds[0].keys.count")
     );
 }
+
+/// Guards against example experiments that no longer start.
+#[test]
+fn examples_are_valid() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for name in ["socavon/load", "socavon/warm-up", "socavon/faults", "cascade/load", "cascade/warm-up"] {
+        let file = examples.join(name).with_extension("yaml");
+        let experiment: Experiment = read(&file).unwrap_or_else(|e| panic!("{name}: {e}"));
+        assert!(!plan(&experiment).is_empty(), "{name}");
+    }
+}
