--- a/crates/catkin-bench/src/world.rs
+++ b/crates/catkin-bench/src/world.rs
@@ -32,6 +32,9 @@
 const SILENT: Span = Span::from_millis(250);
 const CONNECTIONS_MAX: usize = 100;
 const JOB_BITS: u32 = 40;
+const SLOW_FACTOR: f64 = 4.0;
+/// Work gets done best with two requests at a time.
+const THRASH_KNEE: f64 = 2.0;
 const FIFO_LENGTH: usize = 256;
 /// Largest time that a histogram holds: 10 minutes.
 const MICROS_MAX: u64 = 600_000_000;
@@ -87,6 +90,21 @@
     Frozen,
     /// Refuses requests without running them.
     Shedding,
+    /// Takes four times as long for everything.
+    Slow,
+    /// Takes longer the more requests run, and gets less done with each.
+    Thrashing,
+}
+
+impl Health {
+    /// Returns how long a request runs beside others.
+    fn run(self, run: Span, running: usize) -> Span {
+        match self {
+            Self::Slow => run.scale(SLOW_FACTOR),
+            Self::Thrashing => run.scale((running as f64).powi(2) / THRASH_KNEE),
+            Self::Up | Self::Dead | Self::Frozen | Self::Shedding => run,
+        }
+    }
 }
 
 /// A change of a server.
@@ -109,6 +127,8 @@
     pub(crate) vms: usize,
     /// Number of servers.
     pub(crate) servers: usize,
+    /// Slots of each server.
+    pub(crate) server_slots: u32,
     /// Policy of the service.
     pub(crate) policy: Policy,
     /// Changes of servers, in any order.
@@ -130,6 +150,7 @@
             mode,
             vms: 8,
             servers: 8,
+            server_slots: Policy::default().slots,
             policy: Policy::default(),
             faults: Vec::new(),
             warm: Span::from_secs(2),
@@ -141,7 +162,7 @@
 
     /// Returns the slots of all servers.
     pub(crate) fn slots(&self) -> f64 {
-        (self.servers * self.policy.slots as usize) as f64
+        f64::from(self.server_slots) * self.servers as f64
     }
 }
 
@@ -218,7 +239,7 @@
     /// Returns the mean share of slots in use between two moments.
     pub(crate) fn in_use(&self, setup: &Setup, from: Time, to: Time) -> f64 {
         let samples = self.samples.iter().filter(|sample| sample.at >= from && sample.at < to);
-        let slots = setup.policy.slots;
+        let slots = setup.server_slots;
         let used = |sample: &Sample| sample.busy.iter().map(|busy| f64::from(*busy.min(&slots))).sum::<f64>();
         mean(samples.map(|sample| used(sample) / setup.slots()))
     }
@@ -521,7 +542,7 @@
 
     /// Starts queued requests on a server while it has free slots.
     fn serve(&mut self, number: usize) {
-        let slots = self.setup.policy.slots as usize;
+        let slots = self.setup.server_slots as usize;
         while self.servers[number].running.len() < slots {
             let Some(attempt) = self.servers[number].queue.pop_front() else { return };
             self.start(attempt);
@@ -535,7 +556,8 @@
         server.running.insert(attempt);
         let epoch = server.epoch;
         let deadline = work.at.after(work.deadline);
-        let end = self.now.after(work.run).min(deadline.max(self.now));
+        let run = server.health.run(work.run, server.running.len());
+        let end = self.now.after(run).min(deadline.max(self.now));
         self.schedule(end, Step::Done(attempt, epoch));
     }
 
@@ -657,7 +679,7 @@
         while !self.fifo.is_empty() {
             let up = (0..self.servers.len()).filter(|number| self.servers[*number].health == Health::Up);
             let Some(server) = up.min_by_key(|number| self.servers[*number].running.len()) else { return };
-            if self.servers[server].running.len() >= self.setup.policy.slots as usize {
+            if self.servers[server].running.len() >= self.setup.server_slots as usize {
                 return;
             }
             let Some(attempt) = self.fifo.pop_front() else { return };
@@ -724,7 +746,7 @@
                 for (peer, count) in rows.iter().filter(|(peer, _)| *peer != vm.id) {
                     vm.loads.hear_peer(self.now, peer, &server.id, *count);
                 }
-                let load = Load { running, slots: self.setup.policy.slots, ..Load::default() };
+                let load = Load { running, slots: self.setup.server_slots, ..Load::default() };
                 vm.table.report(&server.id, &load);
             }
         }
@@ -737,7 +759,7 @@
         }
         for server in &self.servers {
             let running = (server.running.len() + server.queue.len()) as u32;
-            let load = Load { running, slots: self.setup.policy.slots, ..Load::default() };
+            let load = Load { running, slots: self.setup.server_slots, ..Load::default() };
             self.vms.iter_mut().for_each(|vm| vm.loads.report(self.now, &server.id, &load));
         }
     }
