lease: trust the VM list later, explore late hand-overs

- A VM counts as gone only after it was missing from the list for 1 s.
A replica of the list that lags could otherwise make a live server look gone, and its slices would get a second owner.
- The service of a target comes from the VM list too, and a target of an unknown service counts as one that checks no fences.
Before, a target without slices always counted as one that checks them.

--- a/crates/catkin/src/lease/keeper.rs
+++ b/crates/catkin/src/lease/keeper.rs
@@ -40,7 +40,7 @@
     super::{Action, Timings, kept::Kept, listing::Listing, rows},
     crate::{
         Code, Error,
-        api::{Reply, VmList},
+        api::{Reply, Role, VmList},
         fold::State,
         record::{Change, Claim},
         types::{Fence, Offset, Service, SliceId, TargetId, Time, Version, VmId},
@@ -60,8 +60,6 @@
     pub(super) keepers: BTreeMap<TargetId, (VmId, Offset)>,
     /// Fences of keepers that were announced and may be newer than the state.
     pub(super) fences: BTreeMap<TargetId, Offset>,
-    /// Targets that this process kept once, and when it stopped.
-    pub(super) former: BTreeMap<TargetId, Time>,
     pub(super) services: BTreeMap<TargetId, Service>,
     pub(super) listing: Listing,
     /// Claims to make, with the version of the row, and when they were made.
@@ -83,7 +81,6 @@
             kept: BTreeMap::new(),
             keepers: BTreeMap::new(),
             fences: BTreeMap::new(),
-            former: BTreeMap::new(),
             services: BTreeMap::new(),
             listing: Listing::default(),
             claims: BTreeMap::new(),
@@ -96,11 +93,23 @@
     pub fn sync(&mut self, now: Time, state: &State, list: &VmList, log_up: bool) {
         self.log_up = log_up;
         self.listing.update(now, list);
+        self.sync_services(list);
         self.sync_keepers(now, state);
         self.sync_rows(state);
+        self.sync_fenced(state);
         self.sync_gone(now);
     }
 
+    fn sync_services(&mut self, list: &VmList) {
+        for vm in &list.vms {
+            let Some(service) = vm.service.as_ref().filter(|_| vm.role == Role::Target) else { continue };
+            let Ok(target) = TargetId::new(vm.id.clone()) else { continue };
+            if self.services.get(&target) != Some(service) {
+                self.services.insert(target, service.clone());
+            }
+        }
+    }
+
     fn sync_keepers(&mut self, now: Time, state: &State) {
         self.keepers = state.keepers().map(|(t, k)| (t.clone(), (k.vm.clone(), k.fence))).collect();
         let vm = &self.vm;
@@ -127,7 +136,7 @@
         };
         let dropped: Vec<_> = self.kept.iter().filter(|(t, k)| !kept(t, k)).map(|(t, _)| t.clone()).collect();
         for target in dropped {
-            self.drop_target(now, &target);
+            self.kept.remove(&target);
         }
     }
 
@@ -150,12 +159,6 @@
         *kept = fresh;
     }
 
-    pub(super) fn drop_target(&mut self, now: Time, target: &TargetId) {
-        if self.kept.remove(target).is_some() {
-            self.former.insert(target.clone(), now);
-        }
-    }
-
     /// Reads all rows only if some may have changed: intents change the state
     /// far more often than moves do.
     fn sync_rows(&mut self, state: &State) {
@@ -170,18 +173,26 @@
             if let Some(service) = &rows.service {
                 self.services.insert(target.clone(), service.clone());
             }
-            let service = self.services.get(target).and_then(|name| state.config().fleet.services.get(name));
-            kept.fenced = service.is_none_or(|entry| entry.fenced);
             kept.sync(rows);
         }
     }
 
+    /// A target of an unknown service counts as one that checks no fences,
+    /// which only costs time.
+    fn sync_fenced(&mut self, state: &State) {
+        let services = &state.config().fleet.services;
+        for (target, kept) in &mut self.kept {
+            let service = self.services.get(target).and_then(|name| services.get(name));
+            kept.fenced = service.is_some_and(|entry| entry.fenced);
+        }
+    }
+
     fn sync_gone(&mut self, now: Time) {
-        let lag = self.timings.lag;
+        let timings = self.timings;
         for (target, kept) in &mut self.kept {
-            kept.gone = kept.gone || self.listing.is_gone(now, lag, target.as_str());
+            kept.gone = kept.gone || self.listing.is_gone(now, &timings, target.as_str());
             for vm in &kept.prior {
-                if self.listing.is_gone(now, lag, vm.as_str()) {
+                if self.listing.is_gone(now, &timings, vm.as_str()) {
                     kept.stopped.entry(vm.clone()).or_insert(now);
                 }
             }
@@ -293,6 +304,6 @@
     }
 
     pub(super) fn is_gone(&self, now: Time, target: &TargetId) -> bool {
-        self.listing.is_gone(now, self.timings.lag, target.as_str())
+        self.listing.is_gone(now, &self.timings, target.as_str())
     }
 }
--- a/crates/catkin/src/lease/listing.rs
+++ b/crates/catkin/src/lease/listing.rs
@@ -1,23 +1,25 @@
 //! Which VMs have gone, according to the list.
 
 use {
-    crate::{
-        api::VmList,
-        types::{Span, Time},
+    super::Timings,
+    crate::{api::VmList, types::Time},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
     },
-    std::{collections::BTreeSet, sync::Arc},
 };
 
 /// What the VM list says over time.
 ///
 /// The list lags and may come from a replica that is behind, so a VM counts
-/// as gone only if this process saw it listed and then missing, or missing
-/// for a whole `lag`.
+/// as gone only if this process saw it listed and then missing for a whole
+/// `absence`, or missing for a whole `lag` if it was never seen.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Listing {
     since: Option<Time>,
-    seen: BTreeSet<Arc<str>>,
     listed: BTreeSet<Arc<str>>,
+    /// VMs that were listed, and since when they are missing.
+    missing: BTreeMap<Arc<str>, Time>,
 }
 
 impl Listing {
@@ -28,12 +30,19 @@
             return;
         }
         self.since.get_or_insert(now);
-        self.listed = list.vms.iter().map(|vm| vm.id.clone()).collect();
-        self.seen.extend(self.listed.iter().cloned());
+        let listed = list.vms.iter().map(|vm| vm.id.clone()).collect();
+        let before = std::mem::replace(&mut self.listed, listed);
+        let left = before.into_iter().filter(|id| !self.listed.contains(id));
+        self.missing.extend(left.map(|id| (id, now)));
+        self.missing.retain(|id, _| !self.listed.contains(id));
     }
 
-    pub(super) fn is_gone(&self, now: Time, lag: Span, id: &str) -> bool {
-        let Some(since) = self.since else { return false };
-        !self.listed.contains(id) && (self.seen.contains(id) || now >= since.after(lag))
+    pub(super) fn is_gone(&self, now: Time, timings: &Timings, id: &str) -> bool {
+        let Some(since) = self.since.filter(|_| !self.listed.contains(id)) else { return false };
+        let end = match self.missing.get(id) {
+            Some(missing) => missing.after(timings.absence),
+            None => since.after(timings.lag),
+        };
+        now >= end
     }
 }
--- a/crates/catkin/src/lease/peers.rs
+++ b/crates/catkin/src/lease/peers.rs
@@ -21,9 +21,9 @@
             Frame::AskStopped { target, slices } => self.say_stopped(now, target, slices),
             Frame::HandOver { from, keeper, to, slices } => self.take_over(now, from, *keeper, to, slices),
             Frame::AskKeeper { target, keeper, standby: Some(standby) } => {
-                self.note_rival(now, target, *keeper, standby)
+                self.note_rival(target, *keeper, standby)
             }
-            Frame::AskKeeper { target, keeper, standby: None } => self.give_up(now, target, *keeper),
+            Frame::AskKeeper { target, keeper, standby: None } => self.give_up(target, *keeper),
             _ => None,
         }
     }
@@ -95,35 +95,29 @@
 
     /// Answers only when the standby has reported what it holds, because an
     /// earlier keeper of the standby may have taken slices over.
-    fn note_rival(
-        &mut self,
-        now: Time,
-        target: &TargetId,
-        keeper: Offset,
-        standby: &TargetId,
-    ) -> Option<Frame> {
+    fn note_rival(&mut self, target: &TargetId, keeper: Offset, standby: &TargetId) -> Option<Frame> {
         if keeper < self.newest(target) {
             return None;
         }
-        self.hear_rival(now, target, keeper);
+        self.hear_rival(target, keeper);
         let kept = self.kept.get(standby).filter(|kept| kept.is_reported())?;
         let slices = kept.lent_from(target);
         Some(Frame::KeeperNoted { target: target.clone(), keeper, standby: Some(standby.clone()), slices })
     }
 
-    fn hear_rival(&mut self, now: Time, target: &TargetId, keeper: Offset) {
+    fn hear_rival(&mut self, target: &TargetId, keeper: Offset) {
         if keeper > self.newest(target) {
             self.fences.insert(target.clone(), keeper);
         }
         if self.kept.get(target).is_some_and(|kept| kept.fence < keeper) {
-            self.drop_target(now, target);
+            self.kept.remove(target);
         }
     }
 
     /// Stops as a keeper. Requests that were sent may run until the longest
     /// deadline, which matters for a target that checks no fences.
-    fn give_up(&mut self, now: Time, target: &TargetId, keeper: Offset) -> Option<Frame> {
-        self.hear_rival(now, target, keeper);
+    fn give_up(&mut self, target: &TargetId, keeper: Offset) -> Option<Frame> {
+        self.hear_rival(target, keeper);
         if self.kept.contains_key(target) {
             return None;
         }
--- a/crates/catkin/src/lease/timings.rs
+++ b/crates/catkin/src/lease/timings.rs
@@ -17,6 +17,8 @@
     pub ask: Span,
     /// Longest deadline of work in progress.
     pub deadline: Span,
+    /// Time for which a VM must be missing from the list.
+    pub absence: Span,
     /// Time for which a VM must be missing from the list if this process
     /// never saw it listed.
     pub lag: Span,
@@ -53,6 +55,7 @@
             patience: policy.lease_period.scale(2.5),
             ask: policy.lease_period.scale(0.25),
             deadline: policy.deadline,
+            absence: Span::from_secs(1),
             lag: Span::from_secs(30),
             margin: (policy.clock_margin.as_f64() * MILLION as f64).ceil() as u32,
         }
--- a/crates/catkin/tests/explore/world.rs
+++ b/crates/catkin/tests/explore/world.rs
@@ -162,6 +162,7 @@
         patience: ms(ROUND + ROUND / 2),
         ask: ms(1),
         deadline: ms(ROUND),
+        absence: ms(ROUND),
         lag: ms(5 * ROUND),
         margin: if without == Without::Margin { 0 } else { 10_000 },
     }
@@ -263,6 +264,24 @@
         world
     }
 
+    /// A hand-over of server 0's slice is on its way since the log was down.
+    /// The slice moved to server 1 and back since, and server 1 is the standby
+    /// again.
+    pub(crate) fn late_hand_over(without: Without) -> Self {
+        let mut world = Self::log_down(without);
+        world.servers[0].cut = true;
+        (0..4).for_each(|_| world.round(Fault::HoldAsks(0)));
+        world.held.truncate(1);
+        assert_eq!(world.held.len(), 1, "VM 0 hands the slice over");
+        world.heal(4);
+        assert!(world.serves(1), "the slice moved to the standby");
+        assert!(world.shift(1, 0, Some(1)), "VM 1 moves the slice back");
+        world.drain();
+        (0..4).for_each(|_| world.round(Fault::None));
+        assert!(world.serves(0), "the slice moved back");
+        world
+    }
+
     fn change_to(&self, owner: usize, expects: Version, standby: Option<usize>) -> Change {
         let standby = standby.map(|n| self.servers[n].id.clone());
         let owner = self.servers[owner].id.clone();
--- a/crates/catkin/tests/outage/main.rs
+++ b/crates/catkin/tests/outage/main.rs
@@ -172,6 +172,8 @@
     sim.run(2_000);
     assert!(!served(&sim)[0], "nobody knows that the server has stopped");
     sim.gone.insert(0);
+    sim.run(900);
+    assert!(!served(&sim)[0], "a replica of the list may lag");
     let longest = watch(&mut sim, 1_000);
     println!("after the list: {longest} ms without service");
     assert!(longest <= LIMIT_MS, "{longest} ms");
