--- /dev/null
+++ b/crates/catkin-gateway/tests/common/mod.rs
@@ -0,0 +1,381 @@
+//! Runs gateways as processes, with stand-ins in the test process.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use {
+    actix_rt::System,
+    awc::{Client, ClientRequest, http::Method},
+    catkin::{
+        admin::Status,
+        api::{Life, Listed, Role, header},
+        record::{self, Change, Publish, Record, Writer},
+        settings::{Standin, parse},
+        types::{Offset, Revision, Sequence, Span},
+    },
+    catkin_net::{Log, get, post, read_body},
+    catkin_standin::{Echo, Ledger, PlatformFaults, Running, TargetFaults, start},
+    std::{
+        fs,
+        future::Future,
+        net::{SocketAddr, TcpListener, UdpSocket},
+        path::PathBuf,
+        process::{Child, Command, ExitStatus, Stdio},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+/// Longer than any test takes.
+pub(crate) const LIMIT: Span = Span::from_secs(60);
+pub(crate) const POLL: Duration = Duration::from_millis(10);
+
+/// Targets of the fleet, all in zone b, so that a gateway of zone b never
+/// keeps one and forwards every request.
+pub(crate) const ORDERS: usize = 0;
+pub(crate) const NOTES: usize = 1;
+pub(crate) const PLANS: usize = 2;
+
+const BODY_MAX: usize = 16 << 20;
+const SETTINGS: &str = "
+platform: {addr: '127.0.0.1:0', retention: 1h, lag: 0us, vms: []}
+targets:
+  - {id: orders-1, service: orders, zone: b, addr: '127.0.0.1:0', slots: 6, work: 1us, fenced: true}
+  - {id: notes-1, service: notes, zone: b, addr: '127.0.0.1:0', slots: 6, work: 1us, fenced: true}
+  - {id: plans-1, service: plans, zone: b, addr: '127.0.0.1:0', slots: 6, work: 1us, fenced: true}
+";
+/// The lease is as long as is allowed, so that a busy machine ends none.
+const FLEET: &str = "
+defaults: {deadline: 30s, queue_wait: 20s, lease_ttl: 890ms, retry_budget: 1, body_limit: 256KiB}
+services:
+  orders: {}
+  notes: {}
+  plans: {keyed: true, slices: 4}
+exceptions:
+  - {service: notes, reason: notes may be repeated, author: test, set: {log_down: send}}
+";
+
+/// Runs a test against stand-ins, with settings that it may change.
+pub(crate) fn run_with<Fut: Future<Output = ()>>(
+    change: impl FnOnce(&mut Standin),
+    test: impl FnOnce(Env) -> Fut,
+) {
+    System::new().block_on(async {
+        let mut settings: Standin = parse(SETTINGS).unwrap();
+        change(&mut settings);
+        let running = start(&settings).await.unwrap();
+        let env = Env { client: Client::builder().disable_timeout().finish(), running };
+        for (target, addr) in settings.targets.iter().zip(&env.running.targets) {
+            let row = Listed {
+                id: target.id.as_str().into(),
+                role: Role::Target,
+                service: Some(target.service.clone()),
+                zone: target.zone.clone(),
+                addr: *addr,
+                admin: None,
+                state: Life::Live,
+            };
+            env.list(&row).await;
+        }
+        // Ends a test that waits for what never comes.
+        actix_rt::time::timeout(LIMIT.as_duration(), test(env)).await.expect("test stopped at its limit");
+    });
+}
+
+/// Runs a test against stand-ins.
+pub(crate) fn run<Fut: Future<Output = ()>>(test: impl FnOnce(Env) -> Fut) {
+    run_with(|_| {}, test);
+}
+
+pub(crate) struct Env {
+    pub(crate) client: Client,
+    pub(crate) running: Running,
+}
+
+impl Env {
+    pub(crate) fn platform(&self) -> SocketAddr {
+        self.running.platform.unwrap()
+    }
+
+    pub(crate) fn log(&self) -> Log {
+        Log::new(self.client.clone(), self.platform())
+    }
+
+    pub(crate) async fn fail_platform(&self, faults: PlatformFaults) {
+        let _: PlatformFaults = post(&self.client, self.platform(), "/faults", &faults, LIMIT).await.unwrap();
+    }
+
+    pub(crate) async fn fail_target(&self, target: usize, faults: TargetFaults) {
+        let addr = self.running.targets[target];
+        let _: TargetFaults = post(&self.client, addr, "/faults", &faults, LIMIT).await.unwrap();
+    }
+
+    pub(crate) async fn ledger(&self, target: usize) -> Ledger {
+        get(&self.client, self.running.targets[target], "/ledger", LIMIT).await.unwrap()
+    }
+
+    /// Publishes the fleet's configuration.
+    pub(crate) async fn publish(&self) {
+        catkin::config::parse(FLEET).unwrap();
+        let publish = Publish { expects: Revision::default(), author: "test".into(), text: FLEET.into() };
+        let writer = Writer { id: "test".parse().unwrap(), boot: 1 };
+        let record = Record { writer, sequence: Sequence(1), change: Change::Config(publish) };
+        self.log().append(&record::encode(&record).unwrap(), LIMIT).await.unwrap();
+    }
+
+    pub(crate) async fn head(&self) -> Offset {
+        self.log().read(Offset::default(), 1, Span::ZERO).await.unwrap().head
+    }
+
+    async fn list(&self, row: &Listed) {
+        let url = format!("http://{}/vms", self.platform());
+        let answer = self.client.post(url).send_json(row).await.unwrap();
+        assert!(answer.status().is_success());
+    }
+
+    /// Starts a gateway and adds it to the VM list.
+    pub(crate) async fn start(&self, zone: &str) -> Gateway {
+        loop {
+            // Another process may take a port before the gateway opens it.
+            if let Some(gateway) = self.try_start(zone).await {
+                let row = Listed {
+                    id: gateway.id.as_str().into(),
+                    role: Role::Entry,
+                    service: None,
+                    zone: zone.parse().unwrap(),
+                    addr: gateway.peers,
+                    admin: Some(gateway.admin),
+                    state: Life::Live,
+                };
+                self.list(&row).await;
+                return gateway;
+            }
+        }
+    }
+
+    async fn try_start(&self, zone: &str) -> Option<Gateway> {
+        let [callers, peers, admin] = free_addrs();
+        let id = format!("gw-{zone}");
+        let platform = self.platform();
+        let text = format!(
+            "{{vm: {id}, zone: {zone}, callers: '{callers}', peers: '{peers}', admin: '{admin}', \
+             platform: {{log: '{platform}', vms: '{platform}'}}, limits: {{stall: 500ms}}}}"
+        );
+        let file = settings_file(&text);
+        let errors = file.with_extension("err");
+        let child = program()
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::null())
+            .stderr(fs::File::create(&errors).unwrap())
+            .spawn()
+            .unwrap();
+        let client = self.client.clone();
+        let mut gateway = Gateway { id, callers, peers, admin, child, client, errors };
+        // A connection could reach another process that has taken the port.
+        while !gateway.errors().contains("gateway started") {
+            if gateway.child.try_wait().unwrap().is_some() {
+                let text = gateway.errors();
+                assert!(text.contains("can't listen") || text.contains("can't bind"), "{text}");
+                return None;
+            }
+            actix_rt::time::sleep(POLL).await;
+        }
+        Some(gateway)
+    }
+
+    /// Publishes the configuration, starts a gateway for each zone and waits
+    /// until every one of them serves every service.
+    pub(crate) async fn fleet<const N: usize>(&self, zones: [&str; N]) -> [Gateway; N] {
+        self.publish().await;
+        let mut gateways = Vec::new();
+        for zone in zones {
+            gateways.push(self.start(zone).await);
+        }
+        for gateway in &gateways {
+            for path in ["/orders/x", "/notes/x", "/plans/x"] {
+                gateway.wait_served(path).await;
+            }
+        }
+        gateways.try_into().ok().unwrap()
+    }
+}
+
+/// The program under test.
+pub(crate) fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_catkin-gateway"))
+}
+
+/// Writes a settings file with a name of its own.
+pub(crate) fn settings_file(text: &str) -> PathBuf {
+    use std::sync::atomic::{AtomicU32, Ordering};
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("gateway-{}-{number}.yaml", std::process::id());
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&file, text).unwrap();
+    file
+}
+
+/// Returns addresses that are free for TCP and UDP.
+pub(crate) fn free_addrs() -> [SocketAddr; 3] {
+    let listeners = [(); 3].map(|()| {
+        loop {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            if let Ok(socket) = UdpSocket::bind(listener.local_addr().unwrap()) {
+                return (listener, socket);
+            }
+        }
+    });
+    listeners.map(|(listener, _)| listener.local_addr().unwrap())
+}
+
+/// A gateway process, killed when this is dropped.
+pub(crate) struct Gateway {
+    pub(crate) id: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) peers: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    child: Child,
+    client: Client,
+    errors: PathBuf,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) code: String,
+    pub(crate) outcome: String,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Reply {
+    pub(crate) fn echo(&self) -> Echo {
+        serde_json::from_slice(&self.body).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+
+    /// Returns code and outcome.
+    pub(crate) fn ends(&self) -> (&str, &str) {
+        (&self.code, &self.outcome)
+    }
+}
+
+impl Gateway {
+    /// Makes a request. Services divided by key get a key.
+    pub(crate) fn request(&self, method: &str, path: &str) -> ClientRequest {
+        let method: Method = method.parse().unwrap();
+        let request = self.client.request(method, format!("http://{}{path}", self.callers));
+        request.insert_header((header::KEY, "key-1"))
+    }
+
+    /// Waits until a path is served.
+    pub(crate) async fn wait_served(&self, path: &str) {
+        while send(self.request("GET", path), "").await.status != 200 {
+            actix_rt::time::sleep(POLL).await;
+        }
+    }
+
+    pub(crate) async fn status(&self) -> Status {
+        get(&self.client, self.admin, "/status", LIMIT).await.unwrap()
+    }
+
+    /// Waits until the status has a property.
+    pub(crate) async fn wait(&self, found: impl Fn(&Status) -> bool) -> Status {
+        loop {
+            let status = self.status().await;
+            if found(&status) {
+                return status;
+            }
+            actix_rt::time::sleep(POLL).await;
+        }
+    }
+
+    /// Returns the number of dropped messages or records of a kind.
+    pub(crate) async fn drops(&self, kind: &str) -> u64 {
+        let url = format!("http://{}/metrics", self.admin);
+        let mut answer = self.client.get(url).send().await.unwrap();
+        let body = read_body(&mut answer, BODY_MAX).await.unwrap();
+        let text = String::from_utf8(body.to_vec()).unwrap();
+        let start = format!("catkin_drops_total{{kind=\"{kind}\"}} ");
+        text.lines().find_map(|line| line.strip_prefix(&start)).map_or(0, |count| count.parse().unwrap())
+    }
+
+    /// Waits until at least so many messages or records of a kind are dropped.
+    pub(crate) async fn wait_drops(&self, kind: &str, count: u64) {
+        while self.drops(kind).await < count {
+            actix_rt::time::sleep(POLL).await;
+        }
+    }
+
+    /// Writes bytes to the callers' port and reads until the gateway closes.
+    pub(crate) async fn raw(&self, bytes: &[u8]) -> String {
+        let mut stream = TcpStream::connect(self.callers).await.unwrap();
+        // The gateway may close before it has read everything.
+        let _ = stream.write_all(bytes).await;
+        read_end(&mut stream).await
+    }
+
+    pub(crate) fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    /// Waits until the process ends by itself.
+    pub(crate) async fn wait_exit(&mut self) -> ExitStatus {
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            actix_rt::time::sleep(POLL).await;
+        }
+    }
+
+    /// Returns what the process wrote to standard error.
+    pub(crate) fn errors(&self) -> String {
+        fs::read_to_string(&self.errors).unwrap()
+    }
+
+    /// Fails if the process has ended or reported a panic.
+    pub(crate) fn assert_alive(&mut self) {
+        let errors = self.errors();
+        assert!(self.child.try_wait().unwrap().is_none(), "{errors}");
+        assert!(!errors.contains("panicked"), "{errors}");
+    }
+}
+
+/// Reads until the other side closes or resets the connection.
+pub(crate) async fn read_end(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Sends a request and reads its whole answer.
+pub(crate) async fn send(request: ClientRequest, body: impl Into<String>) -> Reply {
+    try_send(request, body).await.unwrap()
+}
+
+/// Sends a request; fails if its answer is cut.
+pub(crate) async fn try_send(
+    request: ClientRequest,
+    body: impl Into<String>,
+) -> Result<Reply, catkin::Error> {
+    let mut answer = request.send_body(body.into()).await.unwrap();
+    let text = |name: &str| {
+        let value = answer.headers().get(name).map(|value| value.to_str().unwrap().to_owned());
+        value.unwrap_or_default()
+    };
+    let (status, code, outcome) = (answer.status().as_u16(), text(header::CODE), text(header::OUTCOME));
+    let body = read_body(&mut answer, BODY_MAX).await?.to_vec();
+    Ok(Reply { status, code, outcome, body })
+}
--- /dev/null
+++ b/crates/catkin-gateway/tests/once.rs
@@ -0,0 +1,82 @@
+//! Guards against work that runs twice, and against "not run" for work that
+//! ran.
+
+mod common;
+
+use {
+    catkin::{admin::Health, api::header},
+    catkin_standin::{PlatformFaults, TargetFaults},
+    common::{Env, NOTES, ORDERS, run, send},
+};
+
+fn hang_up() -> TargetFaults {
+    TargetFaults { hang_up: 1, ..TargetFaults::default() }
+}
+
+async fn runs(env: &Env, target: usize) -> u64 {
+    env.ledger(target).await.counts.ran
+}
+
+/// Guards against "not run", or a second run, for a request that the target
+/// read before it closed the connection.
+#[test]
+fn unanswered_order_has_an_unknown_outcome() {
+    run(async |env| {
+        for gateway in env.fleet(["a", "b"]).await {
+            let before = runs(&env, ORDERS).await;
+            env.fail_target(ORDERS, hang_up()).await;
+            let reply = send(gateway.request("POST", "/orders/new"), "order").await;
+            assert_eq!(reply.ends(), ("501", "unknown"), "{reply:?}");
+            assert_eq!(runs(&env, ORDERS).await, before + 1);
+            // The retry budget needs a recent success.
+            assert_eq!(send(gateway.request("PUT", "/orders/new"), "").await.status, 200);
+            env.fail_target(ORDERS, hang_up()).await;
+            let reply = send(gateway.request("PUT", "/orders/new"), "order").await;
+            assert_eq!(reply.ends(), ("601", "ran"), "{reply:?}");
+            assert_eq!(runs(&env, ORDERS).await, before + 4);
+        }
+    });
+}
+
+/// Guards against two runs of one idempotency key through two gateways.
+#[test]
+fn idempotency_key_runs_once_in_the_fleet() {
+    run(async |env| {
+        let [first, second] = env.fleet(["a", "b"]).await;
+        for number in 0..8 {
+            let key = format!("order-{number}");
+            let order = |gateway: &common::Gateway| {
+                gateway
+                    .request("POST", "/orders/new")
+                    .insert_header((header::IDEMPOTENCY, key.as_str()))
+                    .insert_header(("x-standin-work-ms", "20"))
+            };
+            let (one, two) = tokio::join!(send(order(&first), ""), send(order(&second), ""));
+            assert_eq!([&one, &two].iter().filter(|reply| reply.code == "601").count(), 1, "{one:?} {two:?}");
+            for gateway in [&first, &second] {
+                let again = send(order(gateway), "").await;
+                assert_ne!((again.status, again.code.as_str()), (200, "601"), "{again:?}");
+            }
+            assert_eq!(env.ledger(ORDERS).await.runs[key.as_str()].len(), 1);
+        }
+    });
+}
+
+/// Guards against orders that are sent without the fleet-wide check, and
+/// against a service that stays refused although its configuration allows it.
+#[test]
+fn log_down_setting_decides() {
+    run(async |env| {
+        let [gateway] = env.fleet(["a"]).await;
+        let before = runs(&env, ORDERS).await;
+        env.fail_platform(PlatformFaults { down: true, ..PlatformFaults::default() }).await;
+        gateway.wait(|status| status.log == Health::Down).await;
+        let post = |path: &str| gateway.request("POST", path).insert_header((header::IDEMPOTENCY, "key"));
+        let refused = send(post("/orders/new"), "").await;
+        assert_eq!(refused.ends(), ("413", "not-run"), "{refused:?}");
+        let sent = send(post("/notes/new"), "").await;
+        assert_eq!(sent.ends(), ("601", "ran"), "{sent:?}");
+        assert_eq!(runs(&env, ORDERS).await, before);
+        assert_eq!(env.ledger(NOTES).await.runs["key"].len(), 1);
+    });
+}
