gateway: count an oversized or damaged frame of a peer

Cause: the codec's error for a frame over the limit was taken for a lost connection, and a frame that can't be decoded in the middle of a request ended it without being counted. Ruled out: the decoder, which refuses both. Before: an oversized frame left catkin_drops of kind peer_frame at 1 (the undecodable frame before it).

--- a/crates/catkin-gateway/src/peer.rs
+++ b/crates/catkin-gateway/src/peer.rs
@@ -24,6 +24,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
+        io::ErrorKind,
         net::SocketAddr,
         rc::Rc,
         time::Duration,
@@ -120,6 +121,10 @@
 async fn receive(reader: &mut Reader) -> Result<Frame, Error> {
     match reader.next().await {
         Some(Ok(bytes)) => wire::decode(&bytes),
+        // The codec reports a frame over the limit in this way.
+        Some(Err(e)) if e.kind() == ErrorKind::InvalidData => {
+            Err(Error::new(Code::FrameTooLarge, e.to_string()))
+        }
         Some(Err(e)) => Err(lost(&e.to_string())),
         None => Err(lost("closed")),
     }
@@ -278,22 +283,18 @@
 
 async fn serve(node: Rc<Node>, mut conn: Conn) {
     loop {
-        let frame = match receive(&mut conn.reader).await {
-            Ok(frame) => frame,
-            Err(e) => {
-                if e.code() == Code::BadFrame {
-                    node.metrics.drop("peer_frame");
-                }
-                return;
-            }
-        };
-        let served = match frame {
-            Frame::Request(head) => serve_request(&node, &mut conn, head).await,
-            other => serve_question(&node, &mut conn.writer, &other).await,
-        };
-        if served.is_err() {
-            return;
+        let Err(error) = serve_next(&node, &mut conn).await else { continue };
+        if matches!(error.code(), Code::BadFrame | Code::FrameTooLarge) {
+            node.metrics.drop("peer_frame");
         }
+        return;
+    }
+}
+
+async fn serve_next(node: &Rc<Node>, conn: &mut Conn) -> Result<(), Error> {
+    match receive(&mut conn.reader).await? {
+        Frame::Request(head) => serve_request(node, conn, head).await,
+        other => serve_question(node, &mut conn.writer, &other).await,
     }
 }
 
@@ -303,10 +304,7 @@
     }
     match control::answer(node, frame) {
         Some(answer) => send(writer, &answer).await,
-        None => {
-            node.metrics.drop("peer_frame");
-            Err(Error::new(Code::BadFrame, "unexpected frame"))
-        }
+        None => Err(Error::new(Code::BadFrame, "unexpected frame")),
     }
 }
 
