gateway: keep callers away from the commands of targets

Cause: the path of a caller is passed on unchanged, so a service named lease, load, health or drain put its callers on the paths of the commands, and a path with dot segments does so on a target that normalizes it. Ruled out: paths with the name of another service, such as /plans/lease/grant, which stay work. Before: POST /lease/renew was answered by the target's lease command.

--- a/crates/catkin-gateway/src/accept.rs
+++ b/crates/catkin-gateway/src/accept.rs
@@ -30,6 +30,10 @@
 
 const DEADLINE_MAX: Span = Span::from_secs(3_600);
 const MOVE_POLL: Duration = Duration::from_millis(10);
+/// First segments of the paths on which targets take commands and report. The
+/// path of a caller is passed on with the service's name, so that no service
+/// with one of these names can be served.
+const TARGET_PATHS: [&str; 4] = ["lease", "load", "health", "drain"];
 
 /// What a request of a caller asks for.
 struct Ask {
@@ -191,6 +195,7 @@
 }
 
 async fn read(node: &Node, id: &RequestId, mut request: Request) -> Result<(Ask, Body), Error> {
+    check_path(request.path())?;
     let service = service(request.path())?;
     let current = node.state.borrow().config().clone();
     if current.revision == Revision::default() {
@@ -244,9 +249,22 @@
     Error::new(Code::BadRequest, error.detail())
 }
 
+/// Refuses a path that leaves its service once a target normalizes it.
+fn check_path(path: &str) -> Result<(), Error> {
+    let plain = path.to_ascii_lowercase().replace("%2e", ".").replace("%2f", "/").replace("%5c", "\\");
+    if plain.split(['/', '\\']).any(|segment| matches!(segment, "." | "..")) {
+        return Err(Error::new(Code::BadRequest, "the path has a dot segment"));
+    }
+    Ok(())
+}
+
 fn service(path: &str) -> Result<Service, Error> {
     let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-    name.parse().map_err(|_| Error::new(Code::UnknownService, format!("no service {name:?}")))
+    let unknown = || Error::new(Code::UnknownService, format!("no service {name:?}"));
+    if TARGET_PATHS.contains(&name) {
+        return Err(unknown());
+    }
+    name.parse().map_err(|_| unknown())
 }
 
 /// Returns the path after the service's name.
