gateway: report an upload over the limit as cut

Cause: a body that ends with an error fails awc's request with SendRequestError::Body, which was reported as 'no answer came'. Ruled out: the forwarding gateway, which reports 504 already. Before: a chunked body over the limit got code 501 from the gateway that keeps the target. After: 504 from both. The outcome is unknown in both cases.

--- a/crates/catkin-gateway/src/execute.rs
+++ b/crates/catkin-gateway/src/execute.rs
@@ -139,7 +139,11 @@
 }
 
 fn send_error(error: &SendRequestError) -> Error {
-    let code = if catkin_net::is_unsent(error) { Code::ConnectFailed } else { Code::OutcomeUnknown };
+    let code = match error {
+        SendRequestError::Body(_) => Code::UploadCut,
+        _ if catkin_net::is_unsent(error) => Code::ConnectFailed,
+        _ => Code::OutcomeUnknown,
+    };
     Error::new(code, error.to_string())
 }
 
