--- a/crates/catkin-gateway/tests/common/mod.rs
+++ b/crates/catkin-gateway/tests/common/mod.rs
@@ -37,6 +37,8 @@
 pub(crate) const ORDERS: usize = 0;
 pub(crate) const NOTES: usize = 1;
 pub(crate) const PLANS: usize = 2;
+/// Target of a service with the name of a command to targets.
+pub(crate) const LEASE: usize = 3;
 
 const BODY_MAX: usize = 16 << 20;
 const SETTINGS: &str = "
@@ -45,12 +47,14 @@
   - {id: orders-1, service: orders, zone: b, addr: '127.0.0.1:0', slots: 6, work: 1us, fenced: true}
   - {id: notes-1, service: notes, zone: b, addr: '127.0.0.1:0', slots: 6, work: 1us, fenced: true}
   - {id: plans-1, service: plans, zone: b, addr: '127.0.0.1:0', slots: 6, work: 1us, fenced: true}
+  - {id: lease-1, service: lease, zone: b, addr: '127.0.0.1:0', slots: 6, work: 1us, fenced: true}
 ";
 /// The lease is as long as is allowed, so that a busy machine ends none.
 const FLEET: &str = "
 defaults: {deadline: 30s, queue_wait: 20s, lease_ttl: 890ms, retry_budget: 1, body_limit: 256KiB}
 services:
   orders: {}
+  lease: {}
   notes: {}
   plans: {keyed: true, slices: 4}
 exceptions:
@@ -192,12 +196,12 @@
         self.publish().await;
         let mut gateways = Vec::new();
         for zone in zones {
-            gateways.push(self.start(zone).await);
-        }
-        for gateway in &gateways {
+            let gateway = self.start(zone).await;
+            // The first one keeps all targets before the next one can.
             for path in ["/orders/x", "/notes/x", "/plans/x"] {
                 gateway.wait_served(path).await;
             }
+            gateways.push(gateway);
         }
         gateways.try_into().ok().unwrap()
     }
@@ -271,6 +275,10 @@
 }
 
 impl Gateway {
+    pub(crate) fn client(&self) -> &Client {
+        &self.client
+    }
+
     /// Makes a request. Services divided by key get a key.
     pub(crate) fn request(&self, method: &str, path: &str) -> ClientRequest {
         let method: Method = method.parse().unwrap();
--- a/crates/catkin-gateway/tests/once.rs
+++ b/crates/catkin-gateway/tests/once.rs
@@ -22,7 +22,8 @@
 #[test]
 fn unanswered_order_has_an_unknown_outcome() {
     run(async |env| {
-        for gateway in env.fleet(["a", "b"]).await {
+        let gateways = env.fleet(["a", "b"]).await;
+        for gateway in &gateways {
             let before = runs(&env, ORDERS).await;
             env.fail_target(ORDERS, hang_up()).await;
             let reply = send(gateway.request("POST", "/orders/new"), "order").await;
