lease: bound the lease of a lost server when only its keeper restarts

A new process of the keeper's VM had no other VM to ask and had never reached the server, so the server's slices waited for the VM list although the old process was dead. Its last renewal bounds the lease now, as it does for the first keeper of a server that never answered.

--- a/crates/catkin/src/lease/kept/stop.rs
+++ b/crates/catkin/src/lease/kept/stop.rs
@@ -15,27 +15,25 @@
         !self.superseded && !self.prior.is_empty() && self.reported && self.is_ready(now, timings)
     }
 
-    /// Returns since when all earlier keepers are known to have stopped.
-    pub(in crate::lease) fn alone_since(&self) -> Option<Time> {
+    /// Returns since when no earlier keeper sends commands: other VMs have
+    /// stopped, and an earlier process of this VM is dead.
+    fn alone_since(&self) -> Option<Time> {
         let times = self.prior.iter().map(|vm| self.stopped.get(vm).copied());
-        times.collect::<Option<Vec<_>>>().map(|times| times.into_iter().max().unwrap_or_default())
+        times.chain([Some(self.since)]).collect::<Option<Vec<_>>>()?.into_iter().max()
     }
 
-    /// Returns whether no earlier keeper can prolong the lease.
-    pub(in crate::lease) fn is_bounded(&self, now: Time, timings: &Timings) -> bool {
-        let alone = self
-            .alone_since()
-            .is_some_and(|since| !self.prior.is_empty() && now >= since.after(timings.longest(timings.ttl)));
-        self.taken || alone
+    /// Returns whether no earlier keeper can prolong the lease. The first
+    /// keeper of a target has none before it.
+    fn is_bounded(&self, now: Time, timings: &Timings) -> bool {
+        let longest = timings.longest(timings.ttl);
+        let alone = self.alone_since().is_some_and(|since| now >= since.after(longest));
+        self.version.0 <= 1 || self.taken || alone
     }
 
     /// Returns whether the target may get renewals and grants.
-    pub(in crate::lease) fn is_ready(&self, now: Time, timings: &Timings) -> bool {
-        let alone = || {
-            let since = self.alone_since().map(|since| since.max(self.since));
-            self.version.0 <= 1 || since.is_some_and(|since| now >= since.after(timings.deadline))
-        };
-        self.is_announced() && (self.fenced || alone())
+    pub(super) fn is_ready(&self, now: Time, timings: &Timings) -> bool {
+        let alone = || self.alone_since().is_some_and(|since| now >= since.after(timings.deadline));
+        self.is_announced() && (self.fenced || self.version.0 <= 1 || alone())
     }
 
     /// Bars a slice: it is released and never granted again up to a fence.
--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -9,7 +9,9 @@
 //!
 //! - [`types`] has the newtypes for ids, sizes, times and rates.
 //! - [`error`] has the opaque [`Error`] and the numbered [`Code`] table.
-//! - [`record`] encodes what is written to the log, [`fold`] reads it back.
+//! - [`record`] encodes what is written to the log, [`fold`] reads it back,
+//!   [`append`] settles lost answers and [`snapshot`] bounds what a VM reads.
+//! - [`lease::Keeper`] decides about commands to targets, grants and moves.
 //! - [`config`] is what operators publish; [`settings`] is what one process
 //!   reads at its start.
 //! - [`choose`] picks a target, [`dispatch`] queues for it, [`retry`] decides
--- a/crates/catkin/tests/outage/main.rs
+++ b/crates/catkin/tests/outage/main.rs
@@ -130,6 +130,18 @@
     assert_eq!(sim.assigns(), assigns, "no slice was assigned");
 }
 
+/// Guards against a wait for the list when only the keeper's process died:
+/// its last renewal bounds the lease.
+#[test]
+fn lost_server_whose_keeper_restarts_is_replaced_within_the_limit() {
+    let mut sim = start();
+    sim.servers[0].up = false;
+    sim.restart(1);
+    let longest = watch(&mut sim, 2_000);
+    println!("keeper restarted: {longest} ms without service");
+    assert!(longest <= LIMIT_MS, "{longest} ms");
+}
+
 /// Guards against a frozen server that serves its old slices again, and
 /// against a keeper that leaves it without a lease.
 #[test]
--- a/crates/catkin/tests/outage/sim.rs
+++ b/crates/catkin/tests/outage/sim.rs
@@ -124,6 +124,15 @@
         self.push(vm, Change::Keeper(Claim { target, expects, keeper }));
     }
 
+    /// A new process takes the place of a VM's old one and reads the log.
+    pub(crate) fn restart(&mut self, vm: usize) {
+        let old = &self.vms[vm];
+        let (id, state, boot) = (old.id.clone(), old.state.clone(), old.appender.writer().boot + 1);
+        let keeper = Keeper::new(id.clone(), boot, Timings::default());
+        let appender = Appender::new(Writer { id: id.clone(), boot });
+        self.vms[vm] = Vm { id, keeper, state, up: true, paused: false, appender };
+    }
+
     /// Lets time pass, one millisecond at a time.
     pub(crate) fn run(&mut self, ms: u64) {
         self.run_with(ms, |_| {});
