--- a/crates/catkin-bench/src/main.rs
+++ b/crates/catkin-bench/src/main.rs
@@ -6,6 +6,7 @@
 mod arrivals;
 mod balance;
 mod blocking;
+mod capacity;
 mod compare;
 mod faults;
 mod fleet;
@@ -51,7 +52,8 @@
 ];
 
 /// Groups that depend on the machine, measured with `--wall`.
-const WALL_GROUPS: &[Group] = &[("wall", wall::measures), ("wall", place::wall)];
+const WALL_GROUPS: &[Group] =
+    &[("wall", wall::measures), ("wall", place::wall), ("capacity", capacity::measures)];
 
 fn main() -> ExitCode {
     let options = options().run();
