gateway: append idempotency keys beside moves, and see answers that are cut

Keys now have a writer of their own. Cause of the second: awc ends a body without an error when the connection closes early, so an answer shorter than announced was passed on as the whole answer of the target. The received length is checked.

--- a/crates/catkin-gateway/src/append.rs
+++ b/crates/catkin-gateway/src/append.rs
@@ -3,10 +3,12 @@
 use {
     crate::{follow, node::Node},
     catkin::{
-        record::Change,
+        append::Appender,
+        record::{Change, Writer},
         types::{Sequence, Span},
     },
-    std::{rc::Rc, time::Duration},
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    tokio::sync::Notify,
 };
 
 const APPEND_LIMIT: Span = Span::from_secs(2);
@@ -15,9 +17,23 @@
 /// them again while they are needed.
 const QUEUE_MAX: usize = 1_024;
 
+/// Records of one writer on their way to the log.
+pub(crate) struct Lane {
+    /// The records.
+    pub(crate) appender: RefCell<Appender>,
+    pushed: Notify,
+}
+
+impl Lane {
+    /// Makes a lane of a writer.
+    pub(crate) fn new(writer: Writer) -> Self {
+        Self { appender: RefCell::new(Appender::new(writer)), pushed: Notify::new() }
+    }
+}
+
 /// Queues a change for the log and returns the number of its record.
-pub(crate) fn push(node: &Node, change: Change) -> Option<Sequence> {
-    let mut appender = node.appender.borrow_mut();
+pub(crate) fn push(node: &Node, lane: &Lane, change: Change) -> Option<Sequence> {
+    let mut appender = lane.appender.borrow_mut();
     if appender.len() >= QUEUE_MAX {
         node.metrics.drop("append");
         return None;
@@ -29,45 +45,45 @@
             return None;
         }
     };
-    node.pushed.notify_one();
+    lane.pushed.notify_one();
     Some(sequence)
 }
 
-/// Appends the queued records until the process ends.
-pub(crate) async fn run(node: Rc<Node>) {
+/// Appends the queued records of a lane until the process ends.
+pub(crate) async fn run(node: Rc<Node>, lane: Rc<Lane>) {
     loop {
-        let bytes = node.appender.borrow_mut().take().map(<[u8]>::to_vec);
+        let bytes = lane.appender.borrow_mut().take().map(<[u8]>::to_vec);
         match bytes {
-            Some(bytes) => append(&node, &bytes).await,
-            None => wait(&node).await,
+            Some(bytes) => append(&node, &lane, &bytes).await,
+            None => wait(&node, &lane).await,
         }
     }
 }
 
 /// Waits for a new record, or until the one in flight was read back.
-async fn wait(node: &Node) {
+async fn wait(node: &Node, lane: &Lane) {
     tokio::select! {
-        () = node.pushed.notified() => {}
+        () = lane.pushed.notified() => {}
         () = node.advanced.notified() => {}
     }
 }
 
-async fn append(node: &Node, bytes: &[u8]) {
+async fn append(node: &Node, lane: &Lane, bytes: &[u8]) {
     match node.log.append(bytes, APPEND_LIMIT).await {
-        Ok(offset) => node.appender.borrow_mut().appended(offset),
+        Ok(offset) => lane.appender.borrow_mut().appended(offset),
         Err(error) => {
-            node.appender.borrow_mut().failed(&error);
+            lane.appender.borrow_mut().failed(&error);
             actix_rt::time::sleep(RETRY_PAUSE).await;
-            resolve(node).await;
+            resolve(node, lane).await;
         }
     }
 }
 
 /// Reads the log until it shows what became of an append without answer.
-async fn resolve(node: &Node) {
-    while node.appender.borrow().is_unknown() {
+async fn resolve(node: &Node, lane: &Lane) {
+    while lane.appender.borrow().is_unknown() {
         if follow::read_to_head(node).await.is_ok() {
-            node.appender.borrow_mut().again();
+            lane.appender.borrow_mut().again();
         } else {
             actix_rt::time::sleep(RETRY_PAUSE).await;
         }
--- a/crates/catkin-gateway/src/balance.rs
+++ b/crates/catkin-gateway/src/balance.rs
@@ -100,7 +100,7 @@
         }
     }
     if !moves.is_empty() {
-        append::push(node, Change::Assign(Assign { service, moves }));
+        append::push(node, &node.control, Change::Assign(Assign { service, moves }));
     }
 }
 
@@ -110,7 +110,7 @@
     let Some(owner) = owner(node, &carve.service, slice) else { return };
     let carved = node.keeper.borrow_mut().carve(node.now(), &owner, slice, carve);
     if let Ok(change) = carved {
-        append::push(node, change);
+        append::push(node, &node.control, change);
     }
 }
 
--- a/crates/catkin-gateway/src/control.rs
+++ b/crates/catkin-gateway/src/control.rs
@@ -168,7 +168,7 @@
         let assigns = self.assigner.assign(now, &state, &list, &members);
         let changes = claims.into_iter().map(Change::Keeper).chain(assigns.into_iter().map(Change::Assign));
         for change in changes {
-            append::push(node, change);
+            append::push(node, &node.control, change);
         }
     }
 
@@ -180,7 +180,7 @@
             }
             Action::Inspect { target } => drop(actix_rt::spawn(inspect(node, target))),
             Action::Append(change) => {
-                append::push(&node, change);
+                append::push(&node, &node.control, change);
             }
             Action::Ask { vm, frame } => drop(actix_rt::spawn(ask(node, vm, frame))),
             Action::ReadHead => drop(actix_rt::spawn(read_head(node))),
--- a/crates/catkin-gateway/src/execute.rs
+++ b/crates/catkin-gateway/src/execute.rs
@@ -160,7 +160,7 @@
     }
 }
 
-fn reply(node: &Node, head: &Head, answer: Incoming, permit: Permit) -> Reply {
+fn reply(node: &Node, head: &Head, answer: Incoming, mut permit: Permit) -> Reply {
     let length = answer
         .headers()
         .get("content-length")
@@ -176,23 +176,49 @@
         fence: head.slice.map(|(_, fence)| fence),
     };
     let stall = node.set.limits.stall.as_duration();
-    Reply { answer: answer_head, body: Body::Stream(length, parts(answer, permit, stall).boxed_local()) }
+    if has_no_body(head, answer_head.status) {
+        permit.set(Outcome::Ok);
+        return Reply { answer: answer_head, body: Body::Whole(Bytes::new()) };
+    }
+    let parts = parts(Reading { answer, permit, length, received: 0 }, stall).boxed_local();
+    Reply { answer: answer_head, body: Body::Stream(length, parts) }
+}
+
+/// Returns whether an answer has no body, whatever length it announces.
+fn has_no_body(head: &Head, status: u16) -> bool {
+    &*head.method == "HEAD" || matches!(status, 204 | 304)
+}
+
+/// An answer whose body is being read.
+struct Reading {
+    answer: Incoming,
+    permit: Permit,
+    length: Option<u64>,
+    received: u64,
 }
 
 /// Reads the body of an answer. The permit is given back at its end.
-fn parts(answer: Incoming, permit: Permit, stall: Duration) -> impl Stream<Item = Result<Bytes, Error>> {
-    stream::unfold(Some((answer, permit)), move |state| async move {
-        let (mut answer, mut permit) = state?;
-        let cut = match actix_rt::time::timeout(stall, answer.next()).await {
-            Ok(Some(Ok(bytes))) => return Some((Ok(bytes), Some((answer, permit)))),
-            Ok(None) => {
-                permit.set(Outcome::Ok);
+///
+/// `awc` ends a body without an error when the connection closes early, so the
+/// announced length is checked. A chunked answer that is cut between two
+/// chunks can't be told from a whole one.
+fn parts(reading: Reading, stall: Duration) -> impl Stream<Item = Result<Bytes, Error>> {
+    stream::unfold(Some(reading), move |state| async move {
+        let mut reading = state?;
+        let cut = match actix_rt::time::timeout(stall, reading.answer.next()).await {
+            Ok(Some(Ok(bytes))) => {
+                reading.received += bytes.len() as u64;
+                return Some((Ok(bytes), Some(reading)));
+            }
+            Ok(None) if reading.length.is_none_or(|length| length == reading.received) => {
+                reading.permit.set(Outcome::Ok);
                 return None;
             }
+            Ok(None) => format!("the body ended after {} bytes", reading.received),
             Ok(Some(Err(e))) => e.to_string(),
             Err(_) => format!("no progress for {stall:?}"),
         };
-        permit.set(Outcome::Failed);
+        reading.permit.set(Outcome::Failed);
         Some((Err(Error::new(Code::AnswerCut, cut)), None))
     })
 }
--- a/crates/catkin-gateway/src/follow.rs
+++ b/crates/catkin-gateway/src/follow.rs
@@ -5,7 +5,7 @@
     catkin::{
         Code, Error,
         event::Kind,
-        fold::{Keeper, State},
+        fold::{Keeper, State, Verdict},
         record::{self, Change},
         snapshot::{self, Choice, Join, Scan},
         types::{Fence, Offset, Span, VmId},
@@ -129,15 +129,15 @@
     if !verdict.is_accepted() {
         node.metrics.drop("record");
     }
-    let settled = node.appender.borrow_mut().read(verdict);
+    let own = verdict.source.as_ref().is_some_and(|(writer, _)| writer.id == node.set.vm);
+    if own {
+        settle(node, verdict);
+    }
     match record::decode(bytes).map(|record| record.change) {
         Ok(Change::Chunk(chunk)) => drop(node.join.borrow_mut().push(chunk)),
         Ok(change) => show_change(node, offset, &change),
         Err(_) => {}
     }
-    if let Some(settled) = settled {
-        node.protect.settle(node, &settled);
-    }
     node.changed.set(true);
     let current = node.state.borrow().config().revision;
     if current != revision {
@@ -147,6 +147,22 @@
     show(node);
 }
 
+/// Takes an own record that was read back.
+fn settle(node: &Node, verdict: Verdict) {
+    let is_intent = verdict
+        .source
+        .as_ref()
+        .is_some_and(|(writer, _)| *writer == *node.intents.appender.borrow().writer());
+    if !is_intent {
+        node.control.appender.borrow_mut().read(verdict);
+        return;
+    }
+    let settled = node.intents.appender.borrow_mut().read(verdict);
+    if let Some(settled) = settled {
+        node.protect.settle(node, &settled);
+    }
+}
+
 /// Records the events of a record as far as it was accepted.
 fn show_change(node: &Node, offset: Offset, change: &Change) {
     let kinds: Vec<Kind> = match change {
--- a/crates/catkin-gateway/src/main.rs
+++ b/crates/catkin-gateway/src/main.rs
@@ -96,7 +96,8 @@
     actix_rt::spawn(balance::run(node.clone()));
     actix_rt::spawn(reports::run(node.clone()));
     actix_rt::spawn(snapshots::run(node.clone()));
-    actix_rt::spawn(append::run(node.clone()));
+    actix_rt::spawn(append::run(node.clone(), node.control.clone()));
+    actix_rt::spawn(append::run(node.clone(), node.intents.clone()));
     actix_rt::spawn(control::run(node.clone()));
     actix_rt::spawn(heartbeat::run(node.clone(), socket));
     actix_rt::spawn(peer::listen(node.clone(), peers));
--- a/crates/catkin-gateway/src/node.rs
+++ b/crates/catkin-gateway/src/node.rs
@@ -1,11 +1,10 @@
 //! What all parts of a gateway share.
 
 use {
-    crate::{metrics::Metrics, peer::Pool, protect::Protect, queue::Queues},
+    crate::{append::Lane, metrics::Metrics, peer::Pool, protect::Protect, queue::Queues},
     awc::{Client, Connector},
     catkin::{
         api::{Listed, VmList},
-        append::Appender,
         choose::Loads,
         config::Policy,
         event::{Kind, Ring, Timestamp, Wall},
@@ -24,6 +23,7 @@
         cell::{Cell, RefCell},
         collections::{BTreeSet, HashMap},
         net::SocketAddr,
+        rc::Rc,
         time::{SystemTime, UNIX_EPOCH},
     },
     tokio::sync::Notify,
@@ -55,10 +55,11 @@
     pub(crate) bounds: Cell<(Offset, Offset)>,
     /// Snapshots that were read from the log.
     pub(crate) join: RefCell<Join>,
-    /// Own records on their way to the log.
-    pub(crate) appender: RefCell<Appender>,
-    /// Wakes up the task that appends.
-    pub(crate) pushed: Notify,
+    /// Claims, moves and snapshots on their way to the log.
+    pub(crate) control: Rc<Lane>,
+    /// Idempotency keys on their way to the log. They have a lane of their
+    /// own, because a move would wait behind them while the log is slow.
+    pub(crate) intents: Rc<Lane>,
     /// Idempotency keys of the requests in progress.
     pub(crate) protect: Protect,
     /// Whether the fold, the VM list or the state of the log changed since
@@ -127,8 +128,8 @@
             ready: Cell::new(false),
             bounds: Cell::default(),
             join: RefCell::default(),
-            appender: RefCell::new(Appender::new(Writer { id: set.vm.clone(), boot })),
-            pushed: Notify::new(),
+            control: Rc::new(Lane::new(Writer { id: set.vm.clone(), boot })),
+            intents: Rc::new(Lane::new(Writer { id: set.vm.clone(), boot: boot + 1 })),
             protect: Protect::default(),
             changed: Cell::new(false),
             advanced: Notify::new(),
--- a/crates/catkin-gateway/src/protect.rs
+++ b/crates/catkin-gateway/src/protect.rs
@@ -67,7 +67,7 @@
     }
 
     fn append(&self, node: &Node, group: Vec<catkin::record::Intent>) {
-        self.group.set(append::push(node, Change::Intents(group)));
+        self.group.set(append::push(node, &node.intents, Change::Intents(group)));
         if self.group.get().is_none() {
             self.intents.borrow_mut().requeue();
         }
@@ -107,7 +107,7 @@
     let state = node.state.borrow();
     match state.intent(digest) {
         None => Standing::Free,
-        Some(taken) if taken.writer == *node.appender.borrow().writer() => Standing::First,
+        Some(taken) if taken.writer == *node.intents.appender.borrow().writer() => Standing::First,
         Some(taken) => Standing::Taken { done: taken.done },
     }
 }
--- a/crates/catkin-gateway/src/snapshots.rs
+++ b/crates/catkin-gateway/src/snapshots.rs
@@ -40,7 +40,7 @@
     match chunks {
         Ok(chunks) => {
             for chunk in chunks {
-                append::push(node, Change::Chunk(chunk));
+                append::push(node, &node.control, Change::Chunk(chunk));
             }
         }
         Err(error) => log::error!("no snapshot is written: {error}"),
