choose: accept depths for 2.5 s, and gossip once a second in the benchmark

Gateways send depths once a second, so an age limit of 1 s dropped each one just before the next came. The benchmark now uses the same period for keepers.

--- a/crates/catkin-bench/src/world.rs
+++ b/crates/catkin-bench/src/world.rs
@@ -25,7 +25,10 @@
 /// One way between two VMs of different zones.
 pub(crate) const WIRE: Span = Span::from_micros(500);
 const TICK: Span = Span::from_millis(5);
-const GOSSIP_PERIOD: Span = Span::from_millis(250);
+/// How often keepers send depths, as the gateway does.
+const DEPTHS_PERIOD: Span = Span::from_secs(1);
+/// How often VMs exchange their counts for direct dispatch.
+const COUNTS_PERIOD: Span = Span::from_millis(250);
 const REPORT_PERIOD: Span = Span::from_secs(1);
 const SAMPLE_PERIOD: Span = Span::from_millis(10);
 /// Time after which a connection without progress counts as silent.
@@ -155,7 +158,7 @@
             faults: Vec::new(),
             warm: Span::from_secs(2),
             tells_depth: true,
-            gossip: GOSSIP_PERIOD,
+            gossip: if mode == Mode::Keeper { DEPTHS_PERIOD } else { COUNTS_PERIOD },
             seed: 1,
         }
     }
--- a/crates/catkin/src/choose.rs
+++ b/crates/catkin/src/choose.rs
@@ -13,8 +13,9 @@
     std::collections::BTreeMap,
 };
 
-/// Depths and reports that are older say nothing about the present.
-const AGE_MAX: Span = Span::from_secs(1);
+/// Depths and reports that are older say nothing about the present. Gateways
+/// send them once a second, so that one lost datagram is bridged.
+const AGE_MAX: Span = Span::from_millis(2_500);
 /// Time in which a new target reaches its full share.
 const RAMP: Span = Span::from_secs(2);
 /// Share of a target that was added just now.
