gateway: never complete an answer whose connection closed early

Cause: awc ends a body without an error when its connection closes, so the gateway wrote the last chunk of a chunked answer that the target had cut, and counted the target as well. Connections to targets now report their end as an error. An answer with neither a length nor chunks ends with its connection, so it counts as cut too. Ruled out: the frames between gateways, which pass an error on, and answers with a length, which the encoder refuses to complete.

--- a/crates/catkin-gateway/src/main.rs
+++ b/crates/catkin-gateway/src/main.rs
@@ -10,6 +10,7 @@
 //! | `route` | which target gets a request, and who keeps it |
 //! | `execute` | requests of kept targets: queue, send, stream back |
 //! | `peer` | the TCP protocol between gateways |
+//! | `connect` | connections to targets, which fail when they end early |
 //! | `follow` | reads the log and the VM list |
 //! | `queue` | waiting for a slot of a kept target |
 //! | `protect` | requests with an idempotency key |
@@ -27,6 +28,7 @@
 mod append;
 mod balance;
 mod body;
+mod connect;
 mod control;
 mod execute;
 mod follow;
--- a/crates/catkin-gateway/src/node.rs
+++ b/crates/catkin-gateway/src/node.rs
@@ -1,7 +1,7 @@
 //! What all parts of a gateway share.
 
 use {
-    crate::{metrics::Metrics, peer::Pool, protect::Protect, queue::Queues},
+    crate::{connect, metrics::Metrics, peer::Pool, protect::Protect, queue::Queues},
     awc::{Client, Connector},
     catkin::{
         api::{Listed, VmList},
@@ -103,6 +103,7 @@
         // A connection that a target has closed while idle fails the next
         // request on it, so idle connections are dropped before targets do so.
         let connector = Connector::new()
+            .connector(connect::strict())
             .limit(0)
             .conn_keep_alive(set.limits.idle.as_duration())
             .conn_lifetime(set.limits.idle.as_duration() * 4);
