gateway: write the head of an answer that is cut

Cause: actix-http drops what it has not written when a body fails, so a cut that arrives together with the head closed the caller's connection without any answer.

--- a/crates/catkin-gateway/src/body.rs
+++ b/crates/catkin-gateway/src/body.rs
@@ -68,12 +68,21 @@
     pub(crate) fn into_http(self) -> BoxBody {
         match self {
             Self::Whole(bytes) => BoxBody::new(bytes),
-            Self::Stream(Some(length), parts) => BoxBody::new(SizedStream::new(length, parts)),
-            Self::Stream(None, parts) => BoxBody::new(BodyStream::new(parts)),
+            Self::Stream(Some(length), parts) => BoxBody::new(SizedStream::new(length, parts.then(flush))),
+            Self::Stream(None, parts) => BoxBody::new(BodyStream::new(parts.then(flush))),
         }
     }
 }
 
+/// Delays an error until what came before it was written: the HTTP server
+/// drops its unwritten bytes, and with them the head, when a body fails.
+async fn flush(part: Part) -> Part {
+    if part.is_err() {
+        tokio::task::yield_now().await;
+    }
+    part
+}
+
 /// Reads the body of a request. A body of up to `buffer` bytes is read whole,
 /// so that it can be sent again; a larger one is streamed.
 ///
