--- /dev/null
+++ b/crates/catkin-gateway/tests/answers.rs
@@ -0,0 +1,164 @@
+//! Guards against broken answers that look whole, and against answers that
+//! reach another request.
+
+mod common;
+
+use {
+    actix_http::{
+        Method, Request, Response,
+        body::{BodyStream, BoxBody},
+    },
+    bytes::{Bytes, BytesMut},
+    catkin::{
+        Code,
+        api::{Load, header, path},
+        lease::Holder,
+        types::Span,
+    },
+    catkin_net::{Monotonic, listen, reply_json, serve},
+    catkin_standin::TargetFaults,
+    common::{Gateway, LIMIT, ORDERS, run, send, try_send},
+    futures_util::{
+        StreamExt,
+        future::join_all,
+        stream::{self, LocalBoxStream},
+    },
+    std::{cell::RefCell, io, net::SocketAddr, rc::Rc},
+};
+
+/// Target whose answers are chunked. Those to `/notes/cut` end early, together
+/// with the connection.
+struct Chunked {
+    clock: Monotonic,
+    holder: RefCell<Holder>,
+}
+
+impl Chunked {
+    async fn start() -> SocketAddr {
+        let listener = listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let holder = RefCell::new(Holder::new("notes-1".parse().unwrap(), 1));
+        let target = Rc::new(Self { clock: Monotonic::new(), holder });
+        drop(actix_rt::spawn(serve(listener, move |request| target.clone().handle(request))));
+        addr
+    }
+
+    async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        let now = self.clock.now();
+        match (request.method(), request.path()) {
+            (&Method::GET, path::LEASE) => reply_json(200, &self.holder.borrow_mut().status(now)),
+            (_, path::LOAD | path::HEALTH) => reply_json(200, &Load { slots: 6, ..Load::default() }),
+            (_, page) if page.starts_with(path::LEASE) => {
+                let mut body = BytesMut::new();
+                let mut payload = request.take_payload();
+                while let Some(part) = payload.next().await {
+                    body.extend_from_slice(&part.unwrap());
+                }
+                let command = serde_json::from_slice(&body).unwrap();
+                reply_json(200, &self.holder.borrow_mut().command(now, &command))
+            }
+            (_, page) => Response::ok().set_body(BoxBody::new(BodyStream::new(chunks(page == "/notes/cut")))),
+        }
+    }
+}
+
+fn chunks(is_cut: bool) -> LocalBoxStream<'static, io::Result<Bytes>> {
+    let end = if is_cut { Err(io::ErrorKind::ConnectionReset.into()) } else { Ok("second".into()) };
+    let parts = [Ok("first ".into()), end];
+    let parts = stream::iter(parts).then(async |part: io::Result<Bytes>| {
+        // The first part is written before the connection closes.
+        tokio::task::yield_now().await;
+        part
+    });
+    parts.boxed_local()
+}
+
+/// Sends an order and checks that its answer ends early: with fewer bytes than
+/// announced, on a connection that the gateway closes.
+async fn assert_cut(gateway: &Gateway) {
+    let error = try_send(gateway.request("POST", "/orders/x"), "").await.unwrap_err();
+    assert_eq!(error.code(), Code::AnswerCut);
+    let request = "POST /orders/x HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+    let answer = gateway.raw(request.as_bytes()).await;
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.unwrap().parse().unwrap();
+    assert!(!body.is_empty() && body.len() < length, "{answer}");
+}
+
+/// Guards against a cut answer that a caller takes for a whole one.
+#[test]
+fn cut_answer_is_visible() {
+    run(async |env| {
+        let gateways = env.fleet(["a", "b"]).await;
+        for gateway in &gateways {
+            env.fail_target(ORDERS, TargetFaults { cut: 2, ..TargetFaults::default() }).await;
+            assert_cut(gateway).await;
+            assert_eq!(send(gateway.request("POST", "/orders/x"), "").await.ends(), ("601", "ran"));
+        }
+    });
+}
+
+/// Guards against a chunked answer without its last chunk that gets one on its
+/// way to the caller.
+#[test]
+fn cut_chunks_are_visible() {
+    run(async |env| {
+        env.list_target("notes-1", "notes", Chunked::start().await).await;
+        let gateways = env.fleet(["a", "b"]).await;
+        for gateway in &gateways {
+            for (page, body, is_whole) in [("x", "6\r\nsecond\r\n0\r\n\r\n", true), ("cut", "", false)] {
+                let head = format!("POST /notes/{page} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n");
+                let answer = gateway.raw((head + "content-length: 0\r\n\r\n").as_bytes()).await;
+                assert!(answer.contains("first ") && answer.ends_with(body), "{answer}");
+                assert_eq!(answer.ends_with("\r\n0\r\n\r\n"), is_whole, "{answer}");
+            }
+        }
+    });
+}
+
+/// Guards against callers that wait for the rest of an answer that never
+/// comes: the limit of 500 ms ends it long before the test's own limit.
+#[test]
+fn silent_answer_is_cut() {
+    run(async |env| {
+        let gateways = env.fleet(["a", "b"]).await;
+        for gateway in &gateways {
+            env.fail_target(ORDERS, TargetFaults { silent: 2, ..TargetFaults::default() }).await;
+            assert_cut(gateway).await;
+            assert_eq!(send(gateway.request("POST", "/orders/x"), "").await.ends(), ("601", "ran"));
+        }
+    });
+}
+
+/// Guards against an answer that comes after its request timed out and is read
+/// as the answer of the next request on the same connection.
+#[test]
+fn late_answer_reaches_no_other_request() {
+    run(async |env| {
+        let gateways = env.fleet(["a", "b"]).await;
+        for (round, gateway) in (0..3).flat_map(|round| gateways.iter().map(move |g| (round, g))) {
+            // The target runs the work once it goes on, and answers then.
+            let freeze = Span::from_millis(400);
+            env.fail_target(ORDERS, TargetFaults { freeze, ..TargetFaults::default() }).await;
+            let late = (0..4).map(|_| {
+                let request = gateway.request("POST", "/orders/late");
+                send(request.insert_header((header::DEADLINE, "100")), "")
+            });
+            for reply in join_all(late).await {
+                assert_ne!(reply.code, "601", "{reply:?}");
+            }
+            let next = (0..24).map(async |number| {
+                let call = format!("{}-{round}-{number}", gateway.id);
+                let request = gateway.request("POST", "/orders/next");
+                let request = request.insert_header(("x-standin-call", call.as_str()));
+                let reply =
+                    send(request.insert_header((header::DEADLINE, LIMIT.as_millis().to_string())), "").await;
+                (call, reply)
+            });
+            for (call, reply) in join_all(next).await {
+                assert_eq!(reply.echo().call.as_deref(), Some(call.as_str()));
+            }
+        }
+    });
+}
--- a/crates/catkin-gateway/tests/common/mod.rs
+++ b/crates/catkin-gateway/tests/common/mod.rs
@@ -7,7 +7,7 @@
     awc::{Client, ClientRequest, http::Method},
     catkin::{
         admin::Status,
-        api::{Life, Listed, Role, header},
+        api::{Life, Listed, Load, Role, header, path},
         record::{self, Change, Publish, Record, Writer},
         settings::{Standin, parse},
         types::{Offset, Revision, Sequence, Span},
@@ -72,16 +72,7 @@
         let running = start(&settings).await.unwrap();
         let env = Env { client: Client::builder().disable_timeout().finish(), running };
         for (target, addr) in settings.targets.iter().zip(&env.running.targets) {
-            let row = Listed {
-                id: target.id.as_str().into(),
-                role: Role::Target,
-                service: Some(target.service.clone()),
-                zone: target.zone.clone(),
-                addr: *addr,
-                admin: None,
-                state: Life::Live,
-            };
-            env.list(&row).await;
+            env.list_target(target.id.as_str(), target.service.as_str(), *addr).await;
         }
         // Ends a test that waits for what never comes.
         actix_rt::time::timeout(LIMIT.as_duration(), test(env)).await.expect("test stopped at its limit");
@@ -120,6 +111,10 @@
         get(&self.client, self.running.targets[target], "/ledger", LIMIT).await.unwrap()
     }
 
+    pub(crate) async fn load(&self, target: usize) -> Load {
+        get(&self.client, self.running.targets[target], path::LOAD, LIMIT).await.unwrap()
+    }
+
     /// Publishes the fleet's configuration.
     pub(crate) async fn publish(&self) {
         catkin::config::parse(FLEET).unwrap();
@@ -133,6 +128,20 @@
         self.log().read(Offset::default(), 1, Span::ZERO).await.unwrap().head
     }
 
+    /// Adds a target to the VM list, or moves it to another address.
+    pub(crate) async fn list_target(&self, id: &str, service: &str, addr: SocketAddr) {
+        let row = Listed {
+            id: id.into(),
+            role: Role::Target,
+            service: Some(service.parse().unwrap()),
+            zone: "b".parse().unwrap(),
+            addr,
+            admin: None,
+            state: Life::Live,
+        };
+        self.list(&row).await;
+    }
+
     async fn list(&self, row: &Listed) {
         let url = format!("http://{}/vms", self.platform());
         let answer = self.client.post(url).send_json(row).await.unwrap();
--- /dev/null
+++ b/crates/catkin-gateway/tests/shutdown.rs
@@ -0,0 +1,78 @@
+//! Guards against requests that a shutdown cuts, and against settings that
+//! are not checked before a socket opens.
+
+mod common;
+
+use {
+    common::{ORDERS, POLL, free_addrs, program, read_end, run, send, settings_file},
+    std::net::TcpListener,
+    tokio::{io::AsyncWriteExt, net::TcpStream},
+};
+
+/// Guards against a shutdown that cuts an upload or an answer, or that never
+/// ends.
+#[test]
+fn shutdown_cuts_nothing() {
+    run(async |env| {
+        let [mut first, second, _third] = env.fleet(["a", "b", "c"]).await;
+        let half = "x".repeat(100_000);
+        let mut upload = TcpStream::connect(first.callers).await.unwrap();
+        let head = format!(
+            "POST /orders/upload HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{half}",
+            2 * half.len()
+        );
+        upload.write_all(head.as_bytes()).await.unwrap();
+        let slow = |gateway: &common::Gateway| {
+            let request =
+                gateway.request("POST", "/orders/slow").insert_header(("x-standin-work-ms", "3000"));
+            actix_rt::spawn(send(request, ""))
+        };
+        let (own, forwarded) = (slow(&first), slow(&second));
+        // All of them have reached the target.
+        while env.load(ORDERS).await.running < 3 {
+            actix_rt::time::sleep(POLL).await;
+        }
+        first.terminate();
+        first.wait(|status| status.leaving).await;
+        upload.write_all(half.as_bytes()).await.unwrap();
+        let answer = read_end(&mut upload).await;
+        assert!(answer.contains("x-catkin-code: 601") && answer.contains("\"length\":200000"), "{answer}");
+        for reply in [own.await.unwrap(), forwarded.await.unwrap()] {
+            assert_eq!((reply.ends(), &*reply.echo().path), (("601", "ran"), "/orders/slow"), "{reply:?}");
+        }
+        let status = first.wait_exit().await;
+        assert!(status.success(), "{status}: {}", first.errors());
+    });
+}
+
+/// Guards against a check that opens sockets or accepts broken settings.
+#[test]
+fn check_refuses_broken_settings() {
+    let addrs = free_addrs();
+    // The program would fail with another code if it opened one of these.
+    let _held = addrs.map(|addr| TcpListener::bind(addr).unwrap());
+    let [callers, peers, admin] = addrs;
+    let text = format!(
+        "{{vm: gw-1, zone: a, callers: '{callers}', peers: '{peers}', admin: '{admin}', \
+         platform: {{log: '127.0.0.1:9', vms: '127.0.0.1:9'}}, limits: {{LIMITS}}}}"
+    );
+    let check = |text: &str| {
+        let file = settings_file(text);
+        let output = program().arg("--check").arg("--settings").arg(file).output().unwrap();
+        (output.status.code(), String::from_utf8(output.stderr).unwrap())
+    };
+    assert_eq!(check(&text.replace("LIMITS", "")), (Some(0), String::new()));
+    let broken = [
+        (text.replace("LIMITS", "buffer: 0B"), "E105"),
+        (text.replace("LIMITS", "stall: 2"), "E103"),
+        (text.replace("LIMITS", "speed: 2"), "E101"),
+        (text.replace("LIMITS", "").replace("127.0.0.1:9", "log.example:9"), "E104"),
+        (text.replace("LIMITS", "").replace("zone: a, ", ""), "E106"),
+        ("callers: [".to_owned(), "E1"),
+    ];
+    for (text, code) in broken {
+        let (status, errors) = check(&text);
+        assert_eq!(status, Some(2), "{text}: {errors}");
+        assert!(errors.contains(code), "{text}: {errors}");
+    }
+}
