--- a/crates/catkin-gateway/tests/join.rs
+++ b/crates/catkin-gateway/tests/join.rs
@@ -12,7 +12,7 @@
         types::{Offset, Revision, Sequence, Span},
     },
     catkin_standin::PlatformFaults,
-    common::{LIMIT, POLL, run, run_with, send},
+    common::{Env, LIMIT, POLL, run, run_with, send},
 };
 
 fn down() -> PlatformFaults {
@@ -63,24 +63,38 @@
 #[test]
 fn gateway_starts_from_a_snapshot() {
     let short = |settings: &mut catkin::settings::Standin| {
-        settings.platform.as_mut().unwrap().retention = Span::from_secs(2);
+        settings.platform.as_mut().unwrap().retention = Span::from_secs(5);
     };
     run_with(short, async |env| {
         env.publish().await;
-        let config = env.log().read(Offset::default(), 1, Span::ZERO).await.unwrap().records.remove(0).1;
         let mut state = State::new();
-        assert!(state.apply(Offset::default(), &config).is_accepted());
-        while env.log().read(Offset::default(), 1, Span::ZERO).await.unwrap().first == Offset::default() {
+        while read(&env, &mut state).await == Offset::default() {
             actix_rt::time::sleep(POLL).await;
         }
-        let writer = Writer { id: "test".parse().unwrap(), boot: 2 };
-        for (number, chunk) in (1..).zip(snapshot::split(&state).unwrap()) {
-            let change = Change::Chunk(chunk);
-            let record = Record { writer: writer.clone(), sequence: Sequence(number), change };
-            env.log().append(&record::encode(&record).unwrap(), LIMIT).await.unwrap();
-        }
         let gateway = env.start("a").await;
-        gateway.wait(|status| status.revision == Revision(1)).await;
+        let refused = send(gateway.request("GET", "/orders/x"), "").await;
+        assert_eq!(refused.ends(), ("411", "not-run"), "{refused:?}");
+        let mut sequence = Sequence(0);
+        // The snapshots expire too, so that the newest state is written again.
+        while gateway.status().await.revision != Revision(1) {
+            read(&env, &mut state).await;
+            for chunk in snapshot::split(&state).unwrap() {
+                sequence = Sequence(sequence.0 + 1);
+                let writer = Writer { id: "test".parse().unwrap(), boot: 2 };
+                let record = Record { writer, sequence, change: Change::Chunk(chunk) };
+                env.log().append(&record::encode(&record).unwrap(), LIMIT).await.unwrap();
+            }
+            actix_rt::time::sleep(POLL).await;
+        }
         gateway.wait_served("/orders/x").await;
     });
 }
+
+/// Applies the new records of the log and returns its oldest offset.
+async fn read(env: &Env, state: &mut State) -> Offset {
+    let read = env.log().read(state.next(), 1_000, Span::ZERO).await.unwrap();
+    for (offset, bytes) in read.records {
+        state.apply(offset, &bytes);
+    }
+    read.first
+}
