--- a/crates/catkin-gateway/src/append.rs
+++ b/crates/catkin-gateway/src/append.rs
@@ -79,10 +79,15 @@
     }
 }
 
+/// Returns whether the rate of appends allows another one.
+fn may_repeat(node: &Node, lane: &Lane) -> bool {
+    !std::ptr::eq(lane, &*node.intents) || node.protect.again(node.now())
+}
+
 /// Reads the log until it shows what became of an append without answer.
 async fn resolve(node: &Node, lane: &Lane) {
     while lane.appender.borrow().is_unknown() {
-        if follow::read_to_head(node).await.is_ok() {
+        if follow::read_to_head(node).await.is_ok() && may_repeat(node, lane) {
             lane.appender.borrow_mut().again();
         } else {
             actix_rt::time::sleep(RETRY_PAUSE).await;
--- a/crates/catkin-gateway/src/balance.rs
+++ b/crates/catkin-gateway/src/balance.rs
@@ -18,7 +18,7 @@
 };
 
 /// Time between two plans.
-const PERIOD: Duration = Duration::from_millis(250);
+const PERIOD: Duration = Duration::from_secs(1);
 /// Time between two plans while a kept target is leaving. A plan moves a
 /// bounded share of the slices, and a target that leaves gets no new work
 /// after 2 s.
--- a/crates/catkin-gateway/src/control.rs
+++ b/crates/catkin-gateway/src/control.rs
@@ -1,14 +1,14 @@
 //! Claims, assignments and lease commands.
 
 use {
-    crate::{append, follow, node::Node, peer, reports},
+    crate::{append, follow, heartbeat::GOSSIP_PEERS, node::Node, peer, reports},
     catkin::{
         Code, Error,
         api::{Command, Held, Life, Order, Reply, Role, VmList, path},
         event::Kind,
         fold::State,
         lease::Action,
-        place::{Assigner, Claims},
+        place::{self, Assigner, Claims},
         record::Change,
         types::{Span, TargetId, Time, VmId},
         wire::Frame,
@@ -163,7 +163,12 @@
         }
         let state = node.state.borrow();
         let list = node.list.borrow();
-        let members = node.members.borrow();
+        let mut members = node.members.borrow_mut();
+        // In a larger fleet a VM watches only the keepers that it would replace.
+        if members.live().count() > GOSSIP_PEERS {
+            let watched = place::watched(&node.set.vm, &state, &list, &members);
+            members.watch(watched);
+        }
         let claims = self.claims.claims(now, &state, &list, &members);
         let assigns = self.assigner.assign(now, &state, &list, &members);
         let changes = claims.into_iter().map(Change::Keeper).chain(assigns.into_iter().map(Change::Assign));
--- a/crates/catkin-gateway/src/execute.rs
+++ b/crates/catkin-gateway/src/execute.rs
@@ -180,7 +180,7 @@
         permit.set(Outcome::Ok);
         return Reply { answer: answer_head, body: Body::Whole(Bytes::new()) };
     }
-    let parts = parts(Reading { answer, permit, length, received: 0 }, stall).boxed_local();
+    let parts = parts(answer, permit, stall).boxed_local();
     Reply { answer: answer_head, body: Body::Stream(length, parts) }
 }
 
@@ -189,36 +189,20 @@
     &*head.method == "HEAD" || matches!(status, 204 | 304)
 }
 
-/// An answer whose body is being read.
-struct Reading {
-    answer: Incoming,
-    permit: Permit,
-    length: Option<u64>,
-    received: u64,
-}
-
 /// Reads the body of an answer. The permit is given back at its end.
-///
-/// `awc` ends a body without an error when the connection closes early, so the
-/// announced length is checked. A chunked answer that is cut between two
-/// chunks can't be told from a whole one.
-fn parts(reading: Reading, stall: Duration) -> impl Stream<Item = Result<Bytes, Error>> {
-    stream::unfold(Some(reading), move |state| async move {
-        let mut reading = state?;
-        let cut = match actix_rt::time::timeout(stall, reading.answer.next()).await {
-            Ok(Some(Ok(bytes))) => {
-                reading.received += bytes.len() as u64;
-                return Some((Ok(bytes), Some(reading)));
-            }
-            Ok(None) if reading.length.is_none_or(|length| length == reading.received) => {
-                reading.permit.set(Outcome::Ok);
+fn parts(answer: Incoming, permit: Permit, stall: Duration) -> impl Stream<Item = Result<Bytes, Error>> {
+    stream::unfold(Some((answer, permit)), move |state| async move {
+        let (mut answer, mut permit) = state?;
+        let cut = match actix_rt::time::timeout(stall, answer.next()).await {
+            Ok(Some(Ok(bytes))) => return Some((Ok(bytes), Some((answer, permit)))),
+            Ok(None) => {
+                permit.set(Outcome::Ok);
                 return None;
             }
-            Ok(None) => format!("the body ended after {} bytes", reading.received),
             Ok(Some(Err(e))) => e.to_string(),
             Err(_) => format!("no progress for {stall:?}"),
         };
-        reading.permit.set(Outcome::Failed);
+        permit.set(Outcome::Failed);
         Some((Err(Error::new(Code::AnswerCut, cut)), None))
     })
 }
--- a/crates/catkin-gateway/src/heartbeat.rs
+++ b/crates/catkin-gateway/src/heartbeat.rs
@@ -5,21 +5,20 @@
     catkin::{
         Code, Error,
         event::Kind,
-        member::Event,
+        member::{Event, TICK},
         place::own_totals,
         types::VmId,
         wire::{self, Body, DATAGRAM_BYTES_MAX, Datagram, Gossip},
     },
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc},
     tokio::net::UdpSocket,
 };
 
-const TICK: Duration = Duration::from_millis(50);
 /// Ticks between two datagrams with loads to one gateway. Answers carry the
 /// load of their target, so these only serve plans and idle targets.
-const GOSSIP_TICKS: u64 = 20;
+const GOSSIP_TICKS: u64 = 40;
 /// Gateways that hear the loads of the kept targets.
-const GOSSIP_PEERS: usize = 11;
+pub(crate) const GOSSIP_PEERS: usize = 11;
 /// Loads in one datagram; with ids of ordinary length they fit.
 const GOSSIP_TARGETS: usize = 20;
 
@@ -34,7 +33,7 @@
 
 /// Sends and receives datagrams until the process ends.
 pub(crate) async fn run(node: Rc<Node>, socket: UdpSocket) {
-    let mut tick = actix_rt::time::interval(TICK);
+    let mut tick = actix_rt::time::interval(TICK.as_duration());
     let mut ticks = 0;
     // One byte more than is allowed tells a datagram that is too large.
     let mut buffer = [0; DATAGRAM_BYTES_MAX + 1];
--- a/crates/catkin-gateway/src/protect.rs
+++ b/crates/catkin-gateway/src/protect.rs
@@ -90,6 +90,12 @@
         self.handle(node, events);
     }
 
+    /// Returns whether a group whose append was not answered may be appended
+    /// again now.
+    pub(crate) fn again(&self, now: Time) -> bool {
+        self.intents.borrow_mut().again(now)
+    }
+
     /// Appends the next group when its time has come.
     pub(crate) fn tick(&self, node: &Node, now: Time) {
         let is_down = !node.log_up.get();
@@ -105,11 +111,7 @@
 /// Returns what the fold says about a key.
 fn standing(node: &Node, digest: u128) -> Standing {
     let state = node.state.borrow();
-    match state.intent(digest) {
-        None => Standing::Free,
-        Some(taken) if taken.writer == *node.intents.appender.borrow().writer() => Standing::First,
-        Some(taken) => Standing::Taken { done: taken.done },
-    }
+    Standing::new(state.intent(digest), node.intents.appender.borrow().writer())
 }
 
 /// Registers the idempotency key of a request and waits until it may be sent.
