Take the times of leases from the configuration, and keep them in later ones

The first configuration sets the times; a later one may not change time to live or margin, because a new keeper bounds the leases of an earlier one by them and both may run different revisions for some seconds. Exceptions can't set them, because any gateway may keep any server. Keepers claim targets only once a configuration is in force. Deadlines of requests to unfenced servers of a service divided by key are limited to the service's.

--- a/crates/catkin-gateway/src/accept.rs
+++ b/crates/catkin-gateway/src/accept.rs
@@ -228,7 +228,11 @@
         return Err(Error::new(Code::MissingKey, format!("{service} needs the header {}", header::KEY)));
     }
     let operation = text(&head.headers, header::IDEMPOTENCY)?.map(Arc::from);
-    let left = deadline(&head.headers, &policy)?;
+    let mut left = deadline(&head.headers, &policy)?;
+    if entry.keyed && !entry.fenced {
+        // Keys of a server that checks no fences move after this time.
+        left = left.min(policy.deadline);
+    }
     let (class, is_idempotent) = entry.route(head.method.as_str(), rest(head.uri.path()));
     let class = text(&head.headers, header::CLASS)?.map_or(Ok(class), parse_class)?;
     let mut ask = Ask {
--- a/crates/catkin-gateway/src/control.rs
+++ b/crates/catkin-gateway/src/control.rs
@@ -10,7 +10,7 @@
         lease::Action,
         place::{self, Assigner, Claims},
         record::Change,
-        types::{Span, TargetId, Time, VmId},
+        types::{Revision, Span, TargetId, Time, VmId},
         wire::Frame,
     },
     std::{
@@ -35,6 +35,8 @@
     node: Rc<Node>,
     claims: Claims,
     assigner: Assigner,
+    /// Configuration whose times the keeper uses.
+    revision: Revision,
     kept: BTreeSet<TargetId>,
     leased: BTreeSet<TargetId>,
     /// When a target was first seen to leave.
@@ -49,6 +51,7 @@
         node,
         claims: Claims::new(vm.clone()),
         assigner: Assigner::new(vm),
+        revision: Revision::default(),
         kept: BTreeSet::new(),
         leased: BTreeSet::new(),
         signs: BTreeMap::new(),
@@ -109,6 +112,10 @@
         let node = &self.node;
         let state = node.state.borrow();
         let list = node.list.borrow();
+        if state.config().revision != self.revision {
+            self.revision = state.config().revision;
+            node.keeper.borrow_mut().set_timings(state.config().fleet.timings());
+        }
         node.keeper.borrow_mut().sync(now, &state, &list, node.log_up.get());
         sync_loads(node, now, &state, &list);
         drop(list);
@@ -158,7 +165,8 @@
     /// without owner.
     fn place(&mut self, now: Time) {
         let node = &self.node;
-        if !node.log_up.get() {
+        // Leases depend on the first configuration.
+        if !node.log_up.get() || self.revision == Revision::default() {
             return;
         }
         let state = node.state.borrow();
--- a/crates/catkin/src/config/check.rs
+++ b/crates/catkin/src/config/check.rs
@@ -49,6 +49,9 @@
 /// up a revision at different moments; with two numbers of slices they would
 /// send one key to two owners.
 pub fn check_change(old: &Fleet, new: &Fleet) -> Result<(), Error> {
+    if !old.services.is_empty() {
+        check_lease_change(old, new)?;
+    }
     for (service, entry) in &new.services {
         let Some(before) = old.services.get(service) else { continue };
         if (before.keyed, before.slices) != (entry.keyed, entry.slices) {
@@ -60,6 +63,23 @@
     Ok(())
 }
 
+/// A new keeper bounds the leases that an earlier one has given by its own
+/// time to live, and the earlier one may not have read the revision yet.
+fn check_lease_change(old: &Fleet, new: &Fleet) -> Result<(), Error> {
+    let (before, after) = (old.common(), new.common());
+    let refuse = |name: &str, read: String, allowed: String| {
+        let detail = format!("read {read}, allowed is {allowed} as in force");
+        Err(range(detail).with_path(format!("defaults.{name}")))
+    };
+    if before.lease_ttl != after.lease_ttl {
+        return refuse("lease_ttl", after.lease_ttl.to_string(), before.lease_ttl.to_string());
+    }
+    if before.clock_margin != after.clock_margin {
+        return refuse("clock_margin", after.clock_margin.to_string(), before.clock_margin.to_string());
+    }
+    Ok(())
+}
+
 fn range(detail: impl Into<std::sync::Arc<str>>) -> Error {
     Error::new(Code::ConfigRange, detail)
 }
@@ -109,6 +129,12 @@
     if exception.set.names().is_empty() {
         return Err(range("read no field, allowed is 1 or more").with_path("set"));
     }
+    // A lease belongs to a server and its keeper, and any gateway may become
+    // the keeper of any server.
+    if let Some(name) = exception.set.names().into_iter().find(|name| LEASE_FIELDS.contains(name)) {
+        let detail = format!("read {name} in an exception, allowed is it in the defaults only");
+        return Err(range(detail).with_path(format!("set.{name}")));
+    }
     Ok(())
 }
 
--- a/crates/catkin/src/config/mod.rs
+++ b/crates/catkin/src/config/mod.rs
@@ -32,7 +32,7 @@
 };
 
 use {
-    crate::{Code, Error, settings::yaml, types::Service, wire::Class},
+    crate::{Code, Error, lease::Timings, settings::yaml, types::Service, wire::Class},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -75,6 +75,20 @@
 }
 
 impl Fleet {
+    /// Returns the policy that holds where no exception does.
+    pub fn common(&self) -> Policy {
+        Policy::default().with_patch(&self.defaults)
+    }
+
+    /// Returns the times that leases depend on. Work in progress on a server
+    /// that does not check fences has to end before its keys move.
+    pub fn timings(&self) -> Timings {
+        let unfenced = self.services.iter().filter(|(_, entry)| entry.keyed && !entry.fenced);
+        let deadline = unfenced.map(|(service, _)| self.policy(service).deadline).max();
+        let common = self.common();
+        Timings { deadline: deadline.unwrap_or(common.deadline), ..Timings::from(&common) }
+    }
+
     /// Returns the policy of a service.
     pub fn policy(&self, service: &Service) -> Policy {
         let base = Policy::default().with_patch(&self.defaults);
--- a/crates/catkin/src/lease/keeper.rs
+++ b/crates/catkin/src/lease/keeper.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Takes the times of a new configuration. The time for work in progress
+    /// never gets shorter, because work of an earlier revision may still run.
+    pub fn set_timings(&mut self, timings: Timings) {
+        let deadline = timings.deadline.max(self.timings.deadline);
+        self.timings = Timings { deadline, ..timings };
+    }
+
     /// Takes a changed fold, VM list or state of the log.
     pub fn sync(&mut self, now: Time, state: &State, list: &VmList, log_up: bool) {
         self.log_up = log_up;
--- a/crates/catkin/tests/config.rs
+++ b/crates/catkin/tests/config.rs
@@ -2,7 +2,7 @@
 
 use catkin::{
     Code,
-    config::{Difference, Fleet, check_change, diff, parse},
+    config::{self, Difference, Fleet, check_change, diff, parse},
     types::Service,
     wire::Class,
 };
@@ -72,3 +72,20 @@
     check_change(&new, &parse("services: {b: {}}").unwrap()).unwrap();
     check_change(&Fleet::default(), &new).unwrap();
 }
+
+/// Guards against two keepers that bound one lease by different times.
+#[test]
+fn a_revision_keeps_the_times_of_leases() {
+    let fleet =
+        |defaults: &str| config::parse(&format!("defaults: {{{defaults}}}\nservices: {{a: {{}}}}")).unwrap();
+    let old = fleet("lease_ttl: 300ms");
+    for (defaults, path) in [
+        ("lease_ttl: 400ms", "defaults.lease_ttl"),
+        ("lease_ttl: 300ms, clock_margin: 0.02", "defaults.clock_margin"),
+    ] {
+        let error = config::check_change(&old, &fleet(defaults)).unwrap_err();
+        assert_eq!((error.code(), error.path()), (Code::ConfigRange, Some(path)));
+    }
+    config::check_change(&old, &fleet("lease_ttl: 300ms, deadline: 3s")).unwrap();
+    config::check_change(&config::Fleet::default(), &old).unwrap();
+}
