gateway: use a connection again only after the end of its request

Cause: a keeper may answer before the upload has ended. The accepting gateway then stops the upload, but put the connection back into its pool, and the next request on it was taken for a part of the unfinished one. Ruled out: refusals (Failed frames), for which the end of the request was checked already.

--- a/crates/catkin-gateway/src/peer.rs
+++ b/crates/catkin-gateway/src/peer.rs
@@ -164,7 +164,7 @@
         Frame::Answer(answer) => {
             node.observe(answer.stamp);
             let length = answer.length;
-            let body = Body::Stream(length, read_answer(node.clone(), addr, conn));
+            let body = Body::Stream(length, read_answer(node.clone(), addr, conn, is_sent));
             Ok(Reply { answer, body })
         }
         Frame::Failed { code, detail } => {
@@ -196,14 +196,18 @@
     }
 }
 
-fn read_answer(node: Rc<Node>, addr: SocketAddr, conn: Conn) -> LocalBoxStream<'static, Part> {
+/// Reads the body of an answer. The connection is used again only if the
+/// request was sent to its end.
+fn read_answer(node: Rc<Node>, addr: SocketAddr, conn: Conn, is_sent: bool) -> LocalBoxStream<'static, Part> {
     let cut = |detail: String| Error::new(Code::AnswerCut, detail);
     let parts = stream::unfold(Some((node, conn)), move |state| async move {
         let (node, mut conn) = state?;
         match receive(&mut conn.reader).await {
             Ok(Frame::Body(bytes)) => Some((Ok(bytes), Some((node, conn)))),
             Ok(Frame::End) => {
-                node.pool.put(addr, conn);
+                if is_sent {
+                    node.pool.put(addr, conn);
+                }
                 None
             }
             Ok(Frame::Failed { detail, .. }) => Some((Err(cut(detail.to_string())), None)),
