--- a/crates/catkin-bench/src/compare.rs
+++ b/crates/catkin-bench/src/compare.rs
@@ -14,9 +14,9 @@
 
 const SHORT_LOAD: f64 = 0.35;
 const LONG_LOAD: f64 = 0.25;
-const CREST_LOAD: f64 = 1.5;
-const CREST_START: Span = Span::from_secs(10);
-const CREST_END: Span = Span::from_secs(12);
+const PEAK_LOAD: f64 = 1.5;
+const PEAK_START: Span = Span::from_secs(10);
+const PEAK_END: Span = Span::from_secs(12);
 /// Ten times as often as the traffic of a keeper allows.
 const OFTEN: Span = Span::from_millis(25);
 const LENGTH: Span = Span::from_secs(16);
@@ -30,15 +30,15 @@
     setups.flat_map(|(name, setup)| compare(name, setup, &work)).collect()
 }
 
-/// Short work and uploads at 60% of the slots, with a crest of short work.
+/// Short work and uploads at 60% of the slots, with a peak of short work.
 fn mixed(seed: u64) -> Vec<Work> {
     let slots = Setup::new(Mode::Keeper).slots();
     let short = slots / (short_mean() + 2.0 * WIRE.as_secs_f64());
-    let crest = |now: Time| now >= at(CREST_START) && now < at(CREST_END);
+    let peak = |now: Time| now >= at(PEAK_START) && now < at(PEAK_END);
     arrivals(&Plan {
         seed,
         length: LENGTH,
-        short: &|now| short * if crest(now) { CREST_LOAD } else { SHORT_LOAD },
+        short: &|now| short * if peak(now) { PEAK_LOAD } else { SHORT_LOAD },
         long: &|_| LONG_LOAD * slots / long_mean(),
         deadline: Span::from_millis(500),
         idempotent: 1.0,
@@ -52,7 +52,7 @@
 fn compare(name: &str, setup: Setup, work: &[Work]) -> Vec<Measure> {
     let setup = Setup { warm: Span::from_secs(4), ..setup };
     let outcomes = world::run(&setup, work);
-    let calm = || outcomes.of(Class::Short).filter(|(work, _)| work.at < at(CREST_START));
+    let calm = || outcomes.of(Class::Short).filter(|(work, _)| work.at < at(PEAK_START));
     let good = |share| {
         let spans = calm().filter(|(_, fate)| fate.end == End::Good).map(|(_, fate)| fate.span);
         world::quantile(spans, share)
@@ -62,10 +62,10 @@
     vec![
         Measure::info(format!("compare.{name}.short_p50"), good(0.5), "ms"),
         Measure::info(format!("compare.{name}.short_p99"), good(0.99), "ms"),
-        Measure::info(format!("compare.{name}.crest_p99"), outcomes.quantile(Class::Short, 0.99), "ms"),
+        Measure::info(format!("compare.{name}.peak_p99"), outcomes.quantile(Class::Short, 0.99), "ms"),
         Measure::info(
-            format!("compare.{name}.slots_at_crest"),
-            outcomes.in_use(&setup, at(CREST_START), at(CREST_END)),
+            format!("compare.{name}.slots_at_peak"),
+            outcomes.in_use(&setup, at(PEAK_START), at(PEAK_END)),
             "share",
         ),
         Measure::info(
--- a/crates/catkin-bench/src/peak.rs
+++ b/crates/catkin-bench/src/peak.rs
@@ -33,10 +33,10 @@
         let setup = Setup::new(mode);
         let outcomes = peak(seed, &setup);
         let name = mode.name();
-        let crest = outcomes.in_use(&setup, at(RISE_END), at(FALL));
+        let peak = outcomes.in_use(&setup, at(RISE_END), at(FALL));
         let lost = outcomes.of(Class::Short).filter(|(_, fate)| fate.end != End::Good).count() as f64;
         list.push(Measure::new(format!("peak.{name}.recovery"), recovery(&outcomes), "s", bound));
-        list.push(Measure::info(format!("peak.{name}.slots_at_crest"), crest, "share"));
+        list.push(Measure::info(format!("peak.{name}.slots_at_peak"), peak, "share"));
         list.push(Measure::info(format!("peak.{name}.not_served"), lost, "requests"));
     }
     list
--- a/crates/catkin-gateway/src/follow.rs
+++ b/crates/catkin-gateway/src/follow.rs
@@ -225,8 +225,7 @@
             node.draining.borrow_mut().retain(|target| list.vms.iter().any(|vm| *vm.id == *target.as_str()));
             node.draining.borrow().iter().for_each(|target| list.set_leaving(target));
             node.members.borrow_mut().sync(&list);
-            *node.list.borrow_mut() = list;
-            node.changed.set(true);
+            node.set_list(list);
         }
         actix_rt::time::sleep(LIST_PERIOD).await;
     }
--- a/crates/catkin-gateway/src/node.rs
+++ b/crates/catkin-gateway/src/node.rs
@@ -24,6 +24,7 @@
         collections::{BTreeSet, HashMap},
         net::SocketAddr,
         rc::Rc,
+        sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
     },
     tokio::sync::Notify,
@@ -41,6 +42,8 @@
     pub(crate) state: RefCell<State>,
     /// Newest VM list.
     pub(crate) list: RefCell<VmList>,
+    /// Rows of the VM list by id.
+    rows: RefCell<HashMap<Arc<str>, usize>>,
     /// Client for the platform and for commands to targets.
     pub(crate) client: Client,
     /// Client for requests to targets.
@@ -123,6 +126,7 @@
             clock: Monotonic::new(),
             state: RefCell::new(State::new()),
             list: RefCell::default(),
+            rows: RefCell::default(),
             client,
             work,
             log_up: Cell::new(false),
@@ -208,7 +212,16 @@
 
     /// Returns the row of a VM or target in the VM list.
     pub(crate) fn listed(&self, id: &str) -> Option<Listed> {
-        self.list.borrow().vms.iter().find(|vm| &*vm.id == id).cloned()
+        let row = *self.rows.borrow().get(id)?;
+        self.list.borrow().vms.get(row).cloned()
+    }
+
+    /// Replaces the VM list.
+    pub(crate) fn set_list(&self, list: VmList) {
+        let ids = list.vms.iter().map(|vm| vm.id.clone());
+        *self.rows.borrow_mut() = ids.zip(0..).collect();
+        *self.list.borrow_mut() = list;
+        self.changed.set(true);
     }
 
     /// Returns the address of another gateway.
