gateway: keep the limits of connections and bodies of its settings

Cause: `limits.connections` and `limits.body` were read and checked, and nothing used them. Before: a body of 253 KiB ran with a limit of 250 KiB, seen in the new test. After: refused as E405 unrun, and a connection above the limit is closed at once.

--- a/crates/catkin-gateway/src/accept.rs
+++ b/crates/catkin-gateway/src/accept.rs
@@ -24,6 +24,7 @@
         types::{Key, RequestId, Revision, Service, Span, Time},
         wire::{Class, Head},
     },
+    catkin_net::Connections,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::net::TcpListener,
 };
@@ -73,7 +74,8 @@
 ///
 /// `Code::Internal` if the service can't be made.
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) -> Result<(), Error> {
-    catkin_net::serve(listener, move |request| handle(node.clone(), request)).await
+    let connections = Connections::new(node.set.limits.connections);
+    catkin_net::serve_limited(listener, connections, move |request| handle(node.clone(), request)).await
 }
 
 async fn handle(node: Rc<Node>, request: Request) -> Response<BoxBody> {
@@ -256,7 +258,8 @@
     });
     let length = length(&head.headers)?;
     let payload = request.take_payload();
-    let body = body::read(payload, length, ask.policy.body_limit, node.set.limits.buffer).await?;
+    let limits = &node.set.limits;
+    let body = body::read(payload, length, ask.policy.body_limit.min(limits.body), limits.buffer).await?;
     if body.length().is_none_or(|length| length >= ask.policy.long_size.as_bytes()) {
         ask.class = Class::Long;
     }
--- a/crates/catkin-gateway/tests/bad_input.rs
+++ b/crates/catkin-gateway/tests/bad_input.rs
@@ -10,7 +10,7 @@
     catkin_net::get,
     common::{Gateway, LEASE, LIMIT, ORDERS, PLANS, read_end, run, send},
     tokio::{
-        io::AsyncWriteExt,
+        io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpStream, UdpSocket},
     },
 };
@@ -31,6 +31,25 @@
     )
 }
 
+/// Guards against limits of the process that are read and not kept.
+#[test]
+fn limits_of_the_process_are_kept() {
+    run(async |env| {
+        let [mut gateway] = env.fleet(["a"]).await;
+        let body = "x".repeat(253 * 1024);
+        let reply = send(gateway.request("POST", "/orders/x"), &body).await;
+        assert_eq!(reply.ends(), ("405", "not-run"), "{reply:?}");
+        let mut open = Vec::new();
+        for _ in 0..300 {
+            open.push(TcpStream::connect(gateway.callers).await.unwrap());
+        }
+        let mut byte = [0];
+        let read = open[299].read(&mut byte).await;
+        assert!(matches!(read, Ok(0) | Err(_)), "a connection above the limit stays open");
+        gateway.assert_alive();
+    });
+}
+
 /// Guards against requests that are refused without a number, or run.
 #[test]
 fn bad_requests_get_numbered_refusals() {
--- a/crates/catkin-gateway/tests/common/mod.rs
+++ b/crates/catkin-gateway/tests/common/mod.rs
@@ -174,7 +174,7 @@
         let platform = self.platform();
         let text = format!(
             "{{vm: {id}, zone: {zone}, callers: '{callers}', peers: '{peers}', admin: '{admin}', \
-             platform: {{log: '{platform}', vms: '{platform}'}}, limits: {{stall: 500ms}}}}"
+             platform: {{log: '{platform}', vms: '{platform}'}}, limits: {{stall: 500ms, body: 250KiB, connections: 256}}}}"
         );
         let file = settings_file(&text);
         let errors = file.with_extension("err");
