--- a/crates/catkin-gateway/src/protect.rs
+++ b/crates/catkin-gateway/src/protect.rs
@@ -8,7 +8,7 @@
         config::LogDown,
         dispatch::JobId,
         intent::{self, End, Event, Intents, Request, Standing},
-        record::Change,
+        record::{Change, Intent},
         types::{Sequence, Service, Time},
     },
     std::{
@@ -66,7 +66,7 @@
         }
     }
 
-    fn append(&self, node: &Node, group: Vec<catkin::record::Intent>) {
+    fn append(&self, node: &Node, group: Vec<Intent>) {
         self.group.set(append::push(node, &node.intents, Change::Intents(group)));
         if self.group.get().is_none() {
             self.intents.borrow_mut().requeue();
--- a/crates/catkin-load/src/audit.rs
+++ b/crates/catkin-load/src/audit.rs
@@ -44,7 +44,7 @@
     /// Protected operations that ran more than once.
     pub doubled: Findings,
     /// Answered as not run, but a target ran it.
-    pub false_not_run: Findings,
+    pub false_refusals: Findings,
     /// Answers to another request.
     pub mixed: Findings,
     /// Answers that were cut and looked whole.
@@ -69,7 +69,7 @@
         [
             ("lost", &self.lost),
             ("doubled", &self.doubled),
-            ("falsely not run", &self.false_not_run),
+            ("falsely not run", &self.false_refusals),
             ("mixed up", &self.mixed),
             ("cut unseen", &self.hidden_cut),
             ("served by two", &self.shared_service),
@@ -152,7 +152,7 @@
             checks.lost.add(|| format!("{call}: answered by {:?}, no target ran it", record.target));
         }
         Answer::NotRun(code) if !runs.is_empty() => {
-            checks.false_not_run.add(|| format!("{call}: E{code}, ran on {}", targets(runs)));
+            checks.false_refusals.add(|| format!("{call}: E{code}, ran on {}", targets(runs)));
         }
         _ => {}
     }
--- a/crates/catkinctl/src/timeline/page.rs
+++ b/crates/catkinctl/src/timeline/page.rs
@@ -3,7 +3,7 @@
 use {
     super::{Lane, Line, Stretch, Timeline, Use, lanes, show_time},
     catkin::{
-        event::Wall,
+        event::{Event, Wall},
         types::{Span, TargetId},
     },
     std::{
@@ -75,7 +75,7 @@
 }
 
 fn write_chart(page: &mut String, timeline: &Timeline, lanes: &[Lane]) -> fmt::Result {
-    let wall = |event: Option<&catkin::event::Event>| event.map_or(Wall::default(), |event| event.at.wall);
+    let wall = |event: Option<&Event>| event.map_or(Wall::default(), |event| event.at.wall);
     let (start, end) = (wall(timeline.events.first()), wall(timeline.events.last()));
     let span = end.as_micros().saturating_sub(start.as_micros()).max(1);
     let scale = Scale { start, micros: span as f64 };
