Use one piece of code for kept targets, leaving targets and gossip

The targets that a VM keeps were filtered in four places and the leaving ones in two; the load datagrams were computed anew for each peer, which sums the loads of all slices each time; and the check of lease times still looked into exceptions, which can't set them any more.

--- a/crates/catkin-gateway/src/admin.rs
+++ b/crates/catkin-gateway/src/admin.rs
@@ -64,8 +64,8 @@
     let state = node.state.borrow();
     let keeper = node.keeper.borrow();
     let now = node.now();
-    let own = state.keepers().filter(|(_, row)| row.vm == node.set.vm);
-    own.map(|(target, row)| Kept {
+    let kept = state.kept_by(&node.set.vm);
+    kept.map(|(target, row)| Kept {
         target: target.clone(),
         fence: row.fence,
         lease: if keeper.admit(now, target, None).is_ok() { Lease::Valid } else { Lease::Fencing },
--- a/crates/catkin-gateway/src/balance.rs
+++ b/crates/catkin-gateway/src/balance.rs
@@ -3,7 +3,6 @@
 use {
     crate::{append, node::Node},
     catkin::{
-        api::{Life, Role},
         fold::State,
         lease::Keeper,
         place::{Inputs, Plan, Planner, own_totals},
@@ -39,12 +38,10 @@
 
 /// Returns whether a kept target that leaves still owns slices.
 fn is_leaving(node: &Node) -> bool {
-    let list = node.list.borrow();
     let state = node.state.borrow();
     let keeper = node.keeper.borrow();
-    let leaving = list.vms.iter().filter(|vm| vm.role == Role::Target && vm.state == Life::Leaving);
-    let kept = leaving.filter_map(|vm| TargetId::new(vm.id.clone()).ok()).filter(|id| keeper.keeps(id));
-    let kept: BTreeSet<TargetId> = kept.collect();
+    let kept: BTreeSet<TargetId> =
+        node.list.borrow().leaving().filter(|target| keeper.keeps(target)).collect();
     !kept.is_empty() && state.rows().any(|(.., row)| kept.contains(&row.owner))
 }
 
--- a/crates/catkin-gateway/src/control.rs
+++ b/crates/catkin-gateway/src/control.rs
@@ -4,7 +4,7 @@
     crate::{append, follow, heartbeat::GOSSIP_PEERS, node::Node, peer, reports},
     catkin::{
         Code, Error,
-        api::{Command, Held, Life, Order, Reply, Role, VmList, path},
+        api::{Command, Held, Life, Order, Reply, VmList, path},
         event::Kind,
         fold::State,
         lease::Action,
@@ -126,10 +126,7 @@
     /// Closes the queues of targets that have been leaving for a while.
     fn close_queues(&mut self, now: Time) {
         let node = &self.node;
-        let list = node.list.borrow();
-        let leaving = list.vms.iter().filter(|vm| vm.role == Role::Target && vm.state == Life::Leaving);
-        let leaving: BTreeSet<TargetId> =
-            leaving.filter_map(|vm| TargetId::new(vm.id.clone()).ok()).collect();
+        let leaving: BTreeSet<TargetId> = node.list.borrow().leaving().collect();
         self.signs.retain(|target, _| leaving.contains(target));
         for target in leaving {
             let sign = *self.signs.entry(target.clone()).or_insert(now);
@@ -144,8 +141,8 @@
     fn sync_queues(&mut self) {
         let node = &self.node;
         let state = node.state.borrow();
-        let own = state.keepers().filter(|(_, keeper)| keeper.vm == node.set.vm);
-        let kept: BTreeSet<TargetId> = own.map(|(target, _)| target.clone()).collect();
+        let kept: BTreeSet<TargetId> =
+            state.kept_by(&node.set.vm).map(|(target, _)| target.clone()).collect();
         for target in &kept {
             let service = node.listed(target.as_str()).and_then(|vm| vm.service);
             if let Some(service) = service {
--- a/crates/catkin-gateway/src/heartbeat.rs
+++ b/crates/catkin-gateway/src/heartbeat.rs
@@ -69,7 +69,8 @@
         return bodies;
     }
     let peers = members.live().map(|live| live.vm).filter(|vm| *vm != node.set.vm).take(GOSSIP_PEERS);
-    bodies.extend(peers.flat_map(|vm| gossip(node).into_iter().map(move |body| (vm.clone(), body))));
+    let loads = gossip(node);
+    bodies.extend(peers.flat_map(|vm| loads.iter().map(move |body| (vm.clone(), body.clone()))));
     bodies
 }
 
@@ -78,8 +79,8 @@
     let state = node.state.borrow();
     let table = node.queues.table.borrow();
     let rates = own_totals(node.now(), &state, &node.slices.borrow(), &node.set.vm);
-    let kept = state.keepers().filter(|(_, keeper)| keeper.vm == node.set.vm);
-    let loads: Vec<Gossip> = kept
+    let loads: Vec<Gossip> = state
+        .kept_by(&node.set.vm)
         .map(|(target, _)| Gossip {
             target: target.clone(),
             depth: table.depth(target),
--- a/crates/catkin-gateway/src/reports.rs
+++ b/crates/catkin-gateway/src/reports.rs
@@ -19,7 +19,7 @@
     loop {
         tick.tick().await;
         let state = node.state.borrow();
-        let kept = state.keepers().filter(|(_, keeper)| keeper.vm == node.set.vm);
+        let kept = state.kept_by(&node.set.vm);
         kept.for_each(|(target, _)| drop(actix_rt::spawn(read(node.clone(), target.clone()))));
     }
 }
--- a/crates/catkin/src/api.rs
+++ b/crates/catkin/src/api.rs
@@ -138,6 +138,12 @@
 }
 
 impl VmList {
+    /// Returns the targets that are leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = TargetId> {
+        let rows = self.vms.iter().filter(|vm| vm.role == Role::Target && vm.state == Life::Leaving);
+        rows.filter_map(|vm| TargetId::new(vm.id.clone()).ok())
+    }
+
     /// Counts a target as leaving before the list says so.
     pub fn set_leaving(&mut self, target: &TargetId) {
         let rows = self.vms.iter_mut().filter(|vm| *vm.id == *target.as_str());
--- a/crates/catkin/src/config/check.rs
+++ b/crates/catkin/src/config/check.rs
@@ -33,11 +33,7 @@
         exception.set.check(&format!("{path}.set"))?;
         check_twice(&mut set, exception, &path)?;
     }
-    let defaults = Policy::default().with_patch(&fleet.defaults);
-    check_lease(&defaults).map_err(|e| locate(e, fleet, None))?;
-    for service in fleet.services.keys() {
-        check_lease(&fleet.policy(service)).map_err(|e| locate(e, fleet, Some(service)))?;
-    }
+    check_lease(&fleet.common()).map_err(|e| locate(e, fleet))?;
     Ok(())
 }
 
@@ -177,19 +173,14 @@
     Ok(())
 }
 
-/// Moves the path of an error to the patch that causes it: an exception of the
-/// service if it sets a field of the lease, otherwise the defaults.
-fn locate(error: Error, fleet: &Fleet, service: Option<&Service>) -> Error {
-    let own = fleet.exceptions.iter().enumerate().filter(|(_, e)| Some(&e.service) == service);
-    let patches = own.map(|(number, e)| (format!("exceptions[{number}].set"), &e.set));
-    let patches = patches.chain([("defaults".to_owned(), &fleet.defaults)]);
+/// Moves the path of an error to a field of the lease that the defaults set:
+/// the one that the error names if they do, otherwise another one.
+fn locate(error: Error, fleet: &Fleet) -> Error {
     let field = error.path().unwrap_or_default().to_owned();
-    for (path, patch) in patches {
-        let names = patch.names();
-        let set = LEASE_FIELDS.iter().filter(|name| names.contains(name));
-        if let Some(name) = set.max_by_key(|name| **name == field) {
-            return error.with_path(format!("{path}.{name}"));
-        }
+    let names = fleet.defaults.names();
+    let set = LEASE_FIELDS.iter().filter(|name| names.contains(name));
+    match set.max_by_key(|name| **name == field) {
+        Some(name) => error.with_path(format!("defaults.{name}")),
+        None => error,
     }
-    error
 }
--- a/crates/catkin/src/fold.rs
+++ b/crates/catkin/src/fold.rs
@@ -115,6 +115,11 @@
         self.keepers.get(target)
     }
 
+    /// Returns the targets that a VM keeps.
+    pub fn kept_by<'a>(&'a self, vm: &'a VmId) -> impl Iterator<Item = (&'a TargetId, &'a Keeper)> {
+        self.keepers().filter(move |(_, keeper)| keeper.vm == *vm)
+    }
+
     /// Returns all keepers.
     pub fn keepers(&self) -> impl Iterator<Item = (&TargetId, &Keeper)> {
         self.keepers.iter()
