--- /dev/null
+++ b/crates/catkin-edge/src/admit.rs
@@ -0,0 +1,87 @@
+//! Waiting for a target that may get the request.
+
+use {
+    crate::{node::Node, serve::Job},
+    catkin::types::{Span, Time},
+    catkin_route::directory::{Entry, Life},
+    std::rc::Rc,
+};
+
+/// Why a request gets no target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Denied {
+    /// No target may serve the key, or none is known of the service.
+    NoOwner,
+    /// All targets have as many requests as this process may send them.
+    Full,
+    /// Too little time is left.
+    NoTime,
+}
+
+/// Share of the latency objective for which a request waits for a target. A
+/// refusal that comes later leaves the caller too little time elsewhere.
+const WAIT_SHARE: f64 = 0.5;
+
+/// Least time that must be left for a send.
+const LEFT_MIN: Span = Span::from_millis(20);
+
+/// Pause between two looks when nothing else wakes a waiting request.
+const LOOK: Span = Span::from_millis(40);
+
+/// A target for one send.
+pub(crate) struct Admitted {
+    /// The process.
+    pub(crate) life: Life,
+    /// What the directory says of it.
+    pub(crate) entry: Entry,
+}
+
+impl Admitted {
+    fn new(entry: &Entry) -> Self {
+        Self { life: entry.life.clone(), entry: entry.clone() }
+    }
+}
+
+fn look(node: &Node, job: &Job<'_>, tried: &[Life], now: Time) -> Result<Admitted, Denied> {
+    let directory = node.directory.borrow();
+    let mut loads = node.loads.borrow_mut();
+    let peers = node.peers.get();
+    let Some(key) = job.key else {
+        let chosen = loads
+            .choose(now, &directory, &job.service, peers, tried)
+            .or_else(|| loads.choose(now, &directory, &job.service, peers, &[]));
+        let any = directory.of(&job.service).next().is_some();
+        let reason = if any { Denied::Full } else { Denied::NoOwner };
+        return chosen.map(|t| Admitted::new(&t.entry)).ok_or(reason);
+    };
+    let owned = node.owned().ok_or(Denied::NoOwner)?;
+    let row = owned.table.find(&job.service, key).ok_or(Denied::NoOwner)?;
+    let target = directory.living(&row.life()).filter(|t| t.serves_keys(now)).ok_or(Denied::NoOwner)?;
+    if !loads.has_room(now, target, peers) {
+        return Err(Denied::Full);
+    }
+    Ok(Admitted::new(&target.entry))
+}
+
+/// Returns a target that may get the request now, after waiting for one for a
+/// part of its latency objective.
+pub(crate) async fn admit(node: &Rc<Node>, job: &Job<'_>, tried: &[Life]) -> Result<Admitted, Denied> {
+    let patience = job.rule.aim.scale(WAIT_SHARE);
+    let limit = job.incoming.came.after(patience).max(node.now().after(LEFT_MIN));
+    loop {
+        let room = node.room.notified();
+        let now = node.now();
+        if job.until.since(now) < LEFT_MIN {
+            return Err(Denied::NoTime);
+        }
+        let denied = match look(node, job, tried, now) {
+            Ok(admitted) => return Ok(admitted),
+            Err(denied) => denied,
+        };
+        if now >= limit {
+            return Err(denied);
+        }
+        let pause = limit.since(now).min(LOOK);
+        let _ = tokio::time::timeout(pause.as_duration(), room).await;
+    }
+}
--- /dev/null
+++ b/crates/catkin-edge/src/lead.rs
@@ -0,0 +1,311 @@
+//! Membership, the leader's claim, commands to targets and moves of keys.
+
+use {
+    crate::{
+        follow::ANSWER_MAX,
+        node::{Node, sleep},
+    },
+    actix_http::ServiceConfig,
+    catkin::types::{Span, Time},
+    catkin_net::Conn,
+    catkin_platform::{
+        grant,
+        store::{Member, Refusal},
+    },
+    catkin_route::{
+        balance::{self, Loads},
+        directory::Life,
+        granter::{self, Ask, Command, Granter, Outcome, Rules, Step},
+        owners::Owners,
+    },
+    std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration},
+    tokio::sync::mpsc,
+};
+
+/// Topic of the table of owners.
+pub(crate) const TOPIC: &str = "keyed.owners";
+
+/// Key of the table in its topic.
+pub(crate) const KEY: &[u8] = b"table";
+
+/// Group whose first partition makes its holder the leader.
+const GROUP: &str = "edge";
+
+/// Topic whose partitions the group shares out. It holds no records.
+const SEATS: &str = "edge.seats";
+
+/// Silence after which the group drops a member: the platform's least.
+const SEAT_TTL: Span = Span::from_millis(1_000);
+
+/// Pause between two joins; three fit into the time above.
+const JOIN_PAUSE: Span = Span::from_millis(300);
+
+/// Time without the store after which a leader stops renewing. It covers the
+/// outages that the platform announces.
+const ALONE_MAX: Span = Span::from_secs(14);
+
+/// Times of grants. A hold bridges the change of the leader; it also is the
+/// time for which a lost target's keys are away.
+const RULES: Rules = Rules {
+    hold: Span::from_millis(3_000),
+    renew: Span::from_millis(750),
+    margin: Span::from_millis(250),
+    skew: 1.025,
+};
+
+/// Pause between two rounds of the leader.
+const ROUND: Span = Span::from_millis(60);
+
+/// Gap between two rounds above which the leader may have been replaced.
+const GAP_MAX: Span = Span::from_millis(700);
+
+/// Pause between two rounds of balancing.
+const BALANCE: Span = Span::from_millis(500);
+
+/// Time for the answer to a grant.
+const GRANT_MAX: Duration = Duration::from_millis(500);
+
+/// Time for the answer to a release, which waits for the work in progress.
+const RELEASE_MAX: Duration = Duration::from_millis(1_500);
+
+/// Time to open a connection for a command.
+const CONNECT_MAX: Duration = Duration::from_millis(300);
+
+thread_local! {
+    /// Loads that edge processes reported to this one.
+    static LOADS: RefCell<Loads> = RefCell::default();
+}
+
+/// Runs a function on the loads that were reported to this process.
+pub(crate) fn with_loads<T>(f: impl FnOnce(&mut Loads) -> T) -> T {
+    LOADS.with_borrow_mut(f)
+}
+
+fn member(node: &Node) -> Member {
+    let name = format!("{}.{}", node.me.vm, node.me.incarnation);
+    Member { group: GROUP, name: name.into(), topic: SEATS, ttl: SEAT_TTL }
+}
+
+/// Stays a member of the group that elects the leader.
+pub(crate) async fn join(node: Rc<Node>) {
+    let member = member(&node);
+    let mut generation = 0;
+    while !node.leaving.get() {
+        match node.store.join(&member, generation, ANSWER_MAX.as_duration()).await {
+            Ok(seat) => {
+                generation = seat.generation;
+                let now = node.now();
+                let holds = seat.holds(0);
+                if holds != node.seat.get().is_some() {
+                    log::info!(generation, holds; "leadership of the group changed");
+                }
+                node.seat.set(holds.then_some(now));
+            }
+            Err(Refusal::Fenced) => node.seat.set(None),
+            Err(refusal) => log::debug!(refusal:display; "group not joined"),
+        }
+        sleep(JOIN_PAUSE).await;
+    }
+}
+
+/// Leaves the group, so that another process leads at once.
+pub(crate) async fn leave(node: Rc<Node>) {
+    if let Err(refusal) = node.store.leave(&member(&node), ANSWER_MAX.as_duration()).await {
+        log::info!(refusal:display; "group not left; its time-out will do it");
+    }
+}
+
+/// Leads while the group says so.
+pub(crate) async fn run(node: Rc<Node>) {
+    loop {
+        if node.seat.get().is_some()
+            && !node.leaving.get()
+            && node.config.borrow().is_some()
+            && node.listed.get()
+        {
+            if let Some((table, offset)) = claim(&node).await {
+                lead(&node, &table, offset).await;
+            }
+        }
+        sleep(ROUND).await;
+    }
+}
+
+/// Claims leadership: writes the newest table once more with higher fences.
+async fn claim(node: &Node) -> Option<(Owners, u64)> {
+    let newest = match node.store.newest(TOPIC, ANSWER_MAX.as_duration()).await {
+        Ok(newest) => newest,
+        Err(refusal) => {
+            log::info!(refusal:display; "owners not read");
+            return None;
+        }
+    };
+    let record = newest.items.iter().find(|r| *r.key == *KEY);
+    let last = match record.map(|r| Owners::decode(&r.value)).transpose() {
+        Ok(last) => last,
+        Err(error) => {
+            log::error!(error:display; "table of owners can't be read; it is replaced");
+            None
+        }
+    };
+    let table = granter::claim(&node.me, last.as_ref(), newest.end);
+    write(node, &table, newest.end).await.then_some((table, newest.end))
+}
+
+/// Writes a table after the record before `end`. Returns whether the store
+/// accepted it; it may have done so also if this returns false.
+async fn write(node: &Node, table: &Owners, end: u64) -> bool {
+    let bytes = match table.encode() {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(error:display; "table of owners can't be encoded");
+            return false;
+        }
+    };
+    match node.store.append(TOPIC, KEY, &bytes, end, ANSWER_MAX.as_duration()).await {
+        Ok(offset) if offset == end => {
+            log::info!(offset, bytes = bytes.len(); "owners written");
+            true
+        }
+        Ok(offset) => {
+            log::error!(offset, end; "owners written at another offset");
+            false
+        }
+        Err(refusal) => {
+            log::warn!(end, refusal:display; "owners not written");
+            false
+        }
+    }
+}
+
+/// Connections for commands, by the process at their other end.
+type Conns = Rc<RefCell<HashMap<Life, Conn>>>;
+
+/// Grants, renews and moves keys until another process may lead.
+async fn lead(node: &Rc<Node>, claim: &Owners, offset: u64) {
+    let mut now = node.now();
+    let mut granter = Granter::new(RULES, now, now, claim, offset);
+    node.adopt(offset, claim.clone());
+    let conns = Conns::default();
+    let (sender, mut results) = mpsc::unbounded_channel();
+    let mut balanced = now;
+    let mut decayed = now;
+    log::info!(offset; "leading");
+    loop {
+        let last = std::mem::replace(&mut now, node.now());
+        if let Some(reason) = ends(node, &granter, last, now) {
+            log::info!(reason; "leading ended");
+            return;
+        }
+        if now.since(decayed) >= Span::from_secs(1) {
+            decayed = now;
+            with_loads(|loads| {
+                loads.decay();
+                loads.retain(&node.directory.borrow());
+            });
+        }
+        let keyed: Vec<Arc<str>> = match &*node.config.borrow() {
+            Some(config) => config.keyed().cloned().collect(),
+            None => Vec::new(),
+        };
+        let steps = with_loads(|loads| granter.tick(now, &keyed, &node.directory.borrow(), loads));
+        for step in steps {
+            match step {
+                Step::Send(command) => {
+                    let (node, conns, sender) = (node.clone(), conns.clone(), sender.clone());
+                    actix_rt::spawn(async move {
+                        let outcome = command_once(&node, &conns, &command).await;
+                        let _ = sender.send((command, outcome));
+                    });
+                }
+                Step::Write { table, end } => {
+                    if !write(node, &table, end).await {
+                        return;
+                    }
+                    granter.written(node.now());
+                    node.adopt(end, table);
+                }
+            }
+        }
+        if now.since(balanced) >= BALANCE {
+            balanced = now;
+            rebalance(node, &mut granter, &keyed, now);
+        }
+        let pause = tokio::time::timeout(ROUND.as_duration(), results.recv()).await;
+        if let Ok(Some((command, outcome))) = pause {
+            ended(node, &mut granter, &command, outcome);
+        }
+        while let Ok((command, outcome)) = results.try_recv() {
+            ended(node, &mut granter, &command, outcome);
+        }
+    }
+}
+
+fn ends(node: &Node, granter: &Granter, last: Time, now: Time) -> Option<&'static str> {
+    match node.seat.get() {
+        None => Some("another process leads"),
+        Some(_) if node.leaving.get() => Some("stopping"),
+        Some(_) if granter.is_fenced() => Some("a target has seen a higher fence"),
+        Some(at) if now.since(at) > ALONE_MAX => Some("the store is away for too long"),
+        // A process that stood still may have been replaced meanwhile.
+        Some(_) if now.since(last) > GAP_MAX => {
+            node.seat.set(None);
+            Some("this process stood still")
+        }
+        Some(_) => None,
+    }
+}
+
+fn ended(node: &Node, granter: &mut Granter, command: &Command, outcome: Outcome) {
+    if !matches!(outcome, Outcome::Done(_)) || command.ask == Ask::Release {
+        let (from, to, fence) = (command.from, command.to, command.fence);
+        let ask = if command.ask == Ask::Release { "release" } else { "grant" };
+        log::info!(target_id = &*command.life.id, ask, from, to, fence, outcome:debug; "command ended");
+    }
+    granter.ended(node.now(), command.ticket, outcome);
+}
+
+fn rebalance(node: &Node, granter: &mut Granter, keyed: &[Arc<str>], now: Time) {
+    let directory = node.directory.borrow();
+    for service in keyed {
+        let moves = with_loads(|loads| balance::plan(now, service, granter, &directory, loads));
+        for next in moves {
+            let started = granter.begin_move(service, next.from, next.to, next.dest.clone());
+            let (from, to) = (next.from, next.to);
+            log::info!(service = &**service, from, to, dest = &*next.dest.id, started; "keys move by load");
+        }
+    }
+}
+
+async fn command_once(node: &Node, conns: &Conns, command: &Command) -> Outcome {
+    let within = if command.ask == Ask::Release { RELEASE_MAX } else { GRANT_MAX };
+    node.metrics.command(if command.ask == Ask::Release { "release" } else { "grant" });
+    let (head, body) = match grant::encode(command) {
+        Ok(request) => request,
+        Err(error) => {
+            log::error!(error:display; "command can't be encoded");
+            return Outcome::Unsent;
+        }
+    };
+    let Some(mut conn) = connect(conns, command, node.http.clone()).await else { return Outcome::Unsent };
+    let exchange = conn.exchange(head, vec![body], false, |_| true);
+    match tokio::time::timeout(within, exchange).await {
+        Ok(Ok(reply)) => {
+            if reply.reusable {
+                conns.borrow_mut().insert(command.life.clone(), conn);
+            }
+            grant::decode(&reply)
+        }
+        Ok(Err(broken)) if !broken.sent => Outcome::Unsent,
+        // The connection is closed with an unanswered command on it.
+        Ok(Err(_)) | Err(_) => Outcome::Unknown,
+    }
+}
+
+async fn connect(conns: &Conns, command: &Command, http: ServiceConfig) -> Option<Conn> {
+    let kept = conns.borrow_mut().remove(&command.life);
+    match kept.filter(Conn::is_quiet) {
+        Some(conn) => Some(conn),
+        None => Conn::open(command.addr, CONNECT_MAX, http).await.ok(),
+    }
+}
--- /dev/null
+++ b/crates/catkin-edge/src/link.rs
@@ -0,0 +1,218 @@
+//! Reports to the leader and tables from it.
+//!
+//! Each process keeps one connection to the leader, on which it reports loads.
+//! The leader answers each report, and sends a new table at once.
+
+use {
+    crate::{
+        lead,
+        node::{Node, Owned, sleep},
+    },
+    bytes::{Bytes, BytesMut},
+    catkin::types::Span,
+    catkin_net::tune,
+    catkin_route::owners::Owners,
+    serde::{Deserialize, Serialize},
+    std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, sync::Arc},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream, tcp::OwnedWriteHalf},
+    },
+};
+
+/// Pause between two reports.
+const REPORT_PAUSE: Span = Span::from_millis(500);
+
+/// Silence after which a connection between edge processes is closed.
+const SILENCE_MAX: Span = Span::from_millis(1_500);
+
+/// Largest message.
+const MESSAGE_BYTES_MAX: usize = 4 << 20;
+
+/// Age of the last report above which a process is not counted.
+const PEER_MAX: Span = Span::from_secs(3);
+
+/// What a process reports.
+#[derive(Debug, Serialize, Deserialize)]
+struct Report {
+    vm: Arc<str>,
+    /// Version of the newest known table.
+    version: Option<u64>,
+    /// Requests by service and key since the last report.
+    keys: Vec<(Arc<str>, Vec<(u16, u16)>)>,
+    /// Mean time of a request at each target, in seconds.
+    times: Vec<(Arc<str>, f32)>,
+}
+
+/// What the leader answers.
+#[derive(Debug, Serialize, Deserialize)]
+struct Notice {
+    /// Number of processes that report.
+    peers: u32,
+    /// A newer table and its version.
+    table: Option<(u64, Owners)>,
+}
+
+type Peers = Rc<RefCell<HashMap<Arc<str>, catkin::types::Time>>>;
+
+async fn write<T: Serialize>(stream: &mut OwnedWriteHalf, message: &T) -> io::Result<()> {
+    let body = postcard::to_stdvec(message).map_err(io::Error::other)?;
+    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
+    let mut bytes = Vec::with_capacity(4 + body.len());
+    bytes.extend_from_slice(&length.to_be_bytes());
+    bytes.extend_from_slice(&body);
+    tokio::time::timeout(SILENCE_MAX.as_duration(), stream.write_all(&bytes)).await?
+}
+
+/// Reads whole messages; a read that is dropped loses nothing.
+struct Messages<R> {
+    stream: R,
+    buffer: BytesMut,
+}
+
+impl<R: AsyncReadExt + Unpin> Messages<R> {
+    fn new(stream: R) -> Self {
+        Self { stream, buffer: BytesMut::new() }
+    }
+
+    async fn next(&mut self) -> io::Result<Bytes> {
+        loop {
+            if let Some(head) = self.buffer.first_chunk::<4>() {
+                let length = u32::from_be_bytes(*head) as usize;
+                if length > MESSAGE_BYTES_MAX {
+                    return Err(io::ErrorKind::InvalidData.into());
+                }
+                if self.buffer.len() >= 4 + length {
+                    let message = self.buffer.split_to(4 + length).freeze();
+                    return Ok(message.slice(4..));
+                }
+            }
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+}
+
+/// Takes reports of other processes.
+pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener) {
+    let peers = Peers::default();
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let (node, peers) = (node.clone(), peers.clone());
+                actix_rt::spawn(async move {
+                    if let Err(error) = answer(&node, &peers, stream).await {
+                        log::debug!(from:display, error:display; "link ended");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!(error:display; "no link accepted");
+                sleep(Span::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+fn take(node: &Node, peers: &Peers, report: &Report) -> u32 {
+    let now = node.now();
+    let mut peers = peers.borrow_mut();
+    peers.insert(report.vm.clone(), now);
+    peers.retain(|_, at| now.since(*at) < PEER_MAX);
+    lead::with_loads(|loads| {
+        for (service, keys) in &report.keys {
+            for (key, count) in keys {
+                loads.add(service, *key, f32::from(*count));
+            }
+        }
+        for (target, seconds) in &report.times {
+            loads.time(target, *seconds);
+        }
+    });
+    u32::try_from(peers.len()).unwrap_or(u32::MAX)
+}
+
+async fn answer(node: &Rc<Node>, peers: &Peers, stream: TcpStream) -> io::Result<()> {
+    tune(&stream);
+    let (reader, mut writer) = stream.into_split();
+    let mut messages = Messages::new(reader);
+    let mut owned = node.owned.subscribe();
+    let mut count = 0;
+    let mut sent = None;
+    loop {
+        let message = tokio::select! {
+            message = tokio::time::timeout(SILENCE_MAX.as_duration(), messages.next()) => Some(message??),
+            changed = owned.changed() => changed.map(|()| None).map_err(io::Error::other)?,
+        };
+        if let Some(message) = message {
+            let report: Report = postcard::from_bytes(&message).map_err(io::Error::other)?;
+            count = take(node, peers, &report);
+            sent = report.version;
+        }
+        // Only the leader's word counts; others end the link.
+        if node.seat.get().is_none() {
+            return Ok(());
+        }
+        let newer = node.owned().filter(|o| sent.is_none_or(|sent| sent < o.version));
+        let table = newer.map(|Owned { version, table }| (version, (*table).clone()));
+        sent = table.as_ref().map(|t| t.0).or(sent);
+        write(&mut writer, &Notice { peers: count, table }).await?;
+    }
+}
+
+fn report_now(node: &Node) -> Report {
+    let mut keys: HashMap<Arc<str>, Vec<(u16, u16)>> = HashMap::new();
+    for ((service, key), count) in node.keys.take() {
+        keys.entry(service).or_default().push((key, count));
+    }
+    let loads = node.loads.borrow();
+    let directory = node.directory.borrow();
+    let time = |id: &Arc<str>| loads.time(id).map(|seconds| (id.clone(), seconds as f32));
+    let times = directory.all().filter_map(|t| time(&t.entry.life.id)).collect();
+    let version = node.owned().map(|o| o.version);
+    Report { vm: node.me.vm.clone(), version, keys: keys.into_iter().collect(), times }
+}
+
+/// Reports to the leader and takes its tables.
+pub(crate) async fn report(node: Rc<Node>) {
+    loop {
+        let leader = node.owned().map(|o| o.table.leader.addr);
+        if let Some(addr) = leader {
+            if let Err(error) = link(&node, addr).await {
+                log::debug!(leader:display = addr, error:display; "link to the leader ended");
+            }
+        }
+        sleep(REPORT_PAUSE).await;
+    }
+}
+
+async fn link(node: &Rc<Node>, addr: SocketAddr) -> io::Result<()> {
+    let connect = TcpStream::connect(addr);
+    let stream = tokio::time::timeout(SILENCE_MAX.as_duration(), connect).await??;
+    tune(&stream);
+    let (reader, mut writer) = stream.into_split();
+    let mut messages = Messages::new(reader);
+    let mut pause = tokio::time::interval(REPORT_PAUSE.as_duration());
+    let mut heard = node.now();
+    loop {
+        tokio::select! {
+            message = messages.next() => {
+                let notice: Notice = postcard::from_bytes(&message?).map_err(io::Error::other)?;
+                heard = node.now();
+                node.linked.set(heard);
+                node.peers.set(notice.peers.max(1));
+                if let Some((version, table)) = notice.table {
+                    node.adopt(version, table);
+                }
+            }
+            _ = pause.tick() => {
+                let moved = node.owned().is_some_and(|o| o.table.leader.addr != addr);
+                if moved || node.now().since(heard) > SILENCE_MAX {
+                    return Ok(());
+                }
+                write(&mut writer, &report_now(node)).await?;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-edge/src/main.rs
@@ -0,0 +1,124 @@
+//! Entry program of the catkinhub router on the users' platform: one process
+//! on each VM.
+//!
+//! A request flows through `accept` -> `serve` -> `admit` -> `send`. What the
+//! platform says flows from `follow` into the state of `node`; `lead` turns it
+//! into commands to targets when this process is the leader. The decisions are
+//! in the crate `catkin-route`, the platform's names in `catkin-platform`.
+//!
+//! | module | responsibility |
+//! |---|---|
+//! | `accept` | connections of callers: reading requests, writing answers |
+//! | `serve` | one request: route, tries, the final answer |
+//! | `admit` | waiting for a target that may get the request |
+//! | `send` | one send to one target |
+//! | `pool` | idle connections to targets |
+//! | `follow` | reads configuration, directory and owners from the store |
+//! | `lead` | membership, the leader's claim, commands and moves of keys |
+//! | `link` | reports to the leader and tables from it |
+//! | `admin` | readiness and metrics |
+//! | `stop` | signals and graceful shutdown |
+//! | `node` | the state that these share |
+
+mod accept;
+mod admin;
+mod admit;
+mod follow;
+mod lead;
+mod link;
+mod metrics;
+mod node;
+mod pool;
+mod send;
+mod serve;
+mod settings;
+mod stop;
+
+use {
+    bpaf::Bpaf,
+    catkin::{Code, Error, logs},
+    node::Node,
+    settings::Settings,
+    std::{path::PathBuf, process::ExitCode, rc::Rc},
+};
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+/// Entry program of the catkinhub router on the users' platform.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    #[bpaf(external)]
+    source: Source,
+    /// Checks the settings and exits
+    check: bool,
+}
+
+/// Where the settings are.
+#[derive(Clone, Debug, Bpaf)]
+enum Source {
+    /// Settings of this process, in YAML
+    File {
+        /// Settings of this process, in YAML
+        #[bpaf(long("settings"), argument("FILE"))]
+        file: PathBuf,
+    },
+    /// Environment variable with the path of the settings
+    Variable {
+        /// Environment variable that holds the path of the settings
+        #[bpaf(long("settings-from"), argument("NAME"))]
+        name: String,
+    },
+}
+
+fn path(source: &Source) -> Result<PathBuf, Error> {
+    match source {
+        Source::File { file } => Ok(file.clone()),
+        Source::Variable { name } => std::env::var_os(name)
+            .map(PathBuf::from)
+            .ok_or_else(|| Error::new(Code::BadUsage, format!("environment variable {name} is not set"))),
+    }
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let read = path(&options.source).and_then(|file| catkin::settings::read::<Settings>(&file));
+    let settings = match read {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error),
+    };
+    if options.check {
+        println!("settings: ok");
+        return ExitCode::SUCCESS;
+    }
+    logs::init(settings.logs);
+    match actix_rt::System::new().block_on(run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &Error) -> ExitCode {
+    eprintln!("catkin-edge: {error}");
+    ExitCode::from(if error.is_usage() { EXIT_USAGE } else { EXIT_FAILED })
+}
+
+async fn run(settings: Settings) -> Result<(), Error> {
+    let bounds = catkin_platform::bounds::decode(&settings.bounds)?;
+    let node = Rc::new(Node::new(settings, bounds));
+    let callers = catkin_net::listen(node.set.callers).await?;
+    let admin = catkin_net::listen(node.set.admin).await?;
+    let peers = catkin_net::listen(node.set.peers).await?;
+    log::info!(vm = node.set.vm.as_str(), callers:display = node.set.callers; "started");
+    actix_rt::spawn(follow::config(node.clone()));
+    actix_rt::spawn(follow::targets(node.clone()));
+    actix_rt::spawn(follow::owners(node.clone()));
+    actix_rt::spawn(lead::join(node.clone()));
+    actix_rt::spawn(lead::run(node.clone()));
+    actix_rt::spawn(link::listen(node.clone(), peers));
+    actix_rt::spawn(link::report(node.clone()));
+    actix_rt::spawn(admin::serve(node.clone(), admin));
+    actix_rt::spawn(accept::serve(node.clone(), callers));
+    stop::wait(node).await
+}
--- /dev/null
+++ b/crates/catkin-edge/src/serve.rs
@@ -0,0 +1,270 @@
+//! One request: route, tries, the final answer.
+
+use {
+    crate::{
+        admit::{self, Denied},
+        node::Node,
+        send::{self, Sent},
+    },
+    actix_http::{
+        HttpMessage, Request, StatusCode,
+        header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING},
+    },
+    bytes::Bytes,
+    catkin::{
+        Code,
+        types::{Span, Time},
+    },
+    catkin_net::Reply,
+    catkin_platform::name,
+    catkin_route::{
+        config::{Config, Rule},
+        directory::Life,
+    },
+    std::{rc::Rc, sync::Arc},
+};
+
+/// A whole request of a caller.
+pub(crate) struct Incoming {
+    /// Method, path and headers.
+    pub(crate) head: Request,
+    /// The body.
+    pub(crate) body: Vec<Bytes>,
+    /// Whether the body came in chunks.
+    pub(crate) chunked: bool,
+    /// When the head was read.
+    pub(crate) came: Time,
+}
+
+/// An answer to a caller.
+pub(crate) struct Answer {
+    /// Status.
+    pub(crate) status: StatusCode,
+    /// Headers of the target's answer.
+    pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body.
+    pub(crate) body: Bytes,
+    /// When the caller may try again.
+    pub(crate) retry: Option<Span>,
+}
+
+impl Answer {
+    /// Makes an answer of this program.
+    pub(crate) fn refusal(status: StatusCode, retry: Option<Span>) -> Self {
+        Self { status, headers: Vec::new(), body: Bytes::new(), retry }
+    }
+}
+
+/// What is fixed about a request once its route is known.
+pub(crate) struct Job<'a> {
+    /// The request.
+    pub(crate) incoming: &'a Incoming,
+    /// Its route.
+    pub(crate) rule: Arc<Rule>,
+    /// Its service.
+    pub(crate) service: Arc<str>,
+    /// Its key, if keys of the service have owners.
+    pub(crate) key: Option<u16>,
+    /// Its id.
+    pub(crate) id: Arc<str>,
+    /// When the caller or the route gives it up.
+    pub(crate) until: Time,
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn deadline(headers: &HeaderMap) -> Option<Span> {
+    let millis: f64 = text(headers, &name::DEADLINE)?.trim().parse().ok()?;
+    (millis >= 0.0).then(|| Span::from_micros((millis * 1e3) as u64))
+}
+
+fn job<'a>(node: &Node, config: &Config, incoming: &'a Incoming) -> Result<Job<'a>, Code> {
+    let headers = incoming.head.headers();
+    let uri = incoming.head.uri();
+    let host = uri.host().or_else(|| text(headers, &HOST)).unwrap_or("");
+    let rule = config.find(host, uri.path()).ok_or(Code::UnknownService)?.clone();
+    let service = node.split.borrow_mut().next(&rule);
+    let keyed = config.services.get(&service).is_some_and(|s| s.keyed);
+    let key = match (keyed, text(headers, &name::KEY)) {
+        (true, Some(key)) => Some(key.trim().parse().map_err(|_| Code::MissingKey)?),
+        // Requests of other routes may come without a key; any key does.
+        (true, None) => Some(0),
+        (false, _) => None,
+    };
+    let id = text(headers, &name::REQUEST_ID).unwrap_or("").into();
+    let limit = deadline(headers).map_or(rule.timeout, |d| d.min(rule.timeout));
+    Ok(Job { incoming, rule, service, key, id, until: incoming.came.after(limit) })
+}
+
+/// Serves a request.
+pub(crate) async fn serve(node: &Rc<Node>, incoming: &Incoming) -> Answer {
+    let Some(config) = node.config.borrow().clone() else {
+        return refuse(node, incoming, "", Code::Starting);
+    };
+    let job = match job(node, &config, incoming) {
+        Ok(job) => job,
+        Err(code) => {
+            let id = text(incoming.head.headers(), &name::REQUEST_ID).unwrap_or("");
+            return refuse(node, incoming, id, code);
+        }
+    };
+    node.budget.borrow_mut().count(incoming.came, &job.service);
+    if let Some(key) = job.key {
+        let mut keys = node.keys.borrow_mut();
+        let count = keys.entry((job.service.clone(), key)).or_default();
+        *count = count.saturating_add(1);
+    }
+    let answer = tries(node, &job).await;
+    let took = node.now().since(incoming.came);
+    node.metrics.answer(end_name(answer.status), took);
+    answer
+}
+
+fn end_name(status: StatusCode) -> &'static str {
+    match status.as_u16() {
+        200..=299 => "success",
+        408 | 421 | 429 | 503 => "refused",
+        502 | 504 => "unknown",
+        400..=499 => "denied",
+        _ => "failed",
+    }
+}
+
+/// The tries of one request.
+#[derive(Default)]
+struct History {
+    /// Targets that had the request.
+    targets: Vec<Life>,
+    /// Sends that reached a target.
+    sends: u32,
+    /// Whether a send may have run.
+    exposed: bool,
+    /// Sends that found no connection.
+    unreached: u32,
+}
+
+/// Failed connections after which a request is given up.
+const UNREACHED_MAX: u32 = 4;
+
+async fn tries(node: &Rc<Node>, job: &Job<'_>) -> Answer {
+    let mut history = History::default();
+    loop {
+        let target = match admit::admit(node, job, &history.targets).await {
+            Ok(target) => target,
+            Err(denied) => return give_up(node, job, &history, denied.code()),
+        };
+        let life = target.life.clone();
+        if history.sends > 0 && !node.budget.borrow_mut().take(node.now(), &job.service, node.peers.get()) {
+            return give_up(node, job, &history, Code::RetryBudget);
+        }
+        let sent = send::send(node, job, &target).await;
+        if !matches!(sent, Sent::Unreached) {
+            history.sends += 1;
+            if !history.targets.contains(&life) {
+                history.targets.push(life.clone());
+            }
+        }
+        let code = match sent {
+            Sent::Answered(reply) => {
+                let failed = reply.head.status.is_server_error();
+                if !(failed && may_repeat(node, job, &history)) {
+                    return pass(reply);
+                }
+                history.exposed = true;
+                if !node.budget.borrow_mut().take(node.now(), &job.service, node.peers.get()) {
+                    return pass(reply);
+                }
+                let again = admit::admit(node, job, &history.targets).await;
+                let Ok(target) = again else { return pass(reply) };
+                history.targets.push(target.life.clone());
+                return match send::send(node, job, &target).await {
+                    Sent::Answered(second) => pass(second),
+                    _ => pass(reply),
+                };
+            }
+            Sent::NotRun => Code::TargetRefused,
+            Sent::Unreached => {
+                history.unreached += 1;
+                Code::ConnectFailed
+            }
+            Sent::Lost => {
+                history.exposed = true;
+                Code::AnswerCut
+            }
+            Sent::Late => {
+                history.exposed = true;
+                return give_up(node, job, &history, Code::OutcomeUnknown);
+            }
+        };
+        log::info!(id = &*job.id, target_id = &*life.id, code:display, sends = history.sends; "send failed");
+        if !may_repeat(node, job, &history) {
+            return give_up(node, job, &history, code);
+        }
+    }
+}
+
+/// Returns whether a request may be sent once more.
+fn may_repeat(node: &Node, job: &Job<'_>, history: &History) -> bool {
+    let safe = job.rule.kind.is_idempotent() || !history.exposed;
+    // A target serves a key alone, so that a keyed request goes to one target
+    // only; sends to it are bounded like attempts.
+    let left = history.sends < job.rule.attempts && history.unreached < UNREACHED_MAX;
+    safe && left && node.now() < job.until
+}
+
+/// Makes the final answer for a request without one from a target.
+fn give_up(node: &Node, job: &Job<'_>, history: &History, code: Code) -> Answer {
+    let code = match history.exposed {
+        true if code.status() != 502 => Code::OutcomeUnknown,
+        _ => code,
+    };
+    let open = node.now().since(job.incoming.came);
+    log::info!(
+        id = &*job.id, service = &*job.service, key = job.key, code:display, sends = history.sends,
+        exposed = history.exposed, held_ms = open.as_millis();
+        "request not served"
+    );
+    let left = job.until.since(node.now());
+    answer(code, left)
+}
+
+fn answer(code: Code, left: Span) -> Answer {
+    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let retry = (status == StatusCode::SERVICE_UNAVAILABLE).then(|| pause(left));
+    Answer::refusal(status, retry)
+}
+
+/// Shortest and longest time after which a refused caller should come back.
+const PAUSE_MIN: Span = Span::from_millis(50);
+const PAUSE_MAX: Span = Span::from_millis(400);
+
+/// Callers wait for at most a third of the time that they have left.
+fn pause(left: Span) -> Span {
+    left.scale(0.3).min(PAUSE_MAX).max(PAUSE_MIN)
+}
+
+fn refuse(node: &Node, incoming: &Incoming, id: &str, code: Code) -> Answer {
+    log::info!(id, code:display, path = incoming.head.path(); "request refused");
+    node.metrics.answer("refused", node.now().since(incoming.came));
+    answer(code, PAUSE_MAX)
+}
+
+/// Passes a target's answer on.
+fn pass(reply: Reply) -> Answer {
+    let own = [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, name::KEEP_ALIVE, name::LOAD];
+    let kept = reply.head.headers().iter().filter(|(name, _)| !own.contains(name));
+    let headers = kept.map(|(name, value)| (name.clone(), value.clone())).collect();
+    Answer { status: reply.head.status, headers, body: reply.body, retry: None }
+}
+
+impl Denied {
+    fn code(self) -> Code {
+        match self {
+            Self::NoOwner => Code::NoOwner,
+            Self::Full => Code::QueueFull,
+            Self::NoTime => Code::DeadlineTooShort,
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-edge/src/stop.rs
@@ -0,0 +1,63 @@
+//! Signals and graceful shutdown.
+
+use {
+    crate::{
+        lead,
+        node::{Node, sleep},
+    },
+    catkin::{Code, Error, types::Span},
+    std::rc::Rc,
+    tokio::signal::unix::{Signal, SignalKind, signal},
+};
+
+/// Time after the signal within which the platform has seen that no new
+/// connections should come, with two questions a second apart.
+const SETTLE: Span = Span::from_millis(2_600);
+
+/// Part of the platform's grace that is left for the end of the process.
+const GRACE_LEFT: Span = Span::from_millis(400);
+
+fn listen(kind: SignalKind) -> Result<Signal, Error> {
+    signal(kind).map_err(|e| Error::new(Code::Internal, format!("no signal handler: {e}")))
+}
+
+/// Waits for the signal to stop, then until the requests in progress have
+/// their answers.
+///
+/// # Errors
+///
+/// `Code::Internal` if signals can't be handled.
+pub(crate) async fn wait(node: Rc<Node>) -> Result<(), Error> {
+    let mut term = listen(SignalKind::terminate())?;
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let mut hangup = listen(SignalKind::hangup())?;
+    let mut second = tokio::time::interval(Span::from_secs(1).as_duration());
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            // The platform restarts a process to change its addresses; nothing
+            // else of the settings can change while it runs.
+            _ = hangup.recv() => log::info!("settings signalled; they are read at the next start"),
+            _ = second.tick() => node.sweep(),
+        }
+    }
+    drain(node).await;
+    Ok(())
+}
+
+async fn drain(node: Rc<Node>) {
+    let start = node.now();
+    node.leaving.set(true);
+    log::info!(open = node.open.get(); "stopping");
+    actix_rt::spawn(lead::leave(node.clone()));
+    let limit = node.bounds.grace.saturating_sub(GRACE_LEFT);
+    loop {
+        let passed = node.now().since(start);
+        if passed >= limit || passed >= SETTLE && node.open.get() == 0 {
+            break;
+        }
+        sleep(Span::from_millis(20)).await;
+    }
+    log::info!(open = node.open.get(); "stopped");
+}
--- a/crates/catkin-net/src/clock.rs
+++ b/crates/catkin-net/src/clock.rs
@@ -1,8 +1,9 @@
-//! The process's monotonic clock.
+//! The process's clocks.
 
 use {
     catkin::types::{Span, Time},
-    std::time::Instant,
+    nix::time::{ClockId, clock_gettime},
+    std::time::{Duration, Instant},
 };
 
 /// Reads the time since the process made it. Copies share the start.
@@ -28,3 +29,20 @@
         Self::new()
     }
 }
+
+/// Reads the time since the machine's boot. Unlike [`Monotonic`] it goes on
+/// while the machine is suspended, as the clocks of other machines do.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Boot;
+
+impl Boot {
+    /// Returns the reading.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system has no such clock.
+    pub fn now(self) -> Time {
+        let clock = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has a boot-time clock");
+        Time::default().after(Span::from(Duration::from(clock)))
+    }
+}
--- a/crates/catkin-net/src/lib.rs
+++ b/crates/catkin-net/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`Monotonic`] reads the process's clock.
 
 mod clock;
+mod exchange;
 mod http;
 mod json;
 mod log;
 
 pub use {
-    clock::Monotonic,
+    clock::{Boot, Monotonic},
+    exchange::{Broken, Conn, Reply, request, tune},
     http::{Connections, listen, reply_json, reply_text, serve, serve_limited},
     json::{get, is_unsent, list_vms, post, read_body},
     log::{Log, Read},
--- /dev/null
+++ b/crates/catkin-route/src/balance.rs
@@ -0,0 +1,263 @@
+//! Which keys move from a busy target to an idle one.
+
+use {
+    crate::{
+        directory::{Directory, Life, Target},
+        granter::Granter,
+        owners::Row,
+    },
+    catkin::types::{Span, Time},
+    std::{collections::HashMap, sync::Arc},
+};
+
+const KEYS: usize = 1 << 16;
+
+/// Rate that stands for a key without traffic, so that idle keys are spread by
+/// their number. In requests a second.
+const IDLE_RATE: f32 = 1e-4;
+
+/// Share of the measured rates that remains after one second.
+const RATE_KEPT: f32 = 0.6;
+
+/// Weight of a new measurement of a target's time for a request.
+const COST_WEIGHT: f32 = 0.1;
+
+/// Time of a request before any was measured, in seconds.
+const COST_UNKNOWN: f32 = 0.1;
+
+/// Difference in the use of slots between two targets below which keys stay.
+const USE_GAP_MIN: f32 = 0.12;
+
+/// The same difference as a share of the mean use.
+const USE_GAP_SHARE: f32 = 0.35;
+
+/// Moves that one round starts.
+const MOVES_MAX: usize = 4;
+
+/// Slow start that is left when a new target gets its first keys.
+const COLD_LEFT_MAX: Span = Span::from_millis(1_500);
+
+/// Measured loads of keys and of targets.
+#[derive(Debug, Default)]
+pub struct Loads {
+    keys: HashMap<Arc<str>, Vec<f32>>,
+    costs: HashMap<Arc<str>, f32>,
+}
+
+impl Loads {
+    /// Adds requests for a key.
+    pub fn add(&mut self, service: &Arc<str>, key: u16, requests: f32) {
+        let rates = self.keys.entry(service.clone()).or_insert_with(|| vec![0.0; KEYS]);
+        rates[usize::from(key)] += requests * (1.0 - RATE_KEPT);
+    }
+
+    /// Lets a second pass.
+    pub fn decay(&mut self) {
+        for rate in self.keys.values_mut().flatten() {
+            *rate *= RATE_KEPT;
+        }
+    }
+
+    /// Adds the mean time that a target took for a request, in seconds.
+    pub fn time(&mut self, target: &Arc<str>, seconds: f32) {
+        let cost = self.costs.entry(target.clone()).or_insert(seconds);
+        *cost += (seconds - *cost) * COST_WEIGHT;
+    }
+
+    /// Forgets targets that are gone.
+    pub fn retain(&mut self, directory: &Directory) {
+        self.costs.retain(|id, _| directory.get(id).is_some());
+    }
+
+    fn cost(&self, target: &Target) -> f32 {
+        let known = self.costs.get(&target.entry.life.id).copied();
+        let seconds = known.unwrap_or(COST_UNKNOWN).clamp(0.005, 2.0);
+        seconds / target.entry.slots.max(1) as f32
+    }
+
+    fn rate(&self, service: &str, from: u16, to: u16) -> f32 {
+        let idle = IDLE_RATE * (f32::from(to) - f32::from(from) + 1.0);
+        let Some(rates) = self.keys.get(service) else { return idle };
+        idle + rates[usize::from(from)..=usize::from(to)].iter().sum::<f32>()
+    }
+
+    fn key(&self, service: &str, key: u16) -> f32 {
+        IDLE_RATE + self.keys.get(service).map_or(0.0, |rates| rates[usize::from(key)])
+    }
+}
+
+#[derive(Debug)]
+struct Pot {
+    life: Life,
+    cost: f32,
+    rate: f32,
+    rows: usize,
+    movable: bool,
+    warm: bool,
+}
+
+impl Pot {
+    fn used(&self) -> f32 {
+        self.rate * self.cost
+    }
+}
+
+/// The use of the targets of one service.
+#[derive(Debug)]
+pub struct Pots<'a> {
+    service: &'a str,
+    loads: &'a Loads,
+    pots: Vec<Pot>,
+}
+
+impl<'a> Pots<'a> {
+    /// Starts with unused targets.
+    pub fn new(service: &'a str, open: &[&Target], loads: &'a Loads) -> Self {
+        let pot = |t: &&Target| Pot {
+            life: t.entry.life.clone(),
+            cost: loads.cost(t),
+            rate: 0.0,
+            rows: 0,
+            movable: true,
+            warm: true,
+        };
+        Self { service, loads, pots: open.iter().map(pot).collect() }
+    }
+
+    /// Adds the load of a row to its owner.
+    pub fn add(&mut self, row: &Row) {
+        let rate = self.loads.rate(self.service, row.from, row.to);
+        let life = row.life();
+        if let Some(pot) = self.pots.iter_mut().find(|p| p.life == life) {
+            pot.rate += rate;
+            pot.rows += 1;
+        }
+    }
+
+    /// Shares a range among the least used targets, in pieces of about the
+    /// load that one target should have.
+    pub fn share(&self, from: u16, to: u16) -> Vec<(u16, u16, Life)> {
+        let mut used: Vec<(f32, &Pot)> = self.pots.iter().map(|p| (p.used(), p)).collect();
+        let total: f32 = self.loads.rate(self.service, from, to);
+        let all: f32 = total + self.pots.iter().map(|p| p.rate).sum::<f32>();
+        let fair = all / self.pots.len().max(1) as f32;
+        let mut pieces = Vec::new();
+        let (mut start, mut sum) = (from, 0.0);
+        for key in from..=to {
+            sum += self.loads.key(self.service, key);
+            if sum < 0.999 * fair && key < to {
+                continue;
+            }
+            used.sort_by(|a, b| a.0.total_cmp(&b.0));
+            if let Some(least) = used.first_mut() {
+                least.0 += sum * least.1.cost;
+                pieces.push((start, key, least.1.life.clone()));
+            }
+            (start, sum) = (key.saturating_add(1), 0.0);
+        }
+        pieces
+    }
+}
+
+/// A move that should be started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// First key.
+    pub from: u16,
+    /// Last key.
+    pub to: u16,
+    /// The process that gets the keys.
+    pub dest: Life,
+}
+
+/// Plans moves of keys of one service from the most used to the least used
+/// targets.
+pub fn plan(now: Time, service: &str, granter: &Granter, directory: &Directory, loads: &Loads) -> Vec<Move> {
+    let open: Vec<&Target> = directory
+        .of(service)
+        .filter(|t| t.is_open() && t.lapsed.is_none() && !granter.is_suspect(now, &t.entry.life))
+        .collect();
+    let mut pots = Pots::new(service, &open, loads);
+    let mut rows = granter.rows(service);
+    for (row, free) in &rows {
+        pots.add(row);
+        let life = row.life();
+        if let (false, Some(pot)) = (free, pots.pots.iter_mut().find(|p| p.life == life)) {
+            pot.movable = false;
+        }
+    }
+    for (pot, target) in pots.pots.iter_mut().zip(&open) {
+        pot.warm = target.cold.since(now) <= COLD_LEFT_MAX;
+    }
+    let mut moves = Vec::new();
+    while moves.len() < MOVES_MAX {
+        let Some(next) = best(&mut pots, &mut rows) else { break };
+        moves.push(next);
+    }
+    moves
+}
+
+fn best(pots: &mut Pots<'_>, rows: &mut Vec<(Row, bool)>) -> Option<Move> {
+    let mean = pots.pots.iter().map(Pot::used).sum::<f32>() / pots.pots.len().max(1) as f32;
+    let by_use = |a: &usize, b: &usize| pots.pots[*a].used().total_cmp(&pots.pots[*b].used());
+    let indexes = 0..pots.pots.len();
+    let low = indexes.clone().filter(|i| pots.pots[*i].warm).min_by(by_use)?;
+    let high = indexes.filter(|i| pots.pots[*i].movable && pots.pots[*i].rows > 0).max_by(by_use)?;
+    let (low_pot, high_pot) = (&pots.pots[low], &pots.pots[high]);
+    let gap = high_pot.used() - low_pot.used();
+    let needed = if low_pot.rows == 0 { 0.0 } else { USE_GAP_MIN.max(USE_GAP_SHARE * mean) };
+    if low == high || gap <= needed {
+        return None;
+    }
+    let wanted = gap / (low_pot.cost + high_pot.cost);
+    let life = high_pot.life.clone();
+    let of_high = |(_, (row, free)): &(usize, &(Row, bool))| *free && row.life() == life;
+    let rate = |row: &Row| pots.loads.rate(pots.service, row.from, row.to);
+    let (i, row) = rows
+        .iter()
+        .enumerate()
+        .filter(of_high)
+        .map(|(i, (row, _))| (i, row.clone()))
+        .max_by(|a, b| rate(&a.1).total_cmp(&rate(&b.1)))?;
+    let (from, to, moved) = piece(pots, &row, wanted)?;
+    let dest = pots.pots[low].life.clone();
+    pots.pots[high].rate -= moved;
+    pots.pots[low].rate += moved;
+    pots.pots[low].rows += 1;
+    rows.swap_remove(i);
+    // What stays of the row can move in a later round.
+    if pots.pots[high].rows <= 1 {
+        pots.pots[high].movable = false;
+    }
+    pots.pots[high].rows = pots.pots[high].rows.saturating_sub(1).max(1);
+    Some(Move { from, to, dest })
+}
+
+/// Returns the keys at one end of a row whose load is nearest to the wanted
+/// one, without taking more than twice that.
+fn piece(pots: &Pots<'_>, row: &Row, wanted: f32) -> Option<(u16, u16, f32)> {
+    let mut best: Option<(u16, u16, f32)> = None;
+    let mut consider = |from: u16, to: u16, sum: f32| {
+        let better = best.is_none_or(|b| (sum - wanted).abs() < (b.2 - wanted).abs());
+        if sum < 2.0 * wanted && better {
+            best = Some((from, to, sum));
+        }
+    };
+    let mut sum = 0.0;
+    for key in row.from..=row.to {
+        sum += pots.loads.key(pots.service, key);
+        consider(row.from, key, sum);
+        if sum >= wanted {
+            break;
+        }
+    }
+    let mut sum = 0.0;
+    for key in (row.from..=row.to).rev() {
+        sum += pots.loads.key(pots.service, key);
+        consider(key, row.to, sum);
+        if sum >= wanted {
+            break;
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/catkin-route/src/granter.rs
@@ -0,0 +1,526 @@
+//! Granting keys to targets: which command and which record follows.
+//!
+//! One edge process, the leader, grants all keys. Every change of owners is a
+//! record of the whole table that the store accepts only after the last one,
+//! so that a second leader's record makes all later ones of the first fail. A
+//! new leader grants the same keys to the same targets with a higher fence,
+//! which ends what an older leader may still do to them.
+//!
+//! A key moves only when its last owner has released it, or when every grant
+//! that may have reached that owner has run out. Renewing needs no store.
+
+use {
+    crate::{
+        balance,
+        directory::{Directory, Life, Target},
+        owners::{Leader, Owners, Row},
+    },
+    catkin::types::{Span, Time},
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        sync::Arc,
+    },
+};
+
+/// Times of grants.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// How long a grant holds.
+    pub hold: Span,
+    /// Time between two renewals.
+    pub renew: Span,
+    /// Added to the end of a hold for delays in the network and in timers.
+    pub margin: Span,
+    /// Clock of a target that measures a hold may be this much slower.
+    pub skew: f64,
+}
+
+impl Rules {
+    /// Returns when a grant that arrived at the latest now has run out.
+    fn end(&self, now: Time) -> Time {
+        now.after(self.hold.scale(self.skew)).after(self.margin)
+    }
+}
+
+/// Failed renewals in a row after which a target counts as lost.
+const FAILS_MAX: u32 = 2;
+
+/// Time for which a target that failed a command gets no further keys.
+const SUSPECT_FOR: Span = Span::from_secs(3);
+
+/// What a command asks of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// Hold the keys for a time.
+    Grant {
+        /// How long.
+        hold: Span,
+        /// What the last holder handed over.
+        handover: Option<Arc<str>>,
+    },
+    /// Stop work on the keys.
+    Release,
+}
+
+/// A command to a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Command {
+    /// Identifies the command in its result.
+    pub ticket: u64,
+    /// The process that it is meant for.
+    pub life: Life,
+    /// Address of the target.
+    pub addr: SocketAddr,
+    /// First key.
+    pub from: u16,
+    /// Last key.
+    pub to: u16,
+    /// Fencing token.
+    pub fence: u64,
+    /// What is asked.
+    pub ask: Ask,
+}
+
+/// How a command ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The target carried it out; a release may return a handover.
+    Done(Option<Arc<str>>),
+    /// The target has seen a higher fence.
+    Fenced,
+    /// The target did not get the command.
+    Unsent,
+    /// The command may still be carried out.
+    Unknown,
+    /// The target refused the command for another reason.
+    Refused,
+}
+
+/// What the leader does next.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Send a command.
+    Send(Command),
+    /// Write a table after the record before `end`.
+    Write {
+        /// The table.
+        table: Owners,
+        /// Offset at which the record must land.
+        end: u64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The owner holds the keys, or is about to.
+    Held,
+    /// The owner is asked to release the keys.
+    Leaving,
+    /// Nobody may hold the keys from the given time on.
+    Waiting(Time),
+    /// A record with a new owner is on its way to the store.
+    Writing,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    row: Row,
+    phase: Phase,
+    /// Latest time at which the owner may still hold the keys.
+    until: Time,
+    /// Latest end of a grant that was never answered. It may be carried out
+    /// after a release.
+    late: Time,
+    next: Time,
+    busy: Option<u64>,
+    fails: u32,
+    granted: bool,
+    dest: Option<Life>,
+}
+
+/// The leader's view of all keys.
+#[derive(Debug)]
+pub struct Granter {
+    rules: Rules,
+    me: Leader,
+    end: u64,
+    services: BTreeMap<Arc<str>, Vec<Slot>>,
+    addrs: HashMap<Life, SocketAddr>,
+    suspects: HashMap<Life, Time>,
+    tickets: u64,
+    writing: bool,
+    fenced: bool,
+}
+
+/// Returns the table that claims leadership at an offset: the same owners with
+/// a higher fence.
+pub fn claim(me: &Leader, last: Option<&Owners>, end: u64) -> Owners {
+    let mut services = last.map(|t| t.services.clone()).unwrap_or_default();
+    for row in services.values_mut().flatten() {
+        row.fence = end + 1;
+    }
+    Owners { leader: me.clone(), services }
+}
+
+impl Granter {
+    /// Starts from the claim that the store accepted at an offset. The earlier
+    /// leader may have sent grants until `fence_time`.
+    pub fn new(rules: Rules, now: Time, fence_time: Time, claim: &Owners, offset: u64) -> Self {
+        let until = rules.end(fence_time.max(now));
+        let slot = |row: &Row| Slot {
+            row: row.clone(),
+            phase: Phase::Held,
+            until,
+            late: until,
+            next: now,
+            busy: None,
+            fails: 0,
+            granted: false,
+            dest: None,
+        };
+        let services = claim
+            .services
+            .iter()
+            .map(|(name, rows)| (name.clone(), rows.iter().map(slot).collect()))
+            .collect();
+        Self {
+            rules,
+            me: claim.leader.clone(),
+            end: offset + 1,
+            services,
+            addrs: HashMap::new(),
+            suspects: HashMap::new(),
+            tickets: 0,
+            writing: false,
+            fenced: false,
+        }
+    }
+
+    /// Lowers the bound on what an earlier leader may have sent, once that
+    /// leader is known to have stopped.
+    pub fn settle(&mut self, now: Time) {
+        let until = self.rules.end(now);
+        for slot in self.services.values_mut().flatten().filter(|s| !s.granted) {
+            slot.until = slot.until.min(until);
+            slot.late = slot.late.min(until);
+            if let Phase::Waiting(free) = slot.phase {
+                slot.phase = Phase::Waiting(free.min(until));
+            }
+        }
+    }
+
+    /// Returns whether a target refused a grant since another leader's fence
+    /// was higher.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Returns whether every key is held by a target that acknowledged it.
+    pub fn is_settled(&self) -> bool {
+        let held = |s: &Slot| s.granted && s.phase == Phase::Held;
+        !self.services.is_empty() && self.services.values().flatten().all(held)
+    }
+
+    /// Returns the rows of a service that may be moved, and all owners.
+    pub fn rows(&self, service: &str) -> Vec<(Row, bool)> {
+        let slots = self.services.get(service).map_or(&[][..], |s| &s[..]);
+        slots.iter().map(|s| (s.row.clone(), s.phase == Phase::Held && s.granted)).collect()
+    }
+
+    /// Returns whether a process failed a command a short time ago.
+    pub fn is_suspect(&self, now: Time, life: &Life) -> bool {
+        self.suspects.get(life).is_some_and(|at| now.since(*at) < SUSPECT_FOR)
+    }
+
+    /// Advances all keys. `keyed` are the services whose keys have owners.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        keyed: &[Arc<str>],
+        directory: &Directory,
+        loads: &balance::Loads,
+    ) -> Vec<Step> {
+        self.learn(now, directory);
+        for service in keyed {
+            self.services.entry(service.clone()).or_insert_with(|| vec![unowned()]);
+        }
+        let mut steps = Vec::new();
+        let names: Vec<Arc<str>> = self.services.keys().cloned().collect();
+        for service in names {
+            self.advance(now, &service, directory, &mut steps);
+        }
+        if !self.writing {
+            self.assign(now, directory, loads, &mut steps);
+        }
+        steps
+    }
+
+    /// Remembers addresses, also of targets that the directory forgets later.
+    fn learn(&mut self, now: Time, directory: &Directory) {
+        for target in directory.all() {
+            self.addrs.insert(target.entry.life.clone(), target.entry.addr);
+        }
+        self.suspects.retain(|_, at| now.since(*at) < SUSPECT_FOR);
+        if self.addrs.len() > 4 * directory.len() + 64 {
+            self.addrs.retain(|life, _| directory.living(life).is_some());
+        }
+    }
+
+    fn advance(&mut self, now: Time, service: &Arc<str>, directory: &Directory, steps: &mut Vec<Step>) {
+        let mut slots = self.services.remove(service).unwrap_or_default();
+        let refuge = directory.of(service).filter(|t| self.takes_keys(now, t)).count();
+        for slot in &mut slots {
+            self.judge(now, slot, directory, refuge);
+            if let Some(command) = self.command(now, slot) {
+                steps.push(Step::Send(command));
+            }
+        }
+        self.services.insert(service.clone(), slots);
+    }
+
+    fn takes_keys(&self, now: Time, target: &Target) -> bool {
+        target.is_open() && target.lapsed.is_none() && !self.is_suspect(now, &target.entry.life)
+    }
+
+    /// Changes the phase of a slot by what the directory says of its owner.
+    fn judge(&mut self, now: Time, slot: &mut Slot, directory: &Directory, refuge: usize) {
+        if slot.busy.is_some() {
+            return;
+        }
+        match slot.phase {
+            Phase::Held => {}
+            Phase::Leaving if slot.fails > 0 => {
+                slot.phase = Phase::Waiting(slot.until);
+                return;
+            }
+            _ => return,
+        }
+        let known = directory.get(&slot.row.target);
+        match known {
+            Some(target) if target.entry.life.born != slot.row.born => {
+                // The process that held the keys has ended. Only a grant that
+                // it never answered may still be carried out, by its successor.
+                slot.phase = Phase::Waiting(slot.late.max(now));
+            }
+            _ if slot.fails >= FAILS_MAX => slot.phase = Phase::Waiting(slot.until),
+            Some(target) if target.is_open() => {}
+            _ if !self.addrs.contains_key(&slot.row.life()) => slot.phase = Phase::Waiting(slot.until),
+            _ if refuge > 0 => slot.phase = Phase::Leaving,
+            _ => {}
+        }
+    }
+
+    fn command(&mut self, now: Time, slot: &mut Slot) -> Option<Command> {
+        if slot.busy.is_some() || now < slot.next {
+            return None;
+        }
+        let ask = match slot.phase {
+            Phase::Held => Ask::Grant { hold: self.rules.hold, handover: slot.row.handover.clone() },
+            Phase::Leaving => Ask::Release,
+            Phase::Waiting(_) | Phase::Writing => return None,
+        };
+        let life = slot.row.life();
+        let addr = *self.addrs.get(&life)?;
+        self.tickets += 1;
+        slot.busy = Some(self.tickets);
+        slot.next = now.after(self.rules.renew);
+        let Row { from, to, fence, .. } = slot.row;
+        Some(Command { ticket: self.tickets, life, addr, from, to, fence, ask })
+    }
+
+    /// Takes the result of a command.
+    pub fn ended(&mut self, now: Time, ticket: u64, outcome: Outcome) {
+        let end = self.rules.end(now);
+        let Some(slot) = self.services.values_mut().flatten().find(|s| s.busy == Some(ticket)) else {
+            return;
+        };
+        slot.busy = None;
+        // A slot enters its leaving phase only while no command is in progress.
+        let is_release = slot.phase == Phase::Leaving;
+        match (outcome, is_release) {
+            (Outcome::Done(handover), true) => {
+                slot.row.handover = handover;
+                slot.phase = Phase::Waiting(slot.late.max(now));
+            }
+            (Outcome::Done(_), false) => {
+                if !slot.granted {
+                    // The target has seen this fence and refuses what an
+                    // earlier leader sent.
+                    slot.late = Time::default();
+                    slot.granted = true;
+                }
+                slot.until = end;
+                slot.fails = 0;
+            }
+            (Outcome::Fenced, _) => self.fenced = true,
+            (Outcome::Unsent | Outcome::Refused, _) => {
+                slot.fails += 1;
+                slot.next = now;
+                self.suspects.insert(slot.row.life(), now);
+            }
+            (Outcome::Unknown, _) => {
+                slot.fails += 1;
+                slot.next = now;
+                slot.until = end;
+                slot.late = end;
+                self.suspects.insert(slot.row.life(), now);
+            }
+        }
+    }
+
+    /// Starts to move keys to another target. Returns whether the range is
+    /// held by one owner and free to move.
+    pub fn begin_move(&mut self, service: &str, from: u16, to: u16, dest: Life) -> bool {
+        let Some(slots) = self.services.get_mut(service) else { return false };
+        let Some(i) = slots.iter().position(|s| s.row.from <= from && to <= s.row.to) else { return false };
+        if slots[i].phase != Phase::Held || slots[i].busy.is_some() || !slots[i].granted {
+            return false;
+        }
+        if slots[i].row.life() == dest {
+            return false;
+        }
+        let pieces = cut(slots[i].clone(), from, to);
+        let at = pieces.iter().position(|s| s.row.from == from).unwrap_or(0);
+        slots.splice(i..=i, pieces);
+        let slot = &mut slots[i + at];
+        slot.phase = Phase::Leaving;
+        slot.next = Time::default();
+        slot.dest = Some(dest);
+        true
+    }
+
+    /// Chooses owners for keys that nobody may hold and writes the table.
+    fn assign(&mut self, now: Time, directory: &Directory, loads: &balance::Loads, steps: &mut Vec<Step>) {
+        let fence = self.end + 1;
+        let mut changed = false;
+        let names: Vec<Arc<str>> = self.services.keys().cloned().collect();
+        for service in names {
+            let mut slots = self.services.remove(&service).unwrap_or_default();
+            let open: Vec<&Target> = directory.of(&service).filter(|t| self.takes_keys(now, t)).collect();
+            changed |= reassign(now, &service, &mut slots, &open, loads, fence);
+            self.services.insert(service, slots);
+        }
+        if !changed {
+            return;
+        }
+        self.writing = true;
+        let rows = |slots: &Vec<Slot>| {
+            slots.iter().map(|s| s.row.clone()).filter(|r| !r.target.is_empty()).collect()
+        };
+        let services = self.services.iter().map(|(name, slots)| (name.clone(), rows(slots))).collect();
+        steps.push(Step::Write { table: Owners { leader: self.me.clone(), services }, end: self.end });
+    }
+
+    /// Notes that the store accepted the table of the last write.
+    pub fn written(&mut self, now: Time) {
+        self.end += 1;
+        self.writing = false;
+        for slot in self.services.values_mut().flatten() {
+            if slot.phase == Phase::Writing {
+                slot.phase = Phase::Held;
+                slot.next = now;
+            }
+        }
+    }
+}
+
+/// The slot of a service whose keys nobody has held yet.
+fn unowned() -> Slot {
+    Slot {
+        row: Row { from: 0, to: u16::MAX, target: "".into(), born: 0, fence: 0, handover: None },
+        phase: Phase::Waiting(Time::default()),
+        until: Time::default(),
+        late: Time::default(),
+        next: Time::default(),
+        busy: None,
+        fails: 0,
+        granted: false,
+        dest: None,
+    }
+}
+
+/// Cuts a slot so that one piece has exactly the given keys.
+fn cut(slot: Slot, from: u16, to: u16) -> Vec<Slot> {
+    let bounds = [
+        (slot.row.from, from.checked_sub(1)),
+        (from, Some(to)),
+        (to.saturating_add(1), (to < slot.row.to).then_some(slot.row.to)),
+    ];
+    let piece = |(from, to): (u16, Option<u16>)| {
+        let to = to.filter(|to| from <= *to && *to >= slot.row.from)?;
+        let mut piece = slot.clone();
+        (piece.row.from, piece.row.to) = (from, to);
+        Some(piece)
+    };
+    bounds.into_iter().filter_map(piece).collect()
+}
+
+/// Gives free slots new owners and joins neighbours of one owner. Returns
+/// whether anything changed that has to be written.
+fn reassign(
+    now: Time,
+    service: &Arc<str>,
+    slots: &mut Vec<Slot>,
+    open: &[&Target],
+    loads: &balance::Loads,
+    fence: u64,
+) -> bool {
+    let is_free = |s: &Slot| matches!(s.phase, Phase::Waiting(free) if free <= now);
+    if open.is_empty() || !slots.iter().any(is_free) {
+        return false;
+    }
+    let mut pots = balance::Pots::new(service, open, loads);
+    for slot in slots.iter().filter(|s| !is_free(s)) {
+        pots.add(&slot.row);
+    }
+    let mut next: Vec<Slot> = Vec::with_capacity(slots.len());
+    for slot in slots.drain(..) {
+        if !is_free(&slot) {
+            next.push(slot);
+            continue;
+        }
+        let wanted = slot.dest.as_ref().and_then(|life| open.iter().find(|t| t.entry.life == *life));
+        let pieces = match wanted {
+            Some(target) => vec![(slot.row.from, slot.row.to, target.entry.life.clone())],
+            None => pots.share(slot.row.from, slot.row.to),
+        };
+        for (from, to, life) in pieces {
+            let handover = slot.row.handover.clone();
+            let row = Row { from, to, target: life.id, born: life.born, fence, handover };
+            pots.add(&row);
+            // Whoever held the keys no longer does, so nothing is known to be
+            // held or late for the new owner.
+            next.push(Slot { row, phase: Phase::Writing, ..unowned() });
+        }
+    }
+    *slots = join(next, fence);
+    true
+}
+
+/// Joins neighbours that one target holds. The joined range gets a new fence,
+/// since one grant has one fence.
+fn join(slots: Vec<Slot>, fence: u64) -> Vec<Slot> {
+    let mut joined: Vec<Slot> = Vec::with_capacity(slots.len());
+    for slot in slots {
+        let quiet = |s: &Slot| s.busy.is_none() && s.phase == Phase::Held && s.granted && s.fails == 0;
+        let merge = joined.last().is_some_and(|last| {
+            last.row.life() == slot.row.life()
+                && last.row.to.checked_add(1) == Some(slot.row.from)
+                && quiet(last)
+                && quiet(&slot)
+        });
+        match joined.last_mut() {
+            Some(last) if merge => {
+                last.row.to = slot.row.to;
+                last.row.fence = fence;
+                last.row.handover = None;
+                last.until = last.until.max(slot.until);
+                last.late = last.late.max(slot.late);
+                last.phase = Phase::Writing;
+            }
+            _ => joined.push(slot),
+        }
+    }
+    joined
+}
--- /dev/null
+++ b/crates/catkin-route/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decisions of the edge program: routes, targets, ownership, limits.
+//!
+//! Nothing here does I/O and every function that needs the time takes it as an
+//! argument, so that tests drive the same code as the program.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`config`] | which route a request takes, and whether a configuration is valid |
+//! | [`split`] | which part of a split route gets the next request |
+//! | [`directory`] | which targets exist and which may get new requests |
+//! | [`owners`] | which target owns a key |
+//! | [`granter`] | which command to targets and which record follows |
+//! | [`balance`] | which keys move to another target |
+//! | [`load`] | which target gets a request |
+//! | [`budget`] | whether a request may be sent once more |
+
+pub mod balance;
+pub mod budget;
+pub mod config;
+pub mod directory;
+pub mod granter;
+pub mod load;
+pub mod owners;
+pub mod split;
--- /dev/null
+++ b/crates/catkin-route/src/load.rs
@@ -0,0 +1,209 @@
+//! Which target gets a request, from what this process sees of them.
+
+use {
+    crate::directory::{Directory, Life, Target},
+    catkin::types::{Span, Time},
+    std::{collections::HashMap, sync::Arc},
+};
+
+/// Weight of a new measurement of a target's time for a request.
+const TIME_WEIGHT: f64 = 0.15;
+
+/// Time of a request before any was measured, in seconds.
+const TIME_UNKNOWN: f64 = 0.1;
+
+/// Age at which half of what a target reported of other callers still counts.
+const REPORT_HALF: Span = Span::from_millis(400);
+
+/// Weight of a new result in the share of failed requests.
+const FAIL_WEIGHT: f64 = 0.15;
+
+/// First pause after a failed connection; it doubles with each further one.
+const PAUSE_MIN: Span = Span::from_millis(250);
+
+/// Longest pause after failed connections.
+const PAUSE_MAX: Span = Span::from_secs(2);
+
+/// Factor for a target of another zone, whose bytes cost money.
+const FAR_FACTOR: f64 = 1.15;
+
+/// Factor for a target that is still slow after its start.
+const COLD_FACTOR: f64 = 2.0;
+
+/// Slots of a target that all edge processes together may fill, as a multiple:
+/// the queue of a target is short, and some never answer once it is full.
+const FILL_MAX: f64 = 2.5;
+
+/// Requests that one process may always have at one target.
+const OWN_MIN: u32 = 2;
+
+/// What one process knows of one target.
+#[derive(Clone, Debug)]
+struct Seen {
+    life: Life,
+    own: u32,
+    time: f64,
+    others: f64,
+    reported: Time,
+    fails: f64,
+    pause: Span,
+    paused: Time,
+}
+
+impl Seen {
+    fn new(life: Life) -> Self {
+        let zero = Time::default();
+        Self {
+            life,
+            own: 0,
+            time: TIME_UNKNOWN,
+            others: 0.0,
+            reported: zero,
+            fails: 0.0,
+            pause: Span::ZERO,
+            paused: zero,
+        }
+    }
+
+    fn others(&self, now: Time) -> f64 {
+        let halves = now.since(self.reported).as_secs_f64() / REPORT_HALF.as_secs_f64();
+        self.others * 0.5_f64.powf(halves)
+    }
+}
+
+/// How a request at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With a complete answer that is no fault of the target's.
+    Good,
+    /// The target refused it without running it.
+    Refused,
+    /// The target failed it.
+    Failed,
+    /// No connection could be opened.
+    Unreached,
+    /// The caller left or its time was over.
+    Dropped,
+}
+
+/// What one process knows of all targets.
+#[derive(Debug)]
+pub struct Table {
+    zone: Arc<str>,
+    seen: HashMap<Arc<str>, Seen>,
+}
+
+impl Table {
+    /// Makes an empty table for a process in a zone.
+    pub fn new(zone: Arc<str>) -> Self {
+        Self { zone, seen: HashMap::new() }
+    }
+
+    fn of(&mut self, life: &Life) -> &mut Seen {
+        let seen = self.seen.entry(life.id.clone()).or_insert_with(|| Seen::new(life.clone()));
+        if seen.life != *life {
+            let own = seen.own;
+            *seen = Seen { own, ..Seen::new(life.clone()) };
+        }
+        seen
+    }
+
+    /// Returns whether this process may send one more request to a target.
+    pub fn has_room(&mut self, now: Time, target: &Target, peers: u32) -> bool {
+        let slots = target.entry.slots;
+        let share = (FILL_MAX * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
+        let seen = self.of(&target.entry.life);
+        let total = f64::from(seen.own) + seen.others(now);
+        seen.paused <= now && seen.own < share.max(OWN_MIN) && total < FILL_MAX * f64::from(slots)
+    }
+
+    /// Returns the expected time for one more request, in seconds.
+    pub fn expected(&mut self, now: Time, target: &Target) -> f64 {
+        let far = target.entry.zone != self.zone;
+        let slots = f64::from(target.entry.slots.max(1));
+        let cold = target.cold > now;
+        let seen = self.of(&target.entry.life);
+        let ahead = f64::from(seen.own) + seen.others(now);
+        let waiting = (ahead + 1.0 - slots).max(0.0);
+        // Below its slots a target is only a little slower with each request;
+        // the term spreads requests over equal targets.
+        let time = seen.time * (1.0 + 0.3 * (ahead / slots).min(1.0) + waiting / slots);
+        let time = if cold { time * COLD_FACTOR } else { time };
+        let time = if far { time * FAR_FACTOR } else { time };
+        time / (1.0 - seen.fails).max(0.05)
+    }
+
+    /// Chooses a target of a service that takes another request; `avoid` are
+    /// targets that had it before.
+    pub fn choose<'a>(
+        &mut self,
+        now: Time,
+        directory: &'a Directory,
+        service: &str,
+        peers: u32,
+        avoid: &[Life],
+    ) -> Option<&'a Target> {
+        let mut best: Option<(f64, &Target)> = None;
+        for target in directory.of(service) {
+            let life = &target.entry.life;
+            if !target.is_open() || avoid.contains(life) || !self.has_room(now, target, peers) {
+                continue;
+            }
+            let expected = self.expected(now, target);
+            if best.is_none_or(|(least, _)| expected < least) {
+                best = Some((expected, target));
+            }
+        }
+        best.map(|(_, target)| target)
+    }
+
+    /// Counts a request that goes to a target.
+    pub fn begin(&mut self, life: &Life) {
+        self.of(life).own += 1;
+    }
+
+    /// Counts the end of a request at a target and the time that it took.
+    pub fn end(&mut self, now: Time, life: &Life, end: End, took: Span) {
+        let Some(seen) = self.seen.get_mut(&life.id) else { return };
+        seen.own = seen.own.saturating_sub(1);
+        if seen.life != *life {
+            return;
+        }
+        let failed = match end {
+            End::Good => 0.0,
+            End::Refused | End::Failed | End::Unreached => 1.0,
+            End::Dropped => seen.fails,
+        };
+        seen.fails += (failed - seen.fails) * FAIL_WEIGHT;
+        match end {
+            End::Good => {
+                seen.time += (took.as_secs_f64() - seen.time) * TIME_WEIGHT;
+                seen.pause = Span::ZERO;
+            }
+            End::Dropped => seen.time = seen.time.max(took.as_secs_f64()),
+            End::Unreached => {
+                let pause = if seen.pause.is_zero() { PAUSE_MIN } else { seen.pause.scale(2.0) };
+                seen.pause = pause.min(PAUSE_MAX);
+                seen.paused = now.after(seen.pause);
+            }
+            End::Refused | End::Failed => {}
+        }
+    }
+
+    /// Takes a target's own report: requests running and waiting there.
+    pub fn report(&mut self, now: Time, life: &Life, requests: u32) {
+        let seen = self.of(life);
+        seen.others = f64::from(requests.saturating_sub(seen.own));
+        seen.reported = now;
+    }
+
+    /// Returns the mean time of a target's requests, in seconds, if measured.
+    pub fn time(&self, id: &str) -> Option<f64> {
+        self.seen.get(id).map(|s| s.time)
+    }
+
+    /// Forgets targets that are gone and have no request.
+    pub fn retain(&mut self, directory: &Directory) {
+        self.seen.retain(|id, seen| seen.own > 0 || directory.get(id).is_some());
+    }
+}
