route: take a failed answer for a request that ran

Change: what follows a send is decided in catkin-route/tries, where every end but a refusal exposes the request.

--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -19,7 +19,7 @@
     catkin_platform::name,
     catkin_route::{
         config::{Config, Rule},
-        directory::Life,
+        tries::{End, Tries},
     },
     std::{rc::Rc, sync::Arc},
 };
@@ -132,102 +132,55 @@
     }
 }
 
-/// The tries of one request.
-#[derive(Default)]
-struct History {
-    /// Targets that had the request.
-    targets: Vec<Life>,
-    /// Sends that reached a target.
-    sends: u32,
-    /// Whether a send may have run.
-    exposed: bool,
-    /// Sends that found no connection.
-    unreached: u32,
-}
-
-/// Failed connections after which a request is given up.
-const UNREACHED_MAX: u32 = 4;
-
+/// Sends a request until it has an answer or may not be sent again.
 async fn tries(node: &Rc<Node>, job: &Job<'_>) -> Answer {
-    let mut history = History::default();
-    loop {
-        let target = match admit::admit(node, job, &history.targets).await {
+    let mut tries = Tries::new(&job.rule, job.until);
+    let mut failed = None;
+    let code = loop {
+        let target = match admit::admit(node, job, tries.targets()).await {
             Ok(target) => target,
-            Err(denied) => return give_up(node, job, &history, denied.code()),
+            Err(denied) => break denied.code(),
         };
-        let life = target.life.clone();
-        if history.sends > 0 && !node.budget.borrow_mut().take(node.now(), &job.service, node.peers.get()) {
-            return give_up(node, job, &history, Code::RetryBudget);
+        let peers = node.peers.get();
+        if tries.sends() > 0 && !node.budget.borrow_mut().take(node.now(), &job.service, peers) {
+            break Code::RetryBudget;
         }
-        let sent = send::send(node, job, &target).await;
-        if !matches!(sent, Sent::Unreached) {
-            history.sends += 1;
-            if !history.targets.contains(&life) {
-                history.targets.push(life.clone());
-            }
-        }
-        let code = match sent {
-            Sent::Answered(reply) => {
-                let failed = reply.head.status.is_server_error();
-                if !(failed && may_repeat(node, job, &history)) {
-                    return pass(reply);
-                }
-                history.exposed = true;
-                if !node.budget.borrow_mut().take(node.now(), &job.service, node.peers.get()) {
-                    return pass(reply);
-                }
-                let again = admit::admit(node, job, &history.targets).await;
-                let Ok(target) = again else { return pass(reply) };
-                history.targets.push(target.life.clone());
-                return match send::send(node, job, &target).await {
-                    Sent::Answered(second) => pass(second),
-                    _ => pass(reply),
-                };
-            }
-            Sent::NotRun => Code::TargetRefused,
-            Sent::Unreached => {
-                history.unreached += 1;
-                Code::ConnectFailed
-            }
-            Sent::Lost => {
-                history.exposed = true;
-                Code::AnswerCut
-            }
-            Sent::Late => {
-                history.exposed = true;
-                return give_up(node, job, &history, Code::OutcomeUnknown);
+        let (end, code) = match send::send(node, job, &target).await {
+            Sent::Answered(reply) if reply.head.status.is_server_error() => {
+                failed = Some(reply);
+                (End::Failed, Code::AnswerCut)
             }
+            Sent::Answered(reply) => return pass(reply),
+            Sent::NotRun => (End::NotRun, Code::TargetRefused),
+            Sent::Unreached => (End::Unreached, Code::ConnectFailed),
+            Sent::Lost => (End::Lost, Code::AnswerCut),
+            Sent::Late => (End::Lost, Code::OutcomeUnknown),
         };
-        log::info!(id = &*job.id, target_id = &*life.id, code:display, sends = history.sends; "send failed");
-        if !may_repeat(node, job, &history) {
-            return give_up(node, job, &history, code);
+        tries.ended(&target.life, end);
+        log::info!(
+            id = &*job.id, target_id = &*target.life.id, end:debug, sends = tries.sends();
+            "send not successful"
+        );
+        if !tries.may_repeat(node.now()) {
+            break code;
         }
+    };
+    match failed {
+        Some(reply) => pass(reply),
+        None => give_up(node, job, &tries, code),
     }
 }
 
-/// Returns whether a request may be sent once more.
-fn may_repeat(node: &Node, job: &Job<'_>, history: &History) -> bool {
-    let safe = job.rule.kind.is_idempotent() || !history.exposed;
-    // A target serves a key alone, so that a keyed request goes to one target
-    // only; sends to it are bounded like attempts.
-    let left = history.sends < job.rule.attempts && history.unreached < UNREACHED_MAX;
-    safe && left && node.now() < job.until
-}
-
 /// Makes the final answer for a request without one from a target.
-fn give_up(node: &Node, job: &Job<'_>, history: &History, code: Code) -> Answer {
-    let code = match history.exposed {
-        true if code.status() != 502 => Code::OutcomeUnknown,
-        _ => code,
-    };
-    let open = node.now().since(job.incoming.came);
+fn give_up(node: &Node, job: &Job<'_>, tries: &Tries, code: Code) -> Answer {
+    let code = tries.verdict(code);
+    let held = node.now().since(job.incoming.came);
     log::info!(
-        id = &*job.id, service = &*job.service, key = job.key, code:display, sends = history.sends,
-        exposed = history.exposed, held_ms = open.as_millis();
+        id = &*job.id, service = &*job.service, key = job.key, code:display, sends = tries.sends(),
+        exposed = tries.is_exposed(), held_ms = held.as_millis();
         "request not served"
     );
-    let left = job.until.since(node.now());
-    answer(code, left)
+    answer(code, job.until.since(node.now()))
 }
 
 fn answer(code: Code, left: Span) -> Answer {
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -12,7 +12,8 @@
 //! | [`granter`] | which command to targets and which record follows |
 //! | [`balance`] | which keys move to another target |
 //! | [`load`] | which target gets a request |
-//! | [`budget`] | whether a request may be sent once more |
+//! | [`budget`] | whether the service has a repeated send left |
+//! | [`tries`] | whether a request may be sent once more, and what its caller is told |
 
 pub mod balance;
 pub mod budget;
@@ -22,3 +23,4 @@
 pub mod load;
 pub mod owners;
 pub mod split;
+pub mod tries;
--- a/crates/catkin/src/types/time.rs
+++ b/crates/catkin/src/types/time.rs
@@ -31,7 +31,7 @@
 
 impl Time {
     /// Makes a reading from microseconds.
-    pub fn from_micros(micros: u64) -> Self {
+    pub const fn from_micros(micros: u64) -> Self {
         Self(micros)
     }
 
