edge: close idle connections before the end of a shutdown

Change: 2.6 s after the signal, when the platform sends new connections elsewhere, idle connections and the listener are closed. Ruled out: work that is longer than the grace.

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        node::{Node, sleep},
+        node::{Node, Stage, sleep},
         serve::{self, Answer, Incoming},
     },
     actix_http::{
@@ -59,8 +59,13 @@
 
 /// Accepts connections of callers.
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let mut stage = node.stage.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stage.wait_for(|s| *s == Stage::Closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tune(&stream);
                 let node = node.clone();
@@ -110,6 +115,7 @@
         let limits = node.config.borrow().as_ref().map(|c| c.limits);
         let idle = limits.map_or(IDLE_DEFAULT, |l| l.idle) + IDLE_MARGIN;
         let mut patience = idle.as_duration();
+        let mut stage = node.stage.subscribe();
         let head = loop {
             match self.codec.decode(&mut self.buffer) {
                 Ok(Some(Message::Item(head))) => break head,
@@ -123,13 +129,20 @@
             if self.buffer.is_empty() {
                 // An idle connection keeps no buffer.
                 self.buffer = BytesMut::new();
-                self.stream.readable().await.ok();
             }
             let limit = limits.map_or(usize::MAX, |l| l.head);
             if self.buffer.len() > limit {
                 return Ok(Read::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
             }
-            match tokio::time::timeout(patience, self.fill()).await {
+            let is_idle = self.buffer.is_empty();
+            let read = tokio::select! {
+                biased;
+                read = tokio::time::timeout(patience, self.fill()) => read,
+                // A request that crosses this close was not read, so its
+                // caller may send it elsewhere.
+                _ = stage.wait_for(|s| *s == Stage::Closing), if is_idle => return Ok(Read::End),
+            };
+            match read {
                 Ok(Ok(0)) | Err(_) => return Ok(Read::End),
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) => return Err(error),
@@ -186,7 +199,7 @@
                 return Ok(false);
             }
         };
-        let close = node.leaving.get() || !self.codec.keep_alive();
+        let close = node.is_leaving() || !self.codec.keep_alive();
         self.write(answer, close).await?;
         Ok(!close)
     }
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -90,7 +90,7 @@
 pub(crate) async fn join(node: Rc<Node>) {
     let member = member(&node);
     let mut generation = 0;
-    while !node.leaving.get() {
+    while !node.is_leaving() {
         match node.store.join(&member, generation, ANSWER_MAX.as_duration()).await {
             Ok(seat) => {
                 generation = seat.generation;
@@ -119,7 +119,7 @@
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
         if node.seat.get().is_some()
-            && !node.leaving.get()
+            && !node.is_leaving()
             && node.config.borrow().is_some()
             && node.listed.get()
         {
@@ -244,7 +244,7 @@
 fn ends(node: &Node, granter: &Granter, last: Time, now: Time) -> Option<&'static str> {
     match node.seat.get() {
         None => Some("another process leads"),
-        Some(_) if node.leaving.get() => Some("stopping"),
+        Some(_) if node.is_leaving() => Some("stopping"),
         Some(_) if granter.is_fenced() => Some("a target has seen a higher fence"),
         Some(at) if now.since(at) > ALONE_MAX => Some("the store is away for too long"),
         // A process that stood still may have been replaced meanwhile.
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -33,6 +33,17 @@
     pub(crate) table: Rc<Owners>,
 }
 
+/// How far the end of the process has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Stage {
+    /// It serves.
+    Serving,
+    /// It was told to stop; each answer closes its connection.
+    Leaving,
+    /// New connections have had time to go elsewhere; idle ones are closed.
+    Closing,
+}
+
 /// State of the process, shared by its tasks.
 pub(crate) struct Node {
     /// Settings.
@@ -65,8 +76,8 @@
     pub(crate) keys: RefCell<HashMap<(Arc<str>, u16), u16>>,
     /// Wakes requests that wait for room or for an owner.
     pub(crate) room: Notify,
-    /// Set once the process was told to stop.
-    pub(crate) leaving: Cell<bool>,
+    /// How far the end of the process has come.
+    pub(crate) stage: watch::Sender<Stage>,
     /// Requests in progress.
     pub(crate) open: Cell<u32>,
     /// Number of edge processes, as the leader counts them.
@@ -110,7 +121,7 @@
             pool: Pool::default(),
             keys: RefCell::default(),
             room: Notify::new(),
-            leaving: Cell::new(false),
+            stage: watch::Sender::new(Stage::Serving),
             open: Cell::new(0),
             peers: Cell::new(PEERS_UNKNOWN),
             linked: Cell::new(Time::default()),
@@ -152,11 +163,16 @@
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
+    /// Returns whether the process was told to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.stage.borrow() > Stage::Serving
+    }
+
     /// Returns whether new connections may come.
     pub(crate) fn is_ready(&self) -> bool {
         let Some(config) = self.config.borrow().clone() else { return false };
         let owned = config.keyed().next().is_none() || self.owned.borrow().is_some();
-        !self.leaving.get() && self.listed.get() && owned
+        !self.is_leaving() && self.listed.get() && owned
     }
 
     /// Does work that is due every second.
--- a/crates/catkin-edge/src/stop.rs
+++ b/crates/catkin-edge/src/stop.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         lead,
-        node::{Node, sleep},
+        node::{Node, Stage, sleep},
     },
     catkin::{Code, Error, types::Span},
     std::rc::Rc,
@@ -48,12 +48,15 @@
 
 async fn drain(node: Rc<Node>) {
     let start = node.now();
-    node.leaving.set(true);
+    node.stage.send_replace(Stage::Leaving);
     log::info!(open = node.open.get(); "stopping");
     actix_rt::spawn(lead::leave(node.clone()));
     let limit = node.bounds.grace.saturating_sub(GRACE_LEFT);
     loop {
         let passed = node.now().since(start);
+        if passed >= SETTLE {
+            node.stage.send_replace(Stage::Closing);
+        }
         if passed >= limit || passed >= SETTLE && node.open.get() == 0 {
             break;
         }
