edge: pass configuration and directory on from the leader

Change: the leader reads, and passes records that change something on over the links; a process whose last word from the leader is older than 1 s reads the store.

--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -1,13 +1,20 @@
-//! Reads configuration, directory and owners from the store.
+//! Reads configuration, directory and owners from the store, where the leader
+//! does not pass them on.
 
 use {
     crate::{
+        feed::{Batch, Feed},
         lead,
         node::{Node, sleep},
     },
     bytes::Bytes,
     catkin::types::{Span, Time},
-    catkin_platform::{config, entry, frame, name, store::Refusal},
+    catkin_platform::{
+        config, entry,
+        frame::{self, Keyed},
+        name,
+        store::Refusal,
+    },
     catkin_route::owners::Owners,
     std::{collections::HashSet, rc::Rc},
 };
@@ -18,46 +25,97 @@
 /// Pause after a call that failed.
 const RETRY: Span = Span::from_millis(200);
 
-/// How long a read of the configuration waits for a new version. A connection
-/// that went silent is noticed after this and the time for an answer, which
-/// together stay near the bound for new configurations.
-const CONFIG_WAIT: Span = Span::from_millis(1_000);
+/// How long the leader's read of the configuration waits for a new version. A
+/// connection that went silent is noticed after this and the time for an
+/// answer, which together stay near the bound for new configurations.
+const CONFIG_WAIT: Span = Span::from_millis(800);
+
+/// Pause between two reads of the directory by the leader, which moves keys of
+/// targets that leave and passes changes on.
+const TARGETS_PAUSE: Span = Span::from_millis(300);
 
-/// Pause between two reads of the directory. A target that leaves must be seen
-/// well within the drain bound of 2 s.
-const TARGETS_PAUSE: Span = Span::from_millis(900);
+/// Age of the leader's last word above which a process reads the store itself.
+/// With a read it stays well within the bounds of 2 s for configurations and
+/// for targets that leave.
+const RELAY_MAX: Span = Span::from_millis(1_000);
 
-/// The same pause at the leader, which moves keys of targets that leave.
-const LEADER_PAUSE: Span = Span::from_millis(300);
+/// Pause between two looks at the age of the leader's word.
+const RELAY_LOOK: Span = Span::from_millis(100);
 
 /// Pause between two reads of the owners while the leader sends none.
 const OWNERS_PAUSE: Span = Span::from_millis(700);
 
-/// Age of the leader's last message above which owners are read from the
-/// store.
-const LINK_MAX: Span = Span::from_millis(1_200);
-
 /// Silence of the store after which its return starts a grace for entries.
 const OUTAGE_MIN: Span = Span::from_millis(2_000);
 
-/// A reader of one topic.
-struct Reader {
-    node: Rc<Node>,
-    topic: &'static str,
-    next: Option<u64>,
-    last: Time,
-    failing: bool,
+/// Applies one record. Returns whether it changed anything.
+type Apply = fn(&Node, Time, &[u8], &[u8]) -> bool;
+
+fn apply_config(node: &Node, _: Time, key: &[u8], value: &[u8]) -> bool {
+    if key != name::CONFIG_KEY {
+        return false;
+    }
+    match config::decode(value) {
+        Ok(config) => node.configure(config),
+        Err(error) => {
+            log::warn!(error:display; "configuration ignored");
+            false
+        }
+    }
+}
+
+fn apply_target(node: &Node, now: Time, key: &[u8], value: &[u8]) -> bool {
+    let mut directory = node.directory.borrow_mut();
+    if value.is_empty() {
+        directory.remove(now, &String::from_utf8_lossy(key));
+        return true;
+    }
+    match entry::decode(key, value) {
+        Ok(entry) => directory.put(now, entry),
+        Err(error) => {
+            log::warn!(error:display; "entry ignored");
+            false
+        }
+    }
+}
+
+/// Applies changes that the leader passed on.
+pub(crate) fn relay_configs(node: &Node, batch: &Batch, at: Time) {
+    relay(node, &node.configs, batch, at, apply_config);
+}
+
+/// Applies changes that the leader passed on.
+pub(crate) fn relay_targets(node: &Node, batch: &Batch, at: Time) {
+    note_return(node, at);
+    relay(node, &node.targets, batch, at, apply_target);
+    node.room.notify_waiters();
+}
+
+/// Applies changes that follow what is known; others are read from the store.
+fn relay(node: &Node, feed: &Feed, batch: &Batch, at: Time, apply: Apply) {
+    let known = feed.next();
+    if known.is_none_or(|next| next < batch.from || next > batch.to) {
+        return;
+    }
+    for (offset, key, value) in batch.changes.iter().filter(|c| known.is_some_and(|next| c.0 >= next)) {
+        if apply(node, node.now(), key, value) {
+            feed.keep((*offset, key.clone(), value.clone()));
+        }
+    }
+    feed.advance(batch.to, at);
 }
 
-/// What a reader found.
-enum Found {
-    /// The newest record of each key, or all keys when it starts.
-    All(Vec<frame::Keyed>),
-    /// Records since the last read.
-    New(Vec<frame::Keyed>),
+/// A reader of one topic.
+struct Reader<'a> {
+    node: &'a Node,
+    feed: &'a Feed,
+    /// Runs before records are applied, with the time of the read.
+    before: fn(&Node, Time),
+    apply: Apply,
+    failing: bool,
 }
 
-fn keyed(record: Bytes, topic: &str) -> Option<frame::Keyed> {
+fn keyed(record: Bytes, topic: &str) -> Option<Keyed> {
     match frame::decode_keyed(record) {
         Ok(keyed) => Some(keyed),
         Err(error) => {
@@ -67,41 +125,54 @@
     }
 }
 
-impl Reader {
-    fn new(node: &Rc<Node>, topic: &'static str) -> Self {
-        Self { node: node.clone(), topic, next: None, last: node.now(), failing: false }
-    }
-
-    async fn read(&mut self, wait: Span) -> Result<Found, Refusal> {
+impl Reader<'_> {
+    /// Reads once. Returns the keys of a complete listing, if it was one.
+    async fn read(&mut self, wait: Span) -> Result<Option<HashSet<Bytes>>, Refusal> {
         let within = ANSWER_MAX.as_duration();
-        let store = &self.node.store;
-        let Some(from) = self.next else {
-            let newest = store.newest(self.topic, within).await?;
-            self.next = Some(newest.end);
-            return Ok(Found::All(newest.items));
+        let (node, feed) = (self.node, self.feed);
+        let sent = node.now();
+        let Some(from) = feed.next() else {
+            let newest = node.store.newest(feed.topic, within).await?;
+            (self.before)(node, sent);
+            let kept = newest.items.iter().filter(|r| !r.value.is_empty());
+            let keys = kept.clone().map(|r| r.key.clone()).collect();
+            for record in kept {
+                (self.apply)(node, node.now(), &record.key, &record.value);
+            }
+            feed.restart(newest.end, sent);
+            return Ok(Some(keys));
         };
-        let batch = store.read(self.topic, from, wait, within).await?;
-        self.next = Some(from + batch.records.len() as u64);
-        Ok(Found::New(batch.records.into_iter().filter_map(|r| keyed(r, self.topic)).collect()))
+        let batch = node.store.read(feed.topic, from, wait, within).await?;
+        if feed.next() != Some(from) {
+            // The leader passed changes on meanwhile.
+            return Ok(None);
+        }
+        (self.before)(node, sent);
+        let to = from + batch.records.len() as u64;
+        for (offset, record) in (from..).zip(batch.records) {
+            let Some(Keyed { key, value }) = keyed(record, feed.topic) else { continue };
+            if (self.apply)(node, node.now(), &key, &value) {
+                feed.keep((offset, key, value));
+            }
+        }
+        feed.advance(to, sent.max(node.now().before(wait)));
+        Ok(None)
     }
 
-    /// Reads until the store answers. Returns also how long it did not.
-    async fn wait(&mut self, wait: Span) -> (Found, Span) {
+    /// Reads until the store answers, or the leader's word is fresh again.
+    async fn next(&mut self, wait: Span) -> Option<HashSet<Bytes>> {
         loop {
             match self.read(wait).await {
-                Ok(found) => {
-                    let now = self.node.now();
-                    let silence = now.since(self.last);
-                    self.last = now;
+                Ok(keys) => {
                     if std::mem::take(&mut self.failing) {
-                        log::info!(topic = self.topic, silence_ms = silence.as_millis(); "store regained");
+                        log::info!(topic = self.feed.topic; "store regained");
                     }
-                    return (found, silence);
+                    return keys;
                 }
-                Err(Refusal::Gone(_)) => self.next = None,
+                Err(Refusal::Gone(_)) => self.feed.reset(),
                 Err(refusal) => {
                     if !std::mem::replace(&mut self.failing, true) {
-                        log::warn!(topic = self.topic, code:display = refusal.code(), refusal:display; "store lost");
+                        log::warn!(topic = self.feed.topic, code:display = refusal.code(), refusal:display; "store lost");
                     }
                     sleep(RETRY).await;
                 }
@@ -110,67 +181,59 @@
     }
 }
 
+/// Returns whether the leader's word on a topic suffices.
+fn is_relayed(node: &Node, feed: &Feed) -> bool {
+    let leads = node.seat.get().is_some();
+    !leads && feed.next().is_some() && node.now().since(feed.fresh()) < RELAY_MAX
+}
+
 /// Keeps the newest configuration in force.
 pub(crate) async fn config(node: Rc<Node>) {
-    let mut reader = Reader::new(&node, name::OPERATOR_TOPIC);
+    let mut reader =
+        Reader { node: &node, feed: &node.configs, before: |_, _| (), apply: apply_config, failing: false };
     loop {
-        let (found, _) = reader.wait(CONFIG_WAIT).await;
-        let (Found::All(records) | Found::New(records)) = found;
-        for record in records.iter().filter(|r| *r.key == *name::CONFIG_KEY) {
-            match config::decode(&record.value) {
-                Ok(config) => node.configure(config),
-                Err(error) => log::warn!(error:display; "configuration ignored"),
-            }
+        if is_relayed(&node, &node.configs) {
+            sleep(RELAY_LOOK).await;
+            continue;
         }
+        let wait = if node.seat.get().is_some() { CONFIG_WAIT } else { Span::ZERO };
+        reader.next(wait).await;
     }
 }
 
-fn put(node: &Node, now: Time, record: &frame::Keyed) {
-    let id = String::from_utf8_lossy(&record.key);
-    let mut directory = node.directory.borrow_mut();
-    if record.value.is_empty() {
-        directory.remove(now, &id);
-        return;
-    }
-    match entry::decode(&record.key, &record.value) {
-        Ok(entry) => directory.put(now, entry),
-        Err(error) => {
-            log::warn!(error:display; "entry ignored");
-        }
+/// Starts the grace for entries if the store was silent for long.
+fn note_return(node: &Node, at: Time) {
+    let last = node.targets.fresh();
+    if node.targets.next().is_some() && at.since(last) > OUTAGE_MIN {
+        log::info!(silence_ms = at.since(last).as_millis(); "directory regained");
+        node.directory.borrow_mut().returned(node.now());
     }
 }
 
 /// Keeps the directory of targets.
 pub(crate) async fn targets(node: Rc<Node>) {
-    let mut reader = Reader::new(&node, name::TARGETS_TOPIC);
+    let mut reader =
+        Reader { node: &node, feed: &node.targets, before: note_return, apply: apply_target, failing: false };
     loop {
-        let (found, silence) = reader.wait(Span::ZERO).await;
-        let now = node.now();
-        if silence > OUTAGE_MIN {
-            node.directory.borrow_mut().returned(now);
-        }
-        let (Found::All(records) | Found::New(records)) = &found;
-        for record in records {
-            put(&node, now, record);
+        if is_relayed(&node, &node.targets) {
+            sleep(RELAY_LOOK).await;
+            continue;
         }
-        if let Found::All(records) = &found {
-            let ids: HashSet<String> = records
-                .iter()
-                .filter(|r| !r.value.is_empty())
-                .map(|r| String::from_utf8_lossy(&r.key).into_owned())
-                .collect();
-            node.directory.borrow_mut().retain(now, |id| ids.contains(id));
+        let keys = reader.next(Span::ZERO).await;
+        if let Some(keys) = keys {
+            let known = |id: &str| keys.contains(id.as_bytes());
+            node.directory.borrow_mut().retain(node.now(), known);
         }
         node.listed.set(true);
         node.room.notify_waiters();
-        sleep(if node.seat.get().is_some() { LEADER_PAUSE } else { TARGETS_PAUSE }).await;
+        sleep(TARGETS_PAUSE).await;
     }
 }
 
 /// Reads the owners from the store while the leader sends none.
 pub(crate) async fn owners(node: Rc<Node>) {
     loop {
-        if node.now().since(node.linked.get()) > LINK_MAX && node.seat.get().is_none() {
+        if node.now().since(node.linked.get()) > RELAY_MAX && node.seat.get().is_none() {
             match node.store.newest(lead::TOPIC, ANSWER_MAX.as_duration()).await {
                 Ok(newest) => adopt(&node, &newest.items, newest.end),
                 Err(refusal) => log::debug!(refusal:display; "owners not read"),
@@ -180,7 +243,7 @@
     }
 }
 
-fn adopt(node: &Node, items: &[frame::Keyed], end: u64) {
+fn adopt(node: &Node, items: &[Keyed], end: u64) {
     let Some(record) = items.iter().find(|r| *r.key == *lead::KEY) else { return };
     match Owners::decode(&record.value) {
         // The table is the only key of its topic, so its record is the last.
--- a/crates/catkin-edge/src/link.rs
+++ b/crates/catkin-edge/src/link.rs
@@ -1,15 +1,17 @@
-//! Reports to the leader and tables from it.
+//! Reports to the leader; tables and changes from it.
 //!
 //! Each process keeps one connection to the leader, on which it reports loads.
-//! The leader answers each report, and sends a new table at once.
+//! The leader answers each report, and passes a new table, configuration or
+//! change of the directory on at once.
 
 use {
     crate::{
-        lead,
+        feed::{self, Feed},
+        follow, lead,
         node::{Node, Owned, sleep},
     },
     bytes::{Bytes, BytesMut},
-    catkin::types::Span,
+    catkin::types::{Span, Time},
     catkin_net::tune,
     catkin_route::owners::Owners,
     serde::{Deserialize, Serialize},
@@ -21,7 +23,7 @@
 };
 
 /// Pause between two reports.
-const REPORT_PAUSE: Span = Span::from_millis(500);
+const REPORT_PAUSE: Span = Span::from_millis(250);
 
 /// Silence after which a connection between edge processes is closed.
 const SILENCE_MAX: Span = Span::from_millis(1_500);
@@ -38,6 +40,8 @@
     vm: Arc<str>,
     /// Version of the newest known table.
     version: Option<u64>,
+    /// Offsets of the next records of the configuration and the directory.
+    next: [Option<u64>; 2],
     /// Requests by service and key since the last report.
     keys: Vec<(Arc<str>, Vec<(u16, u16)>)>,
     /// Mean time of a request at each target, in seconds.
@@ -51,9 +55,33 @@
     peers: u32,
     /// A newer table and its version.
     table: Option<(u64, Owners)>,
+    /// Changes of the configuration and of the directory.
+    changes: [Option<Changes>; 2],
 }
 
-type Peers = Rc<RefCell<HashMap<Arc<str>, catkin::types::Time>>>;
+/// Changes of one topic.
+#[derive(Debug, Serialize, Deserialize)]
+struct Changes {
+    from: u64,
+    to: u64,
+    /// Microseconds since the leader read the store.
+    age: u64,
+    records: Vec<(u64, Bytes, Bytes)>,
+}
+
+impl Changes {
+    fn new(feed: &Feed, from: u64, now: Time) -> Option<Self> {
+        let feed::Batch { from, to, changes } = feed.since(from)?;
+        let age = now.since(feed.fresh()).as_micros();
+        Some(Self { from, to, age, records: changes })
+    }
+
+    fn into_batch(self) -> feed::Batch {
+        feed::Batch { from: self.from, to: self.to, changes: self.records }
+    }
+}
+
+type Peers = Rc<RefCell<HashMap<Arc<str>, Time>>>;
 
 async fn write<T: Serialize>(stream: &mut OwnedWriteHalf, message: &T) -> io::Result<()> {
     let body = postcard::to_stdvec(message).map_err(io::Error::other)?;
@@ -138,17 +166,23 @@
     let (reader, mut writer) = stream.into_split();
     let mut messages = Messages::new(reader);
     let mut owned = node.owned.subscribe();
+    let mut configs = node.configs.reads();
+    let mut targets = node.targets.reads();
     let mut count = 0;
     let mut sent = None;
+    let mut next: [Option<u64>; 2] = [None, None];
     loop {
         let message = tokio::select! {
             message = tokio::time::timeout(SILENCE_MAX.as_duration(), messages.next()) => Some(message??),
             changed = owned.changed() => changed.map(|()| None).map_err(io::Error::other)?,
+            changed = configs.changed() => changed.map(|()| None).map_err(io::Error::other)?,
+            changed = targets.changed() => changed.map(|()| None).map_err(io::Error::other)?,
         };
         if let Some(message) = message {
             let report: Report = postcard::from_bytes(&message).map_err(io::Error::other)?;
             count = take(node, peers, &report);
             sent = report.version;
+            next = report.next;
         }
         // Only the leader's word counts; others end the link.
         if node.seat.get().is_none() {
@@ -157,7 +191,13 @@
         let newer = node.owned().filter(|o| sent.is_none_or(|sent| sent < o.version));
         let table = newer.map(|Owned { version, table }| (version, (*table).clone()));
         sent = table.as_ref().map(|t| t.0).or(sent);
-        write(&mut writer, &Notice { peers: count, table }).await?;
+        let now = node.now();
+        let feeds = [&node.configs, &node.targets];
+        let changes = [0, 1].map(|i| next[i].and_then(|from| Changes::new(feeds[i], from, now)));
+        for (next, changes) in next.iter_mut().zip(&changes) {
+            *next = changes.as_ref().map(|c| c.to).or(*next);
+        }
+        write(&mut writer, &Notice { peers: count, table, changes }).await?;
     }
 }
 
@@ -171,7 +211,8 @@
     let time = |id: &Arc<str>| loads.time(id).map(|seconds| (id.clone(), seconds as f32));
     let times = directory.all().filter_map(|t| time(&t.entry.life.id)).collect();
     let version = node.owned().map(|o| o.version);
-    Report { vm: node.me.vm.clone(), version, keys: keys.into_iter().collect(), times }
+    let next = [node.configs.next(), node.targets.next()];
+    Report { vm: node.me.vm.clone(), version, next, keys: keys.into_iter().collect(), times }
 }
 
 /// Reports to the leader and takes its tables.
@@ -187,6 +228,29 @@
     }
 }
 
+/// Takes what the leader says.
+fn hear(node: &Node, notice: Notice, now: Time) {
+    node.linked.set(now);
+    node.peers.set(notice.peers.max(1));
+    if let Some((version, table)) = notice.table {
+        node.adopt(version, table);
+    }
+    // The leader reports to itself as well; its own changes are no news to it.
+    if node.seat.get().is_some() {
+        return;
+    }
+    let at = |c: &Changes| now.before(Span::from_micros(c.age));
+    let [configs, targets] = notice.changes;
+    if let Some(changes) = configs {
+        let at = at(&changes);
+        follow::relay_configs(node, &changes.into_batch(), at);
+    }
+    if let Some(changes) = targets {
+        let at = at(&changes);
+        follow::relay_targets(node, &changes.into_batch(), at);
+    }
+}
+
 async fn link(node: &Rc<Node>, addr: SocketAddr) -> io::Result<()> {
     let connect = TcpStream::connect(addr);
     let stream = tokio::time::timeout(SILENCE_MAX.as_duration(), connect).await??;
@@ -200,11 +264,7 @@
             message = messages.next() => {
                 let notice: Notice = postcard::from_bytes(&message?).map_err(io::Error::other)?;
                 heard = node.now();
-                node.linked.set(heard);
-                node.peers.set(notice.peers.max(1));
-                if let Some((version, table)) = notice.table {
-                    node.adopt(version, table);
-                }
+                hear(node, notice, heard);
             }
             _ = pause.tick() => {
                 let moved = node.owned().is_some_and(|o| o.table.leader.addr != addr);
--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -13,9 +13,10 @@
 //! | `admit` | waiting for a target that may get the request |
 //! | `send` | one send to one target |
 //! | `pool` | idle connections to targets |
+//! | `feed` | the place in a topic, and its last changes |
 //! | `follow` | reads configuration, directory and owners from the store |
 //! | `lead` | membership, the leader's claim, commands and moves of keys |
-//! | `link` | reports to the leader and tables from it |
+//! | `link` | reports to the leader; tables and changes from it |
 //! | `admin` | readiness and metrics |
 //! | `stop` | signals and graceful shutdown |
 //! | `node` | the state that these share |
@@ -23,6 +24,7 @@
 mod accept;
 mod admin;
 mod admit;
+mod feed;
 mod follow;
 mod lead;
 mod link;
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -1,11 +1,11 @@
 //! What one process knows.
 
 use {
-    crate::{metrics::Metrics, pool::Pool, settings::Settings},
+    crate::{feed::Feed, metrics::Metrics, pool::Pool, settings::Settings},
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
     catkin::types::{Span, Time},
     catkin_net::Boot,
-    catkin_platform::{bounds::Bounds, store::Store},
+    catkin_platform::{bounds::Bounds, name, store::Store},
     catkin_route::{
         budget::{self, Budget},
         config::Config,
@@ -56,6 +56,10 @@
     pub(crate) store: Store,
     /// This process as a leader.
     pub(crate) me: Leader,
+    /// Place in the topic of the configuration.
+    pub(crate) configs: Feed,
+    /// Place in the topic of the directory.
+    pub(crate) targets: Feed,
     /// Newest configuration.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// Shares of split routes.
@@ -113,6 +117,8 @@
             bounds,
             http,
             me,
+            configs: Feed::new(name::OPERATOR_TOPIC),
+            targets: Feed::new(name::TARGETS_TOPIC),
             config: RefCell::default(),
             split: RefCell::default(),
             directory: RefCell::default(),
@@ -151,16 +157,18 @@
         self.room.notify_waiters();
     }
 
-    /// Takes a configuration unless a newer one is known.
-    pub(crate) fn configure(&self, config: Config) {
+    /// Takes a configuration unless a newer one is known. Returns whether it is
+    /// new.
+    pub(crate) fn configure(&self, config: Config) -> bool {
         let known = self.config.borrow().as_ref().map(|c| c.version);
         if known.is_some_and(|known| known >= config.version) {
-            return;
+            return false;
         }
         log::info!(version = config.version, before = known; "configuration in force");
         let names: std::collections::HashSet<Arc<str>> = config.rules().map(|r| r.name.clone()).collect();
         self.split.borrow_mut().retain(|name| names.contains(name));
         *self.config.borrow_mut() = Some(Rc::new(config));
+        true
     }
 
     /// Returns whether the process was told to stop.
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -78,17 +78,19 @@
         self.grace = now.after(RETURN_GRACE);
     }
 
-    /// Puts a new or changed entry in.
-    pub fn put(&mut self, now: Time, entry: Entry) {
+    /// Puts a new or changed entry in. Returns whether it says something new;
+    /// targets write their entries again and again as a heartbeat.
+    pub fn put(&mut self, now: Time, entry: Entry) -> bool {
         let old = self.targets.get(&entry.life.id);
         let same = old.filter(|t| t.entry.life == entry.life && t.entry.service == entry.service);
-        if same.is_none_or(|t| t.entry.draining != entry.draining || t.lapsed.is_some()) {
-            self.changes += 1;
-        }
+        let plain = |e: &Entry| Entry { cold: Span::ZERO, ..e.clone() };
+        let new = same.is_none_or(|t| plain(&t.entry) != plain(&entry) || t.lapsed.is_some());
+        self.changes += u64::from(new);
         let leaving = entry.draining.then(|| same.and_then(|t| t.leaving).unwrap_or(now));
         let seen = same.map_or(now, |t| t.seen);
         let target = Target { cold: now.after(entry.cold), leaving, lapsed: None, seen, entry };
         self.insert(target);
+        new
     }
 
     fn insert(&mut self, target: Target) {
