edge: take a read that waited as fresh to its end

Cause: the leader's waiting read of the configuration counted as old as its start, up to 1.6 s, so other processes read the store as well.

--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -155,7 +155,10 @@
                 feed.keep((offset, key, value));
             }
         }
-        feed.advance(to, sent.max(node.now().before(wait)));
+        // The store answers at once if it has a record, and otherwise after
+        // the whole wait.
+        let at = if to == from { sent.after(wait).min(node.now()) } else { sent };
+        feed.advance(to, at);
         Ok(None)
     }
 
