route: measure the time of a request without waiting, and loads of keys faster

Cause: an overloaded target's answers include its queue, so it looked slow, lost too many keys, and the next one was overloaded; the load of new hot keys showed after two seconds only. Change: the measured time is divided by the queue that the target reports with the answer; rates of keys are forgotten within a second; keys leave only a target whose slots are in use, a move must leave the higher use at least 15% lower, and moved keys rest for 1.5 s; after a misdirected send the request waits for a newer table.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -3,7 +3,10 @@
 use {
     crate::{node::Node, serve::Job},
     catkin::types::{Span, Time},
-    catkin_route::directory::{Entry, Life},
+    catkin_route::{
+        directory::{Entry, Life},
+        tries::Tries,
+    },
     std::rc::Rc,
 };
 
@@ -42,13 +45,13 @@
     }
 }
 
-fn look(node: &Node, job: &Job<'_>, tried: &[Life], now: Time) -> Result<Admitted, Denied> {
+fn look(node: &Node, job: &Job<'_>, tries: &Tries, now: Time) -> Result<Admitted, Denied> {
     let directory = node.directory.borrow();
     let mut loads = node.loads.borrow_mut();
     let peers = node.peers.get();
     let Some(key) = job.key else {
         let chosen = loads
-            .choose(now, &directory, &job.service, peers, tried)
+            .choose(now, &directory, &job.service, peers, tries.targets())
             .or_else(|| loads.choose(now, &directory, &job.service, peers, &[]));
         let any = directory.of(&job.service).next().is_some();
         let reason = if any { Denied::Full } else { Denied::NoOwner };
@@ -57,6 +60,9 @@
     let owned = node.owned().ok_or(Denied::NoOwner)?;
     let row = owned.table.find(&job.service, key).ok_or(Denied::NoOwner)?;
     let target = directory.living(&row.life()).filter(|t| t.serves_keys(now)).ok_or(Denied::NoOwner)?;
+    if tries.misdirected() == Some(&row.life()) {
+        return Err(Denied::NoOwner);
+    }
     if !loads.has_room(now, target, peers) {
         return Err(Denied::Full);
     }
@@ -65,7 +71,7 @@
 
 /// Returns a target that may get the request now, after waiting for one for a
 /// part of its latency objective.
-pub(crate) async fn admit(node: &Rc<Node>, job: &Job<'_>, tried: &[Life]) -> Result<Admitted, Denied> {
+pub(crate) async fn admit(node: &Rc<Node>, job: &Job<'_>, tries: &Tries) -> Result<Admitted, Denied> {
     let patience = job.rule.aim.scale(WAIT_SHARE);
     let limit = job.incoming.came.after(patience).max(node.now().after(LEFT_MIN));
     loop {
@@ -74,7 +80,7 @@
         if job.until.since(now) < LEFT_MIN {
             return Err(Denied::NoTime);
         }
-        let denied = match look(node, job, tried, now) {
+        let denied = match look(node, job, tries, now) {
             Ok(admitted) => return Ok(admitted),
             Err(denied) => denied,
         };
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -60,7 +60,7 @@
 const GAP_MAX: Span = Span::from_millis(700);
 
 /// Pause between two rounds of balancing.
-const BALANCE: Span = Span::from_millis(500);
+const BALANCE: Span = Span::from_millis(200);
 
 /// Time for the answer to a grant.
 const GRANT_MAX: Duration = Duration::from_millis(500);
@@ -197,7 +197,7 @@
             log::info!(reason; "leading ended");
             return;
         }
-        if now.since(decayed) >= Span::from_secs(1) {
+        if now.since(decayed) >= balance::DECAY {
             decayed = now;
             with_loads(|loads| {
                 loads.decay();
--- a/crates/catkin-edge/src/send.rs
+++ b/crates/catkin-edge/src/send.rs
@@ -19,6 +19,8 @@
     Answered(Reply),
     /// The target refused the request without running it.
     NotRun,
+    /// The target does not hold the key, or another process has its address.
+    Misdirected,
     /// No connection could be opened.
     Unreached,
     /// Some of the request was sent, and the connection ended without a
@@ -37,22 +39,23 @@
 /// Counts a send at its target until it ends, also if it is dropped.
 struct Count<'a> {
     node: &'a Node,
-    life: &'a Life,
+    target: &'a Admitted,
     start: Time,
     end: End,
 }
 
 impl<'a> Count<'a> {
-    fn new(node: &'a Node, life: &'a Life) -> Self {
-        node.loads.borrow_mut().begin(life);
-        Self { node, life, start: node.now(), end: End::Dropped }
+    fn new(node: &'a Node, target: &'a Admitted) -> Self {
+        node.loads.borrow_mut().begin(&target.life);
+        Self { node, target, start: node.now(), end: End::Dropped }
     }
 }
 
 impl Drop for Count<'_> {
     fn drop(&mut self) {
         let now = self.node.now();
-        self.node.loads.borrow_mut().end(now, self.life, self.end, now.since(self.start));
+        let (life, slots) = (&self.target.life, self.target.entry.slots);
+        self.node.loads.borrow_mut().end(now, life, self.end, now.since(self.start), slots);
         self.node.room.notify_waiters();
     }
 }
@@ -87,7 +90,7 @@
 /// Sends a request to a target and reads the whole answer.
 pub(crate) async fn send(node: &Rc<Node>, job: &Job<'_>, target: &Admitted) -> Sent {
     let life = &target.life;
-    let mut count = Count::new(node, life);
+    let mut count = Count::new(node, target);
     let pooled = node.pool.take(node.now(), life);
     let conn = match pooled {
         Some(conn) => Ok(conn),
@@ -151,7 +154,7 @@
         }
         count.end = End::Good;
         node.metrics.send("misdirected");
-        return Sent::NotRun;
+        return Sent::Misdirected;
     }
     if reply.head.headers().contains_key(name::NOT_RUN) {
         count.end = End::Refused;
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -137,7 +137,7 @@
     let mut tries = Tries::new(&job.rule, job.until);
     let mut failed = None;
     let code = loop {
-        let target = match admit::admit(node, job, tries.targets()).await {
+        let target = match admit::admit(node, job, &tries).await {
             Ok(target) => target,
             Err(denied) => break denied.code(),
         };
@@ -152,6 +152,7 @@
             }
             Sent::Answered(reply) => return pass(reply),
             Sent::NotRun => (End::NotRun, Code::TargetRefused),
+            Sent::Misdirected => (End::Misdirected, Code::FenceRefused),
             Sent::Unreached => (End::Unreached, Code::ConnectFailed),
             Sent::Lost => (End::Lost, Code::AnswerCut),
             Sent::Late => (End::Lost, Code::OutcomeUnknown),
--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -16,8 +16,12 @@
 /// their number. In requests a second.
 const IDLE_RATE: f32 = 1e-4;
 
-/// Share of the measured rates that remains after one second.
-const RATE_KEPT: f32 = 0.6;
+/// Time between two calls of [`Loads::decay`].
+pub const DECAY: Span = Span::from_millis(200);
+
+/// Share of the measured rates that remains after that time. With 0.8 two
+/// thirds of a new load show after a second.
+const RATE_KEPT: f32 = 0.8;
 
 /// Weight of a new measurement of a target's time for a request.
 const COST_WEIGHT: f32 = 0.1;
@@ -25,14 +29,19 @@
 /// Time of a request before any was measured, in seconds.
 const COST_UNKNOWN: f32 = 0.1;
 
-/// Difference in the use of slots between two targets below which keys stay.
-const USE_GAP_MIN: f32 = 0.12;
+/// Use of a target's slots below which its keys stay: requests hardly wait
+/// there, and keys that move can't be served until running work has ended.
+const USE_HIGH: f32 = 0.55;
+
+/// The same bound as a multiple of the mean use.
+const USE_HIGH_FACTOR: f32 = 1.25;
 
-/// The same difference as a share of the mean use.
-const USE_GAP_SHARE: f32 = 0.35;
+/// Share of the higher use that a move must leave below, so that a single hot
+/// key does not go from one target to the next.
+const USE_GAIN: f32 = 0.85;
 
 /// Moves that one round starts.
-const MOVES_MAX: usize = 4;
+const MOVES_MAX: usize = 8;
 
 /// Slow start that is left when a new target gets its first keys.
 const COLD_LEFT_MAX: Span = Span::from_millis(1_500);
@@ -48,10 +57,10 @@
     /// Adds requests for a key.
     pub fn add(&mut self, service: &Arc<str>, key: u16, requests: f32) {
         let rates = self.keys.entry(service.clone()).or_insert_with(|| vec![0.0; KEYS]);
-        rates[usize::from(key)] += requests * (1.0 - RATE_KEPT);
+        rates[usize::from(key)] += requests * (1.0 - RATE_KEPT) / DECAY.as_secs_f64() as f32;
     }
 
-    /// Lets a second pass.
+    /// Lets the time [`DECAY`] pass.
     pub fn decay(&mut self) {
         for rate in self.keys.values_mut().flatten() {
             *rate *= RATE_KEPT;
@@ -178,13 +187,12 @@
         .filter(|t| t.is_open() && t.lapsed.is_none() && !granter.is_suspect(now, &t.entry.life))
         .collect();
     let mut pots = Pots::new(service, &open, loads);
-    let mut rows = granter.rows(service);
-    for (row, free) in &rows {
+    let mut rows = granter.rows(now, service);
+    for (row, _) in &rows {
         pots.add(row);
-        let life = row.life();
-        if let (false, Some(pot)) = (free, pots.pots.iter_mut().find(|p| p.life == life)) {
-            pot.movable = false;
-        }
+    }
+    for pot in &mut pots.pots {
+        pot.movable = rows.iter().any(|(row, free)| *free && row.life() == pot.life);
     }
     for (pot, target) in pots.pots.iter_mut().zip(&open) {
         pot.warm = target.cold.since(now) <= COLD_LEFT_MAX;
@@ -205,10 +213,12 @@
     let high = indexes.filter(|i| pots.pots[*i].movable && pots.pots[*i].rows > 0).max_by(by_use)?;
     let (low_pot, high_pot) = (&pots.pots[low], &pots.pots[high]);
     let gap = high_pot.used() - low_pot.used();
-    let needed = if low_pot.rows == 0 { 0.0 } else { USE_GAP_MIN.max(USE_GAP_SHARE * mean) };
-    if low == high || gap <= needed {
+    // A target without keys gets some whatever the load.
+    let needed = if low_pot.rows == 0 { 0.0 } else { USE_HIGH.max(USE_HIGH_FACTOR * mean) };
+    if low == high || high_pot.used() <= needed {
         return None;
     }
+    let room = (USE_GAIN * high_pot.used() - low_pot.used()) / low_pot.cost;
     let wanted = gap / (low_pot.cost + high_pot.cost);
     let life = high_pot.life.clone();
     let of_high = |(_, (row, free)): &(usize, &(Row, bool))| *free && row.life() == life;
@@ -219,7 +229,7 @@
         .filter(of_high)
         .map(|(i, (row, _))| (i, row.clone()))
         .max_by(|a, b| rate(&a.1).total_cmp(&rate(&b.1)))?;
-    let (from, to, moved) = piece(pots, &row, wanted)?;
+    let (from, to, moved) = piece(pots, &row, wanted, room)?;
     let dest = pots.pots[low].life.clone();
     pots.pots[high].rate -= moved;
     pots.pots[low].rate += moved;
@@ -234,12 +244,12 @@
 }
 
 /// Returns the keys at one end of a row whose load is nearest to the wanted
-/// one, without taking more than twice that.
-fn piece(pots: &Pots<'_>, row: &Row, wanted: f32) -> Option<(u16, u16, f32)> {
+/// one and fits into the room of the other target.
+fn piece(pots: &Pots<'_>, row: &Row, wanted: f32, room: f32) -> Option<(u16, u16, f32)> {
     let mut best: Option<(u16, u16, f32)> = None;
     let mut consider = |from: u16, to: u16, sum: f32| {
         let better = best.is_none_or(|b| (sum - wanted).abs() < (b.2 - wanted).abs());
-        if sum < 2.0 * wanted && better {
+        if sum < room && better {
             best = Some((from, to, sum));
         }
     };
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -49,6 +49,10 @@
 /// Time for which a target that failed a command gets no further keys.
 const SUSPECT_FOR: Span = Span::from_secs(3);
 
+/// Time for which keys that moved stay where they are, so that the load that
+/// the move caused can be measured.
+const SETTLE: Span = Span::from_millis(1_500);
+
 /// What a command asks of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ask {
@@ -137,6 +141,8 @@
     fails: u32,
     granted: bool,
     dest: Option<Life>,
+    /// When the keys came to their owner by a move.
+    moved: Option<Time>,
 }
 
 /// The leader's view of all keys.
@@ -178,6 +184,7 @@
             fails: 0,
             granted: false,
             dest: None,
+            moved: None,
         };
         let services = claim
             .services
@@ -223,9 +230,11 @@
     }
 
     /// Returns the rows of a service that may be moved, and all owners.
-    pub fn rows(&self, service: &str) -> Vec<(Row, bool)> {
+    pub fn rows(&self, now: Time, service: &str) -> Vec<(Row, bool)> {
         let slots = self.services.get(service).map_or(&[][..], |s| &s[..]);
-        slots.iter().map(|s| (s.row.clone(), s.phase == Phase::Held && s.granted)).collect()
+        let settled = |s: &Slot| s.moved.is_none_or(|at| now.since(at) >= SETTLE);
+        let free = |s: &Slot| s.phase == Phase::Held && s.granted && settled(s);
+        slots.iter().map(|s| (s.row.clone(), free(s))).collect()
     }
 
     /// Returns whether a process failed a command a short time ago.
@@ -437,6 +446,7 @@
         fails: 0,
         granted: false,
         dest: None,
+        moved: None,
     }
 }
 
@@ -491,7 +501,8 @@
             pots.add(&row);
             // Whoever held the keys no longer does, so nothing is known to be
             // held or late for the new owner.
-            next.push(Slot { row, phase: Phase::Writing, ..unowned() });
+            let moved = slot.dest.is_some().then_some(now);
+            next.push(Slot { row, phase: Phase::Writing, moved, ..unowned() });
         }
     }
     *slots = join(next, fence);
@@ -517,6 +528,7 @@
                 last.row.handover = None;
                 last.until = last.until.max(slot.until);
                 last.late = last.late.max(slot.late);
+                last.moved = last.moved.max(slot.moved);
                 last.phase = Phase::Writing;
             }
             _ => joined.push(slot),
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -34,6 +34,10 @@
 /// the queue of a target is short, and some never answer once it is full.
 const FILL_MAX: f64 = 2.5;
 
+/// Slots of a target that one process may fill, as a multiple of its even
+/// share: callers are shared out unevenly, and reports bound the sum.
+const OWN_SHARE: f64 = 2.5;
+
 /// Requests that one process may always have at one target.
 const OWN_MIN: u32 = 2;
 
@@ -42,9 +46,12 @@
 struct Seen {
     life: Life,
     own: u32,
+    /// Mean time of a request without waiting, in seconds.
     time: f64,
     others: f64,
     reported: Time,
+    /// Requests at the target with the last answer.
+    fill: f64,
     fails: f64,
     pause: Span,
     paused: Time,
@@ -59,6 +66,7 @@
             time: TIME_UNKNOWN,
             others: 0.0,
             reported: zero,
+            fill: 0.0,
             fails: 0.0,
             pause: Span::ZERO,
             paused: zero,
@@ -111,7 +119,7 @@
     /// Returns whether this process may send one more request to a target.
     pub fn has_room(&mut self, now: Time, target: &Target, peers: u32) -> bool {
         let slots = target.entry.slots;
-        let share = (FILL_MAX * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
+        let share = (OWN_SHARE * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
         let seen = self.of(&target.entry.life);
         let total = f64::from(seen.own) + seen.others(now);
         seen.paused <= now && seen.own < share.max(OWN_MIN) && total < FILL_MAX * f64::from(slots)
@@ -163,7 +171,8 @@
     }
 
     /// Counts the end of a request at a target and the time that it took.
-    pub fn end(&mut self, now: Time, life: &Life, end: End, took: Span) {
+    pub fn end(&mut self, now: Time, life: &Life, end: End, took: Span, slots: u32) {
+        let slots = f64::from(slots);
         let Some(seen) = self.seen.get_mut(&life.id) else { return };
         seen.own = seen.own.saturating_sub(1);
         if seen.life != *life {
@@ -177,10 +186,13 @@
         seen.fails += (failed - seen.fails) * FAIL_WEIGHT;
         match end {
             End::Good => {
-                seen.time += (took.as_secs_f64() - seen.time) * TIME_WEIGHT;
+                // A queue at the target is no sign of a slow target.
+                let queue = seen.fill / slots.max(1.0);
+                let time = took.as_secs_f64() / queue.max(1.0);
+                seen.time += (time - seen.time) * TIME_WEIGHT;
                 seen.pause = Span::ZERO;
             }
-            End::Dropped => seen.time = seen.time.max(took.as_secs_f64()),
+            End::Dropped => {}
             End::Unreached => {
                 let pause = if seen.pause.is_zero() { PAUSE_MIN } else { seen.pause.scale(2.0) };
                 seen.pause = pause.min(PAUSE_MAX);
@@ -188,11 +200,13 @@
             }
             End::Refused | End::Failed => {}
         }
+        seen.fill = 0.0;
     }
 
     /// Takes a target's own report: requests running and waiting there.
     pub fn report(&mut self, now: Time, life: &Life, requests: u32) {
         let seen = self.of(life);
+        seen.fill = f64::from(requests);
         seen.others = f64::from(requests.saturating_sub(seen.own));
         seen.reported = now;
     }
--- a/crates/catkin-route/src/tries.rs
+++ b/crates/catkin-route/src/tries.rs
@@ -18,6 +18,9 @@
     Failed,
     /// The target refused the request without running it.
     NotRun,
+    /// The target does not hold the request's key, or is another process; the
+    /// request did not run.
+    Misdirected,
     /// No byte reached a target.
     Unreached,
     /// Some of the request was sent and no complete answer came.
@@ -34,6 +37,7 @@
     sends: u32,
     unreached: u32,
     exposed: bool,
+    misdirected: Option<Life>,
 }
 
 impl Tries {
@@ -47,6 +51,7 @@
             sends: 0,
             unreached: 0,
             exposed: false,
+            misdirected: None,
         }
     }
 
@@ -57,7 +62,8 @@
             return;
         }
         self.sends += 1;
-        self.exposed |= end != End::NotRun;
+        self.exposed |= !matches!(end, End::NotRun | End::Misdirected);
+        self.misdirected = (end == End::Misdirected).then(|| life.clone());
         if !self.targets.contains(life) {
             self.targets.push(life.clone());
         }
@@ -68,6 +74,12 @@
         &self.targets
     }
 
+    /// Returns the target that did not hold the key at the last send. Only a
+    /// newer table of owners says where the key is.
+    pub fn misdirected(&self) -> Option<&Life> {
+        self.misdirected.as_ref()
+    }
+
     /// Returns the number of sends that reached a target.
     pub fn sends(&self) -> u32 {
         self.sends
