route: move other keys away from the owner of a hot key

Change: where one key has 40% of its owner's load, the other keys leave first; the key itself moves only if its owner uses more than 85% of its slots and the use drops by a fifth.

--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -40,6 +40,20 @@
 /// key does not go from one target to the next.
 const USE_GAIN: f32 = 0.85;
 
+/// Share of a target's load above which its busiest key is moved apart from
+/// the others.
+const HOT_SHARE: f32 = 0.4;
+
+/// Use of the owner of a hot key's other keys above which they leave it.
+const REST_MIN: f32 = 0.05;
+
+/// Use of a target's slots above which a key that it hardly shares with others
+/// moves. The key is away while its running work ends.
+const HOT_USE_HIGH: f32 = 0.85;
+
+/// Share of that use that the key may have at its next owner.
+const HOT_GAIN: f32 = 0.8;
+
 /// Moves that one round starts.
 const MOVES_MAX: usize = 8;
 
@@ -205,47 +219,102 @@
     moves
 }
 
+/// A key whose requests use much of its owner.
+#[derive(Clone, Copy, Debug)]
+struct Hot {
+    key: u16,
+    rate: f32,
+}
+
+/// Returns the busiest key of a target if it has most of the target's load.
+fn hottest(pots: &Pots<'_>, rows: &[(Row, bool)], pot: &Pot) -> Option<Hot> {
+    let of_pot = rows.iter().filter(|(row, _)| row.life() == pot.life);
+    let keys = of_pot.flat_map(|(row, _)| row.from..=row.to);
+    let hot = |key: u16| Hot { key, rate: pots.loads.key(pots.service, key) };
+    let hottest = keys.map(hot).max_by(|a, b| a.rate.total_cmp(&b.rate))?;
+    (hottest.rate > HOT_SHARE * pot.rate).then_some(hottest)
+}
+
 fn best(pots: &mut Pots<'_>, rows: &mut Vec<(Row, bool)>) -> Option<Move> {
     let mean = pots.pots.iter().map(Pot::used).sum::<f32>() / pots.pots.len().max(1) as f32;
     let by_use = |a: &usize, b: &usize| pots.pots[*a].used().total_cmp(&pots.pots[*b].used());
     let indexes = 0..pots.pots.len();
     let low = indexes.clone().filter(|i| pots.pots[*i].warm).min_by(by_use)?;
     let high = indexes.filter(|i| pots.pots[*i].movable && pots.pots[*i].rows > 0).max_by(by_use)?;
-    let (low_pot, high_pot) = (&pots.pots[low], &pots.pots[high]);
-    let gap = high_pot.used() - low_pot.used();
     // A target without keys gets some whatever the load.
-    let needed = if low_pot.rows == 0 { 0.0 } else { USE_HIGH.max(USE_HIGH_FACTOR * mean) };
-    if low == high || high_pot.used() <= needed {
+    let needed = if pots.pots[low].rows == 0 { 0.0 } else { USE_HIGH.max(USE_HIGH_FACTOR * mean) };
+    if low == high || pots.pots[high].used() <= needed {
         return None;
     }
+    let hot = hottest(pots, rows, &pots.pots[high]);
+    let (i, from, to, rate, dest) = match hot {
+        None => spread(pots, rows, high, low, None)?,
+        // A key can't be cut, so the other keys of its owner go first.
+        Some(hot) => spread(pots, rows, high, low, Some(hot.key)).or_else(|| lift(pots, rows, high, hot))?,
+    };
+    let life = pots.pots[dest].life.clone();
+    pots.pots[high].rate -= rate;
+    pots.pots[dest].rate += rate;
+    pots.pots[dest].rows += 1;
+    // What stays of the row can move in a later round.
+    rows.swap_remove(i);
+    let owner = pots.pots[high].life.clone();
+    pots.pots[high].movable = rows.iter().any(|(row, free)| *free && row.life() == owner);
+    Some(Move { from, to, dest: life })
+}
+
+/// A part of a row, its load and the target that gets it.
+type Part = (usize, u16, u16, f32, usize);
+
+/// Moves a part of the most loaded row to the least used target.
+fn spread(pots: &Pots<'_>, rows: &[(Row, bool)], high: usize, low: usize, hot: Option<u16>) -> Option<Part> {
+    let (high_pot, low_pot) = (&pots.pots[high], &pots.pots[low]);
+    let gap = high_pot.used() - low_pot.used();
     let room = (USE_GAIN * high_pot.used() - low_pot.used()) / low_pot.cost;
     let wanted = gap / (low_pot.cost + high_pot.cost);
-    let life = high_pot.life.clone();
-    let of_high = |(_, (row, free)): &(usize, &(Row, bool))| *free && row.life() == life;
-    let rate = |row: &Row| pots.loads.rate(pots.service, row.from, row.to);
-    let (i, row) = rows
-        .iter()
-        .enumerate()
-        .filter(of_high)
-        .map(|(i, (row, _))| (i, row.clone()))
-        .max_by(|a, b| rate(&a.1).total_cmp(&rate(&b.1)))?;
-    let (from, to, moved) = piece(pots, &row, wanted, room)?;
-    let dest = pots.pots[low].life.clone();
-    pots.pots[high].rate -= moved;
-    pots.pots[low].rate += moved;
-    pots.pots[low].rows += 1;
-    rows.swap_remove(i);
-    // What stays of the row can move in a later round.
-    if pots.pots[high].rows <= 1 {
-        pots.pots[high].movable = false;
+    let mut best: Option<Part> = None;
+    for (i, (row, free)) in rows.iter().enumerate() {
+        if !*free || row.life() != high_pot.life {
+            continue;
+        }
+        for (from, to) in around(row, hot) {
+            let Some((from, to, rate)) = piece(pots, from, to, wanted, room) else { continue };
+            if best.is_none_or(|b| (rate - wanted).abs() < (b.3 - wanted).abs()) {
+                best = Some((i, from, to, rate, low));
+            }
+        }
+    }
+    best.filter(|b| hot.is_none() || b.3 * high_pot.cost > REST_MIN)
+}
+
+/// Moves the busiest key to the target on which it uses least.
+fn lift(pots: &Pots<'_>, rows: &[(Row, bool)], high: usize, hot: Hot) -> Option<Part> {
+    let after = |i: &usize| pots.pots[*i].used() + hot.rate * pots.pots[*i].cost;
+    let others = (0..pots.pots.len()).filter(|i| *i != high && pots.pots[*i].warm);
+    let dest = others.min_by(|a, b| after(a).total_cmp(&after(b)))?;
+    let used = pots.pots[high].used();
+    if used < HOT_USE_HIGH || after(&dest) > HOT_GAIN * used {
+        return None;
+    }
+    let i = rows.iter().position(|(row, free)| *free && row.from <= hot.key && hot.key <= row.to)?;
+    Some((i, hot.key, hot.key, hot.rate, dest))
+}
+
+/// Returns the keys of a row without the hot one.
+fn around(row: &Row, hot: Option<u16>) -> Vec<(u16, u16)> {
+    match hot.filter(|key| row.from <= *key && *key <= row.to) {
+        None => vec![(row.from, row.to)],
+        Some(key) => {
+            let left = key.checked_sub(1).map(|to| (row.from, to));
+            let right = key.checked_add(1).map(|from| (from, row.to));
+            [left, right].into_iter().flatten().filter(|(from, to)| from <= to).collect()
+        }
     }
-    pots.pots[high].rows = pots.pots[high].rows.saturating_sub(1).max(1);
-    Some(Move { from, to, dest })
 }
 
-/// Returns the keys at one end of a row whose load is nearest to the wanted
+/// Returns the keys at one end of a range whose load is nearest to the wanted
 /// one and fits into the room of the other target.
-fn piece(pots: &Pots<'_>, row: &Row, wanted: f32, room: f32) -> Option<(u16, u16, f32)> {
+fn piece(pots: &Pots<'_>, from: u16, to: u16, wanted: f32, room: f32) -> Option<(u16, u16, f32)> {
     let mut best: Option<(u16, u16, f32)> = None;
     let mut consider = |from: u16, to: u16, sum: f32| {
         let better = best.is_none_or(|b| (sum - wanted).abs() < (b.2 - wanted).abs());
@@ -254,17 +323,17 @@
         }
     };
     let mut sum = 0.0;
-    for key in row.from..=row.to {
+    for key in from..=to {
         sum += pots.loads.key(pots.service, key);
-        consider(row.from, key, sum);
+        consider(from, key, sum);
         if sum >= wanted {
             break;
         }
     }
     let mut sum = 0.0;
-    for key in (row.from..=row.to).rev() {
+    for key in (from..=to).rev() {
         sum += pots.loads.key(pots.service, key);
-        consider(key, row.to, sum);
+        consider(key, to, sum);
         if sum >= wanted {
             break;
         }
