route: give keys their first owners once the directory is calm

Cause: targets are listed one after the other, so the first table had few owners and the busy keys, which are close to one another, stayed with one target until traffic came; an overloaded target that had just received keys could give none away for 1.5 s. Change: the first table waits until the directory has not changed for 1 s and cuts the keys into up to 128 ranges; only a hot key rests after a move.

--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         directory::{Directory, Life, Target},
-        granter::Granter,
+        granter::{Granter, Held},
         owners::Row,
     },
     catkin::types::{Span, Time},
@@ -54,6 +54,17 @@
 /// Share of that use that the key may have at its next owner.
 const HOT_GAIN: f32 = 0.8;
 
+/// Time for which a hot key that moved stays where it is, so that the load
+/// that the move caused can be measured.
+const SETTLE: Span = Span::from_millis(1_500);
+
+/// Ranges into which all keys are cut when they get their first owners. Busy
+/// keys are close to one another, so each target gets several distant ranges.
+const ROWS_FIRST: usize = 128;
+
+/// Ranges of one target at that time.
+const STRIPES_MAX: usize = 8;
+
 /// Moves that one round starts.
 const MOVES_MAX: usize = 8;
 
@@ -163,7 +174,10 @@
         let mut used: Vec<(f32, &Pot)> = self.pots.iter().map(|p| (p.used(), p)).collect();
         let total: f32 = self.loads.rate(self.service, from, to);
         let all: f32 = total + self.pots.iter().map(|p| p.rate).sum::<f32>();
-        let fair = all / self.pots.len().max(1) as f32;
+        let targets = self.pots.len().max(1);
+        let is_first = total > all / 2.0;
+        let stripes = if is_first { (ROWS_FIRST / targets).clamp(1, STRIPES_MAX) } else { 1 };
+        let fair = all / (targets * stripes) as f32;
         let mut pieces = Vec::new();
         let (mut start, mut sum) = (from, 0.0);
         for key in from..=to {
@@ -201,19 +215,19 @@
         .filter(|t| t.is_open() && t.lapsed.is_none() && !granter.is_suspect(now, &t.entry.life))
         .collect();
     let mut pots = Pots::new(service, &open, loads);
-    let mut rows = granter.rows(now, service);
-    for (row, _) in &rows {
-        pots.add(row);
+    let mut rows = granter.rows(service);
+    for held in &rows {
+        pots.add(&held.row);
     }
     for pot in &mut pots.pots {
-        pot.movable = rows.iter().any(|(row, free)| *free && row.life() == pot.life);
+        pot.movable = rows.iter().any(|held| held.free && held.row.life() == pot.life);
     }
     for (pot, target) in pots.pots.iter_mut().zip(&open) {
         pot.warm = target.cold.since(now) <= COLD_LEFT_MAX;
     }
     let mut moves = Vec::new();
     while moves.len() < MOVES_MAX {
-        let Some(next) = best(&mut pots, &mut rows) else { break };
+        let Some(next) = best(now, &mut pots, &mut rows) else { break };
         moves.push(next);
     }
     moves
@@ -227,15 +241,15 @@
 }
 
 /// Returns the busiest key of a target if it has most of the target's load.
-fn hottest(pots: &Pots<'_>, rows: &[(Row, bool)], pot: &Pot) -> Option<Hot> {
-    let of_pot = rows.iter().filter(|(row, _)| row.life() == pot.life);
-    let keys = of_pot.flat_map(|(row, _)| row.from..=row.to);
+fn hottest(pots: &Pots<'_>, rows: &[Held], pot: &Pot) -> Option<Hot> {
+    let of_pot = rows.iter().filter(|held| held.row.life() == pot.life);
+    let keys = of_pot.flat_map(|held| held.row.from..=held.row.to);
     let hot = |key: u16| Hot { key, rate: pots.loads.key(pots.service, key) };
     let hottest = keys.map(hot).max_by(|a, b| a.rate.total_cmp(&b.rate))?;
     (hottest.rate > HOT_SHARE * pot.rate).then_some(hottest)
 }
 
-fn best(pots: &mut Pots<'_>, rows: &mut Vec<(Row, bool)>) -> Option<Move> {
+fn best(now: Time, pots: &mut Pots<'_>, rows: &mut Vec<Held>) -> Option<Move> {
     let mean = pots.pots.iter().map(Pot::used).sum::<f32>() / pots.pots.len().max(1) as f32;
     let by_use = |a: &usize, b: &usize| pots.pots[*a].used().total_cmp(&pots.pots[*b].used());
     let indexes = 0..pots.pots.len();
@@ -250,7 +264,9 @@
     let (i, from, to, rate, dest) = match hot {
         None => spread(pots, rows, high, low, None)?,
         // A key can't be cut, so the other keys of its owner go first.
-        Some(hot) => spread(pots, rows, high, low, Some(hot.key)).or_else(|| lift(pots, rows, high, hot))?,
+        Some(hot) => {
+            spread(pots, rows, high, low, Some(hot.key)).or_else(|| lift(now, pots, rows, high, hot))?
+        }
     };
     let life = pots.pots[dest].life.clone();
     pots.pots[high].rate -= rate;
@@ -259,7 +275,7 @@
     // What stays of the row can move in a later round.
     rows.swap_remove(i);
     let owner = pots.pots[high].life.clone();
-    pots.pots[high].movable = rows.iter().any(|(row, free)| *free && row.life() == owner);
+    pots.pots[high].movable = rows.iter().any(|held| held.free && held.row.life() == owner);
     Some(Move { from, to, dest: life })
 }
 
@@ -267,17 +283,17 @@
 type Part = (usize, u16, u16, f32, usize);
 
 /// Moves a part of the most loaded row to the least used target.
-fn spread(pots: &Pots<'_>, rows: &[(Row, bool)], high: usize, low: usize, hot: Option<u16>) -> Option<Part> {
+fn spread(pots: &Pots<'_>, rows: &[Held], high: usize, low: usize, hot: Option<u16>) -> Option<Part> {
     let (high_pot, low_pot) = (&pots.pots[high], &pots.pots[low]);
     let gap = high_pot.used() - low_pot.used();
     let room = (USE_GAIN * high_pot.used() - low_pot.used()) / low_pot.cost;
     let wanted = gap / (low_pot.cost + high_pot.cost);
     let mut best: Option<Part> = None;
-    for (i, (row, free)) in rows.iter().enumerate() {
-        if !*free || row.life() != high_pot.life {
+    for (i, held) in rows.iter().enumerate() {
+        if !held.free || held.row.life() != high_pot.life {
             continue;
         }
-        for (from, to) in around(row, hot) {
+        for (from, to) in around(&held.row, hot) {
             let Some((from, to, rate)) = piece(pots, from, to, wanted, room) else { continue };
             if best.is_none_or(|b| (rate - wanted).abs() < (b.3 - wanted).abs()) {
                 best = Some((i, from, to, rate, low));
@@ -288,7 +304,7 @@
 }
 
 /// Moves the busiest key to the target on which it uses least.
-fn lift(pots: &Pots<'_>, rows: &[(Row, bool)], high: usize, hot: Hot) -> Option<Part> {
+fn lift(now: Time, pots: &Pots<'_>, rows: &[Held], high: usize, hot: Hot) -> Option<Part> {
     let after = |i: &usize| pots.pots[*i].used() + hot.rate * pots.pots[*i].cost;
     let others = (0..pots.pots.len()).filter(|i| *i != high && pots.pots[*i].warm);
     let dest = others.min_by(|a, b| after(a).total_cmp(&after(b)))?;
@@ -296,7 +312,9 @@
     if used < HOT_USE_HIGH || after(&dest) > HOT_GAIN * used {
         return None;
     }
-    let i = rows.iter().position(|(row, free)| *free && row.from <= hot.key && hot.key <= row.to)?;
+    let settled = |held: &Held| held.moved.is_none_or(|at| now.since(at) >= SETTLE);
+    let has = |held: &Held| held.row.from <= hot.key && hot.key <= held.row.to;
+    let i = rows.iter().position(|held| held.free && settled(held) && has(held))?;
     Some((i, hot.key, hot.key, hot.rate, dest))
 }
 
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -49,9 +49,9 @@
 /// Time for which a target that failed a command gets no further keys.
 const SUSPECT_FOR: Span = Span::from_secs(3);
 
-/// Time for which keys that moved stay where they are, so that the load that
-/// the move caused can be measured.
-const SETTLE: Span = Span::from_millis(1_500);
+/// Time for which the directory must not change before keys get their first
+/// owners: targets that start together are listed one after the other.
+const CALM: Span = Span::from_millis(1_000);
 
 /// What a command asks of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -145,6 +145,17 @@
     moved: Option<Time>,
 }
 
+/// A range of keys and what may be done with it.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The range and its owner.
+    pub row: Row,
+    /// Whether it may be moved.
+    pub free: bool,
+    /// When it came to its owner by a move.
+    pub moved: Option<Time>,
+}
+
 /// The leader's view of all keys.
 #[derive(Debug)]
 pub struct Granter {
@@ -157,6 +168,8 @@
     tickets: u64,
     writing: bool,
     fenced: bool,
+    /// Last change of the directory.
+    changes: (u64, Time),
 }
 
 /// Returns the table that claims leadership at an offset: the same owners with
@@ -201,6 +214,7 @@
             tickets: 0,
             writing: false,
             fenced: false,
+            changes: (0, now),
         }
     }
 
@@ -229,12 +243,11 @@
         !self.services.is_empty() && self.services.values().flatten().all(held)
     }
 
-    /// Returns the rows of a service that may be moved, and all owners.
-    pub fn rows(&self, now: Time, service: &str) -> Vec<(Row, bool)> {
+    /// Returns the ranges of a service in the order of their keys.
+    pub fn rows(&self, service: &str) -> Vec<Held> {
         let slots = self.services.get(service).map_or(&[][..], |s| &s[..]);
-        let settled = |s: &Slot| s.moved.is_none_or(|at| now.since(at) >= SETTLE);
-        let free = |s: &Slot| s.phase == Phase::Held && s.granted && settled(s);
-        slots.iter().map(|s| (s.row.clone(), free(s))).collect()
+        let free = |s: &Slot| s.phase == Phase::Held && s.granted && s.busy.is_none();
+        slots.iter().map(|s| Held { row: s.row.clone(), free: free(s), moved: s.moved }).collect()
     }
 
     /// Returns whether a process failed a command a short time ago.
@@ -270,6 +283,9 @@
         for target in directory.all() {
             self.addrs.insert(target.entry.life.clone(), target.entry.addr);
         }
+        if self.changes.0 != directory.changes() {
+            self.changes = (directory.changes(), now);
+        }
         self.suspects.retain(|_, at| now.since(*at) < SUSPECT_FOR);
         if self.addrs.len() > 4 * directory.len() + 64 {
             self.addrs.retain(|life, _| directory.living(life).is_some());
@@ -406,7 +422,11 @@
         let names: Vec<Arc<str>> = self.services.keys().cloned().collect();
         for service in names {
             let mut slots = self.services.remove(&service).unwrap_or_default();
-            let open: Vec<&Target> = directory.of(&service).filter(|t| self.takes_keys(now, t)).collect();
+            let mut open: Vec<&Target> = directory.of(&service).filter(|t| self.takes_keys(now, t)).collect();
+            let is_first = slots.iter().all(|s| s.row.target.is_empty());
+            if is_first && now.since(self.changes.1) < CALM {
+                open.clear();
+            }
             changed |= reassign(now, &service, &mut slots, &open, loads, fence);
             self.services.insert(service, slots);
         }
