edge: ask the earlier leader to stop before keys of unreachable targets move

Change: it counts 10 s and a hold, the time after which a leader without the store gives up, unless the earlier leader answers that it stopped or another process runs in its place.

--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         follow::ANSWER_MAX,
+        link,
         node::{Node, sleep},
     },
     actix_http::ServiceConfig,
@@ -16,7 +17,7 @@
         balance::{self, Loads},
         directory::Life,
         granter::{self, Ask, Command, Granter, Outcome, Rules, Step},
-        owners::Owners,
+        owners::{Leader, Owners},
     },
     std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration},
     tokio::sync::mpsc,
@@ -42,7 +43,7 @@
 
 /// Time without the store after which a leader stops renewing. It covers the
 /// outages that the platform announces.
-const ALONE_MAX: Span = Span::from_secs(14);
+const ALONE_MAX: Span = Span::from_secs(10);
 
 /// Times of grants. A hold bridges the change of the leader; it also is the
 /// time for which a lost target's keys are away.
@@ -123,16 +124,24 @@
             && node.config.borrow().is_some()
             && node.listed.get()
         {
-            if let Some((table, offset)) = claim(&node).await {
-                lead(&node, &table, offset).await;
+            if let Some(claim) = claim(&node).await {
+                lead(&node, claim).await;
             }
         }
         sleep(ROUND).await;
     }
 }
 
+/// A claim that the store accepted.
+struct Claim {
+    table: Owners,
+    offset: u64,
+    /// The leader before, if it was another process.
+    earlier: Option<Leader>,
+}
+
 /// Claims leadership: writes the newest table once more with higher fences.
-async fn claim(node: &Node) -> Option<(Owners, u64)> {
+async fn claim(node: &Node) -> Option<Claim> {
     let newest = match node.store.newest(TOPIC, ANSWER_MAX.as_duration()).await {
         Ok(newest) => newest,
         Err(refusal) => {
@@ -149,7 +158,8 @@
         }
     };
     let table = granter::claim(&node.me, last.as_ref(), newest.end);
-    write(node, &table, newest.end).await.then_some((table, newest.end))
+    let earlier = last.map(|l| l.leader).filter(|l| *l != node.me);
+    write(node, &table, newest.end).await.then_some(Claim { table, offset: newest.end, earlier })
 }
 
 /// Writes a table after the record before `end`. Returns whether the store
@@ -181,11 +191,34 @@
 /// Connections for commands, by the process at their other end.
 type Conns = Rc<RefCell<HashMap<Life, Conn>>>;
 
+/// The task that asks the earlier leader to stop; it ends with the leadership.
+struct Asking(Option<actix_rt::task::JoinHandle<()>>);
+
+impl Drop for Asking {
+    fn drop(&mut self) {
+        if let Some(task) = &self.0 {
+            task.abort();
+        }
+    }
+}
+
 /// Grants, renews and moves keys until another process may lead.
-async fn lead(node: &Rc<Node>, claim: &Owners, offset: u64) {
+async fn lead(node: &Rc<Node>, claim: Claim) {
+    let Claim { table, offset, earlier } = claim;
     let mut now = node.now();
-    let mut granter = Granter::new(RULES, now, now, claim, offset);
-    node.adopt(offset, claim.clone());
+    // An earlier leader that is cut off from the store, but not from a target,
+    // goes on renewing there until it gives up by itself.
+    let fenced = if earlier.is_some() { now.after(ALONE_MAX) } else { now };
+    let mut granter = Granter::new(RULES, now, fenced, &table, offset);
+    node.adopt(offset, table);
+    let (stopped, mut stops) = mpsc::unbounded_channel();
+    let asking = earlier.map(|leader| {
+        actix_rt::spawn(async move {
+            link::stop(&leader).await;
+            let _ = stopped.send(());
+        })
+    });
+    let _asking = Asking(asking);
     let conns = Conns::default();
     let (sender, mut results) = mpsc::unbounded_channel();
     let mut balanced = now;
@@ -197,6 +230,10 @@
             log::info!(reason; "leading ended");
             return;
         }
+        if stops.try_recv().is_ok() {
+            log::info!("the earlier leader has stopped");
+            granter.settle(now.after(Span::from(GRANT_MAX)));
+        }
         if now.since(decayed) >= balance::DECAY {
             decayed = now;
             with_loads(|loads| {
--- a/crates/catkin-edge/src/link.rs
+++ b/crates/catkin-edge/src/link.rs
@@ -13,7 +13,7 @@
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
     catkin_net::tune,
-    catkin_route::owners::Owners,
+    catkin_route::owners::{Leader, Owners},
     serde::{Deserialize, Serialize},
     std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, sync::Arc},
     tokio::{
@@ -34,6 +34,15 @@
 /// Age of the last report above which a process is not counted.
 const PEER_MAX: Span = Span::from_secs(3);
 
+/// What a process says to the leader, or to the one before it.
+#[derive(Debug, Serialize, Deserialize)]
+enum Message {
+    /// Loads and what is known.
+    Report(Report),
+    /// Asks the process with an incarnation to stop leading.
+    Stop(u64),
+}
+
 /// What a process reports.
 #[derive(Debug, Serialize, Deserialize)]
 struct Report {
@@ -48,6 +57,10 @@
     times: Vec<(Arc<str>, f32)>,
 }
 
+/// Says that the asked process of this VM no longer leads.
+#[derive(Debug, Serialize, Deserialize)]
+struct Stopped;
+
 /// What the leader answers.
 #[derive(Debug, Serialize, Deserialize)]
 struct Notice {
@@ -179,10 +192,20 @@
             changed = targets.changed() => changed.map(|()| None).map_err(io::Error::other)?,
         };
         if let Some(message) = message {
-            let report: Report = postcard::from_bytes(&message).map_err(io::Error::other)?;
-            count = take(node, peers, &report);
-            sent = report.version;
-            next = report.next;
+            match postcard::from_bytes(&message).map_err(io::Error::other)? {
+                Message::Report(report) => {
+                    count = take(node, peers, &report);
+                    sent = report.version;
+                    next = report.next;
+                }
+                Message::Stop(incarnation) => {
+                    if incarnation == node.me.incarnation {
+                        log::info!("another process leads and asks this one to stop");
+                        node.seat.set(None);
+                    }
+                    return write(&mut writer, &Stopped).await;
+                }
+            }
         }
         // Only the leader's word counts; others end the link.
         if node.seat.get().is_none() {
@@ -271,8 +294,29 @@
                 if moved || node.now().since(heard) > SILENCE_MAX {
                     return Ok(());
                 }
-                write(&mut writer, &report_now(node)).await?;
+                write(&mut writer, &Message::Report(report_now(node))).await?;
             }
         }
     }
 }
+
+/// Asks an earlier leader to stop. Returns once it has, or once another
+/// process runs in its place.
+pub(crate) async fn stop(leader: &Leader) {
+    loop {
+        match tokio::time::timeout(SILENCE_MAX.as_duration(), stop_once(leader)).await {
+            Ok(Ok(())) => return,
+            Ok(Err(error)) => log::debug!(error:display; "earlier leader not reached"),
+            Err(_) => {}
+        }
+        sleep(REPORT_PAUSE).await;
+    }
+}
+
+async fn stop_once(leader: &Leader) -> io::Result<()> {
+    let stream = TcpStream::connect(leader.addr).await?;
+    tune(&stream);
+    let (reader, mut writer) = stream.into_split();
+    write(&mut writer, &Message::Stop(leader.incarnation)).await?;
+    Messages::new(reader).next().await.map(drop)
+}
