--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -324,7 +324,9 @@
             return Outcome::Unsent;
         }
     };
-    let Some(mut conn) = connect(conns, command, node.http.clone()).await else { return Outcome::Unsent };
+    let Some(mut conn) = connect(conns, command, node.http.clone()).await else {
+        return Outcome::Unsent;
+    };
     let exchange = conn.exchange(head, vec![body], false, |_| true);
     match tokio::time::timeout(within, exchange).await {
         Ok(Ok(reply)) => {
@@ -334,15 +336,18 @@
             grant::decode(&reply)
         }
         Ok(Err(broken)) if !broken.sent => Outcome::Unsent,
+        Ok(Err(_)) => Outcome::Cut,
         // The connection is closed with an unanswered command on it.
-        Ok(Err(_)) | Err(_) => Outcome::Unknown,
+        Err(_) => Outcome::Unknown,
     }
 }
 
+/// Returns the kept connection to a process, or a new one if none is kept.
 async fn connect(conns: &Conns, command: &Command, http: ServiceConfig) -> Option<Conn> {
     let kept = conns.borrow_mut().remove(&command.life);
-    match kept.filter(Conn::is_quiet) {
-        Some(conn) => Some(conn),
+    match kept {
+        // A connection that the target closed may mean that its process ended.
+        Some(conn) => conn.is_quiet().then_some(conn),
         None => Conn::open(command.addr, CONNECT_MAX, http).await.ok(),
     }
 }
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -61,10 +61,12 @@
     pub cold: Time,
     /// When this process was first seen.
     pub seen: Time,
+    /// When it last wrote its entry.
+    pub heard: Time,
 }
 
 /// All known targets.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Directory {
     targets: HashMap<Arc<str>, Target>,
     services: BTreeMap<Arc<str>, Vec<Arc<str>>>,
@@ -88,7 +90,7 @@
         self.changes += u64::from(new);
         let leaving = entry.draining.then(|| same.and_then(|t| t.leaving).unwrap_or(now));
         let seen = same.map_or(now, |t| t.seen);
-        let target = Target { cold: now.after(entry.cold), leaving, lapsed: None, seen, entry };
+        let target = Target { cold: now.after(entry.cold), leaving, lapsed: None, seen, heard: now, entry };
         self.insert(target);
         new
     }
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -16,11 +16,7 @@
         owners::{Leader, Owners, Row},
     },
     catkin::types::{Span, Time},
-    std::{
-        collections::{BTreeMap, HashMap},
-        net::SocketAddr,
-        sync::Arc,
-    },
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
 
 /// Times of grants.
@@ -93,9 +89,12 @@
     Done(Option<Arc<str>>),
     /// The target has seen a higher fence.
     Fenced,
-    /// The target did not get the command.
+    /// The target did not get the command; its process may have ended.
     Unsent,
-    /// The command may still be carried out.
+    /// The connection ended after the command was sent: the command may be
+    /// carried out, or the process has ended.
+    Cut,
+    /// No answer came in time; the command may still be carried out.
     Unknown,
     /// The target refused the command for another reason.
     Refused,
@@ -133,9 +132,12 @@
     phase: Phase,
     /// Latest time at which the owner may still hold the keys.
     until: Time,
-    /// Latest end of a grant that was never answered. It may be carried out
-    /// after a release.
+    /// Latest end of a grant of this leader that was never answered. It may be
+    /// carried out after a release.
     late: Time,
+    /// Latest end of what an earlier leader may have sent. The owner refuses it
+    /// once it has seen this leader's fence.
+    earlier: Time,
     next: Time,
     busy: Option<u64>,
     fails: u32,
@@ -143,6 +145,9 @@
     dest: Option<Life>,
     /// When the keys came to their owner by a move.
     moved: Option<Time>,
+    /// When a connection to the owner ended. Another process with the same id
+    /// may run there since, which must not get this fence.
+    doubt: Option<Time>,
 }
 
 /// A range of keys and what may be done with it.
@@ -157,14 +162,14 @@
 }
 
 /// The leader's view of all keys.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Granter {
     rules: Rules,
     me: Leader,
     end: u64,
     services: BTreeMap<Arc<str>, Vec<Slot>>,
-    addrs: HashMap<Life, SocketAddr>,
-    suspects: HashMap<Life, Time>,
+    addrs: BTreeMap<Life, SocketAddr>,
+    suspects: BTreeMap<Life, Time>,
     tickets: u64,
     writing: bool,
     fenced: bool,
@@ -191,13 +196,15 @@
             row: row.clone(),
             phase: Phase::Held,
             until,
-            late: until,
+            late: Time::default(),
+            earlier: until,
             next: now,
             busy: None,
             fails: 0,
             granted: false,
             dest: None,
             moved: None,
+            doubt: None,
         };
         let services = claim
             .services
@@ -209,8 +216,8 @@
             me: claim.leader.clone(),
             end: offset + 1,
             services,
-            addrs: HashMap::new(),
-            suspects: HashMap::new(),
+            addrs: BTreeMap::new(),
+            suspects: BTreeMap::new(),
             tickets: 0,
             writing: false,
             fenced: false,
@@ -224,7 +231,7 @@
         let until = self.rules.end(now);
         for slot in self.services.values_mut().flatten().filter(|s| !s.granted) {
             slot.until = slot.until.min(until);
-            slot.late = slot.late.min(until);
+            slot.earlier = slot.earlier.min(until);
             if let Phase::Waiting(free) = slot.phase {
                 slot.phase = Phase::Waiting(free.min(until));
             }
@@ -297,7 +304,7 @@
         let refuge = directory.of(service).filter(|t| self.takes_keys(now, t)).count();
         for slot in &mut slots {
             self.judge(now, slot, directory, refuge);
-            if let Some(command) = self.command(now, slot) {
+            if let Some(command) = self.command(now, slot, directory) {
                 steps.push(Step::Send(command));
             }
         }
@@ -324,9 +331,15 @@
         let known = directory.get(&slot.row.target);
         match known {
             Some(target) if target.entry.life.born != slot.row.born => {
-                // The process that held the keys has ended. Only a grant that
-                // it never answered may still be carried out, by its successor.
-                slot.phase = Phase::Waiting(slot.late.max(now));
+                // The process that held the keys has ended, and what it had
+                // not yet carried out with it.
+                slot.phase = Phase::Waiting(now);
+            }
+            // A new leader's fence is higher than what any process has seen.
+            Some(target) if slot.granted && slot.doubt.is_some_and(|at| target.heard <= at) => {
+                if now >= slot.until {
+                    slot.phase = Phase::Waiting(now);
+                }
             }
             _ if slot.fails >= FAILS_MAX => slot.phase = Phase::Waiting(slot.until),
             Some(target) if target.is_open() => {}
@@ -336,10 +349,17 @@
         }
     }
 
-    fn command(&mut self, now: Time, slot: &mut Slot) -> Option<Command> {
+    fn command(&mut self, now: Time, slot: &mut Slot, directory: &Directory) -> Option<Command> {
         if slot.busy.is_some() || now < slot.next {
             return None;
         }
+        if let (Some(at), true, Phase::Held) = (slot.doubt, slot.granted, &slot.phase) {
+            let heard = directory.living(&slot.row.life()).map(|t| t.heard);
+            if heard.is_none_or(|heard| heard <= at) {
+                return None;
+            }
+            slot.doubt = None;
+        }
         let ask = match slot.phase {
             Phase::Held => Ask::Grant { hold: self.rules.hold, handover: slot.row.handover.clone() },
             Phase::Leaving => Ask::Release,
@@ -366,29 +386,25 @@
         match (outcome, is_release) {
             (Outcome::Done(handover), true) => {
                 slot.row.handover = handover;
-                slot.phase = Phase::Waiting(slot.late.max(now));
+                slot.phase = Phase::Waiting(slot.late.max(slot.earlier).max(now));
             }
             (Outcome::Done(_), false) => {
-                if !slot.granted {
-                    // The target has seen this fence and refuses what an
-                    // earlier leader sent.
-                    slot.late = Time::default();
-                    slot.granted = true;
-                }
+                slot.earlier = Time::default();
+                slot.granted = true;
                 slot.until = end;
                 slot.fails = 0;
             }
             (Outcome::Fenced, _) => self.fenced = true,
-            (Outcome::Unsent | Outcome::Refused, _) => {
+            (outcome, _) => {
                 slot.fails += 1;
                 slot.next = now;
-                self.suspects.insert(slot.row.life(), now);
-            }
-            (Outcome::Unknown, _) => {
-                slot.fails += 1;
-                slot.next = now;
-                slot.until = end;
-                slot.late = end;
+                if matches!(outcome, Outcome::Unknown | Outcome::Cut) {
+                    slot.until = slot.until.max(end);
+                    slot.late = end;
+                }
+                if matches!(outcome, Outcome::Unsent | Outcome::Cut) {
+                    slot.doubt = Some(now);
+                }
                 self.suspects.insert(slot.row.life(), now);
             }
         }
@@ -461,12 +477,14 @@
         phase: Phase::Waiting(Time::default()),
         until: Time::default(),
         late: Time::default(),
+        earlier: Time::default(),
         next: Time::default(),
         busy: None,
         fails: 0,
         granted: false,
         dest: None,
         moved: None,
+        doubt: None,
     }
 }
 
@@ -548,6 +566,7 @@
                 last.row.handover = None;
                 last.until = last.until.max(slot.until);
                 last.late = last.late.max(slot.late);
+                last.earlier = last.earlier.max(slot.earlier);
                 last.moved = last.moved.max(slot.moved);
                 last.phase = Phase::Writing;
             }
