edge: carry larger fleets: few members, small reports, strong leaders

Change: reports name only targets that were measured; the leader, three processes that stand by and those without a leader are members, strong ones first; grants hold longer with more than 64 targets (the table of owners says how long); tables and reports come less often in a fleet of more than 16.

--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -37,7 +37,7 @@
 /// Age of the leader's last word above which a process reads the store itself.
 /// With a read it stays well within the bounds of 2 s for configurations and
 /// for targets that leave.
-const RELAY_MAX: Span = Span::from_millis(1_000);
+const RELAY_MAX: Span = Span::from_millis(1_400);
 
 /// Pause between two looks at the age of the leader's word.
 const RELAY_LOOK: Span = Span::from_millis(100);
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -38,6 +38,12 @@
 /// Silence after which the group drops a member: the platform's least.
 const SEAT_TTL: Span = Span::from_millis(1_000);
 
+/// Silence of the leader after which every strong process stands by.
+const ORPHAN: Span = Span::from_millis(1_500);
+
+/// The same for processes with little processor time or bandwidth.
+const ORPHAN_WEAK: Span = Span::from_millis(3_000);
+
 /// Pause between two joins; three fit into the time above.
 const JOIN_PAUSE: Span = Span::from_millis(300);
 
@@ -60,9 +66,13 @@
 /// Gap between two rounds above which the leader may have been replaced.
 const GAP_MAX: Span = Span::from_millis(700);
 
-/// Pause between two rounds of balancing.
+/// Pause between two rounds of balancing in a small fleet.
 const BALANCE: Span = Span::from_millis(200);
 
+/// Processes for which the pause above holds. A new table goes to all of them,
+/// so more processes get one less often.
+const BALANCE_PEERS: f64 = 16.0;
+
 /// Time for the answer to a grant.
 const GRANT_MAX: Duration = Duration::from_millis(500);
 
@@ -82,16 +92,44 @@
     LOADS.with_borrow_mut(f)
 }
 
+/// Returns the times of grants for the targets that have keys.
+fn rules(node: &Node) -> Rules {
+    let directory = node.directory.borrow();
+    let config = node.config.borrow();
+    let keyed = config.iter().flat_map(|config| config.keyed());
+    RULES.stretch(keyed.map(|service| directory.of(service).count()).sum())
+}
+
 fn member(node: &Node) -> Member {
     let name = format!("{}.{}", node.me.vm, node.me.incarnation);
     Member { group: GROUP, name: name.into(), topic: SEATS, ttl: SEAT_TTL }
 }
 
+/// Returns whether this process should be a member: the leader, those that it
+/// chose to stand by, and all that hear of no leader. Members that can't lead
+/// soon would only cost calls.
+fn wants_seat(node: &Node) -> bool {
+    let silence = node.now().since(node.linked.get().max(node.started));
+    let patience = if node.is_strong() { ORPHAN } else { ORPHAN_WEAK };
+    let is_new = node.linked.get() < node.started;
+    let orphan = silence > patience || is_new && node.is_strong();
+    node.seat.get().is_some() || node.standby.get() && silence < ORPHAN_WEAK || orphan
+}
+
 /// Stays a member of the group that elects the leader.
 pub(crate) async fn join(node: Rc<Node>) {
     let member = member(&node);
     let mut generation = 0;
+    let mut joined = false;
     while !node.is_leaving() {
+        if !wants_seat(&node) {
+            if std::mem::take(&mut joined) {
+                leave(node.clone()).await;
+            }
+            sleep(JOIN_PAUSE).await;
+            continue;
+        }
+        joined = true;
         match node.store.join(&member, generation, ANSWER_MAX.as_duration()).await {
             Ok(seat) => {
                 generation = seat.generation;
@@ -136,6 +174,8 @@
 struct Claim {
     table: Owners,
     offset: u64,
+    /// How long the earlier leader's grants hold.
+    hold: Span,
     /// The leader before, if it was another process.
     earlier: Option<Leader>,
 }
@@ -157,9 +197,10 @@
             None
         }
     };
-    let table = granter::claim(&node.me, last.as_ref(), newest.end);
+    let table = granter::claim(&node.me, rules(node).hold, last.as_ref(), newest.end);
+    let hold = last.as_ref().map_or(Span::ZERO, |l| l.hold);
     let earlier = last.map(|l| l.leader).filter(|l| *l != node.me);
-    write(node, &table, newest.end).await.then_some(Claim { table, offset: newest.end, earlier })
+    write(node, &table, newest.end).await.then_some(Claim { table, offset: newest.end, hold, earlier })
 }
 
 /// Writes a table after the record before `end`. Returns whether the store
@@ -204,12 +245,12 @@
 
 /// Grants, renews and moves keys until another process may lead.
 async fn lead(node: &Rc<Node>, claim: Claim) {
-    let Claim { table, offset, earlier } = claim;
+    let Claim { table, offset, hold, earlier } = claim;
     let mut now = node.now();
     // An earlier leader that is cut off from the store, but not from a target,
     // goes on renewing there until it gives up by itself.
     let fenced = if earlier.is_some() { now.after(ALONE_MAX) } else { now };
-    let mut granter = Granter::new(RULES, now, fenced, &table, offset);
+    let mut granter = Granter::new(rules(node), now, fenced, hold, &table, offset);
     node.adopt(offset, table);
     let (stopped, mut stops) = mpsc::unbounded_channel();
     let asking = earlier.map(|leader| {
@@ -264,7 +305,8 @@
                 }
             }
         }
-        if now.since(balanced) >= BALANCE {
+        let pause = BALANCE.scale((f64::from(node.peers.get()) / BALANCE_PEERS).max(1.0));
+        if now.since(balanced) >= pause {
             balanced = now;
             rebalance(node, &mut granter, &keyed, now);
         }
--- a/crates/catkin-edge/src/link.rs
+++ b/crates/catkin-edge/src/link.rs
@@ -15,7 +15,14 @@
     catkin_net::tune,
     catkin_route::owners::{Leader, Owners},
     serde::{Deserialize, Serialize},
-    std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, sync::Arc},
+    std::{
+        cell::RefCell,
+        collections::{BTreeMap, HashMap},
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream, tcp::OwnedWriteHalf},
@@ -25,6 +32,12 @@
 /// Pause between two reports.
 const REPORT_PAUSE: Span = Span::from_millis(250);
 
+/// The same pause in a fleet of many processes.
+const REPORT_PAUSE_MANY: Span = Span::from_millis(500);
+
+/// Processes from which on the longer pause holds.
+const MANY: u32 = 17;
+
 /// Silence after which a connection between edge processes is closed.
 const SILENCE_MAX: Span = Span::from_millis(1_500);
 
@@ -53,7 +66,9 @@
     next: [Option<u64>; 2],
     /// Requests by service and key since the last report.
     keys: Vec<(Arc<str>, Vec<(u16, u16)>)>,
-    /// Mean time of a request at each target, in seconds.
+    /// Whether the process can do the work of a leader well.
+    strong: bool,
+    /// Mean time of a request at each target that was measured, in seconds.
     times: Vec<(Arc<str>, f32)>,
 }
 
@@ -66,6 +81,8 @@
 struct Notice {
     /// Number of processes that report.
     peers: u32,
+    /// Whether the process should stand by to follow the leader.
+    standby: bool,
     /// A newer table and its version.
     table: Option<(u64, Owners)>,
     /// Changes of the configuration and of the directory.
@@ -94,7 +111,21 @@
     }
 }
 
-type Peers = Rc<RefCell<HashMap<Arc<str>, Time>>>;
+/// When each process reported last, and whether it is strong.
+type Peers = Rc<RefCell<BTreeMap<Arc<str>, (Time, bool)>>>;
+
+/// Processes that stand by to follow the leader.
+const STANDBYS: usize = 3;
+
+/// Returns whether a process should stand by: the first strong ones, or the
+/// first ones if too few are strong.
+fn stands_by(node: &Node, peers: &Peers, vm: &str) -> bool {
+    let peers = peers.borrow();
+    let others = || peers.iter().filter(|(other, _)| **other != node.me.vm);
+    let strong = others().filter(|(_, peer)| peer.1);
+    let weak = others().filter(|(_, peer)| !peer.1);
+    strong.chain(weak).take(STANDBYS).any(|(other, _)| **other == *vm)
+}
 
 async fn write<T: Serialize>(stream: &mut OwnedWriteHalf, message: &T) -> io::Result<()> {
     let body = postcard::to_stdvec(message).map_err(io::Error::other)?;
@@ -159,8 +190,8 @@
 fn take(node: &Node, peers: &Peers, report: &Report) -> u32 {
     let now = node.now();
     let mut peers = peers.borrow_mut();
-    peers.insert(report.vm.clone(), now);
-    peers.retain(|_, at| now.since(*at) < PEER_MAX);
+    peers.insert(report.vm.clone(), (now, report.strong));
+    peers.retain(|_, peer| now.since(peer.0) < PEER_MAX);
     lead::with_loads(|loads| {
         for (service, keys) in &report.keys {
             for (key, count) in keys {
@@ -182,6 +213,7 @@
     let mut configs = node.configs.reads();
     let mut targets = node.targets.reads();
     let mut count = 0;
+    let mut standby = false;
     let mut sent = None;
     let mut next: [Option<u64>; 2] = [None, None];
     loop {
@@ -191,10 +223,12 @@
             changed = configs.changed() => changed.map(|()| None).map_err(io::Error::other)?,
             changed = targets.changed() => changed.map(|()| None).map_err(io::Error::other)?,
         };
+        let asked = message.is_some();
         if let Some(message) = message {
             match postcard::from_bytes(&message).map_err(io::Error::other)? {
                 Message::Report(report) => {
                     count = take(node, peers, &report);
+                    standby = stands_by(node, peers, &report.vm);
                     sent = report.version;
                     next = report.next;
                 }
@@ -220,7 +254,11 @@
         for (next, changes) in next.iter_mut().zip(&changes) {
             *next = changes.as_ref().map(|c| c.to).or(*next);
         }
-        write(&mut writer, &Notice { peers: count, table, changes }).await?;
+        let news = changes.iter().flatten().any(|c| !c.records.is_empty());
+        // Nothing new waits for the next report, which tells of the age.
+        if asked || table.is_some() || news {
+            write(&mut writer, &Notice { peers: count, standby, table, changes }).await?;
+        }
     }
 }
 
@@ -229,13 +267,11 @@
     for ((service, key), count) in node.keys.take() {
         keys.entry(service).or_default().push((key, count));
     }
-    let loads = node.loads.borrow();
-    let directory = node.directory.borrow();
-    let time = |id: &Arc<str>| loads.time(id).map(|seconds| (id.clone(), seconds as f32));
-    let times = directory.all().filter_map(|t| time(&t.entry.life.id)).collect();
+    let times = node.loads.borrow_mut().take_times();
     let version = node.owned().map(|o| o.version);
     let next = [node.configs.next(), node.targets.next()];
-    Report { vm: node.me.vm.clone(), version, next, keys: keys.into_iter().collect(), times }
+    let strong = node.is_strong();
+    Report { vm: node.me.vm.clone(), version, next, strong, keys: keys.into_iter().collect(), times }
 }
 
 /// Reports to the leader and takes its tables.
@@ -255,6 +291,7 @@
 fn hear(node: &Node, notice: Notice, now: Time) {
     node.linked.set(now);
     node.peers.set(notice.peers.max(1));
+    node.standby.set(notice.standby);
     if let Some((version, table)) = notice.table {
         node.adopt(version, table);
     }
@@ -280,7 +317,8 @@
     tune(&stream);
     let (reader, mut writer) = stream.into_split();
     let mut messages = Messages::new(reader);
-    let mut pause = tokio::time::interval(REPORT_PAUSE.as_duration());
+    let pause = if node.peers.get() < MANY { REPORT_PAUSE } else { REPORT_PAUSE_MANY };
+    let mut pause = tokio::time::interval(pause.as_duration());
     let mut heard = node.now();
     loop {
         tokio::select! {
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -86,6 +86,10 @@
     pub(crate) open: Cell<u32>,
     /// Number of edge processes, as the leader counts them.
     pub(crate) peers: Cell<u32>,
+    /// When this process started.
+    pub(crate) started: Time,
+    /// Whether the leader chose this process to follow it.
+    pub(crate) standby: Cell<bool>,
     /// When the leader last answered a report.
     pub(crate) linked: Cell<Time>,
     /// When the group last confirmed this process as the leader.
@@ -94,6 +98,14 @@
     pub(crate) metrics: Metrics,
 }
 
+/// Share of a core of a process that may lead before others: renewals and
+/// reports of 80 processes and 350 targets take about 0.1.
+const STRONG_CORES: f64 = 0.2;
+
+/// Bandwidth of such a process, in Mbit/s. A new table for 80 processes has
+/// half a megabyte.
+const STRONG_BANDWIDTH: f64 = 50.0;
+
 /// Edge processes that are assumed before the leader has counted them.
 const PEERS_UNKNOWN: u32 = 12;
 
@@ -130,6 +142,8 @@
             stage: watch::Sender::new(Stage::Serving),
             open: Cell::new(0),
             peers: Cell::new(PEERS_UNKNOWN),
+            started: Boot.now(),
+            standby: Cell::new(false),
             linked: Cell::new(Time::default()),
             seat: Cell::new(None),
             metrics: Metrics::new(),
@@ -146,6 +160,11 @@
         self.owned.borrow().clone()
     }
 
+    /// Returns whether this process can do the work of a leader well.
+    pub(crate) fn is_strong(&self) -> bool {
+        self.set.cores >= STRONG_CORES && self.set.bandwidth >= STRONG_BANDWIDTH
+    }
+
     /// Takes a table of owners unless a newer one is known.
     pub(crate) fn adopt(&self, version: u64, table: Owners) {
         let newer = self.owned.borrow().as_ref().is_none_or(|o| o.version < version);
--- a/crates/catkin-edge/src/settings.rs
+++ b/crates/catkin-edge/src/settings.rs
@@ -28,6 +28,12 @@
     pub(crate) peers: SocketAddr,
     /// Address of the platform's store (HTTP).
     pub(crate) store: SocketAddr,
+    /// Share of a core that the process has.
+    #[serde(default = "one")]
+    pub(crate) cores: f64,
+    /// Bandwidth of the VM's link, in Mbit/s.
+    #[serde(default = "gigabit")]
+    pub(crate) bandwidth: f64,
     /// The platform's bounds, as `name=value`.
     #[serde(default)]
     pub(crate) bounds: Vec<String>,
@@ -36,6 +42,14 @@
     pub(crate) logs: Layout,
 }
 
+fn one() -> f64 {
+    1.0
+}
+
+fn gigabit() -> f64 {
+    1_000.0
+}
+
 impl settings::Settings for Settings {
     fn check(&self) -> Result<(), Error> {
         catkin_platform::bounds::decode(&self.bounds).map(drop).map_err(|e| e.with_path("bounds"))
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -32,7 +32,22 @@
     pub skew: f64,
 }
 
+/// Targets with keys whose renewals cost one leader little.
+const TARGETS_FEW: f64 = 64.0;
+
+/// Longest stretch of the times of grants.
+const STRETCH_MAX: f64 = 3.0;
+
 impl Rules {
+    /// Returns the times for a number of targets with keys. With more targets
+    /// each is renewed less often, so that the leader's work stays the same;
+    /// a lost target then has a smaller part of the keys.
+    #[must_use]
+    pub fn stretch(self, targets: usize) -> Self {
+        let factor = (targets as f64 / TARGETS_FEW).clamp(1.0, STRETCH_MAX);
+        Self { hold: self.hold.scale(factor), renew: self.renew.scale(factor), ..self }
+    }
+
     /// Returns when a grant that arrived at the latest now has run out.
     fn end(&self, now: Time) -> Time {
         now.after(self.hold.scale(self.skew)).after(self.margin)
@@ -165,6 +180,7 @@
 #[derive(Clone, Debug)]
 pub struct Granter {
     rules: Rules,
+    earlier: Rules,
     me: Leader,
     end: u64,
     services: BTreeMap<Arc<str>, Vec<Slot>>,
@@ -179,19 +195,20 @@
 
 /// Returns the table that claims leadership at an offset: the same owners with
 /// a higher fence.
-pub fn claim(me: &Leader, last: Option<&Owners>, end: u64) -> Owners {
+pub fn claim(me: &Leader, hold: Span, last: Option<&Owners>, end: u64) -> Owners {
     let mut services = last.map(|t| t.services.clone()).unwrap_or_default();
     for row in services.values_mut().flatten() {
         row.fence = end + 1;
     }
-    Owners { leader: me.clone(), services }
+    Owners { leader: me.clone(), hold, services }
 }
 
 impl Granter {
     /// Starts from the claim that the store accepted at an offset. The earlier
-    /// leader may have sent grants until `fence_time`.
-    pub fn new(rules: Rules, now: Time, fence_time: Time, claim: &Owners, offset: u64) -> Self {
-        let until = rules.end(fence_time.max(now));
+    /// leader may have sent grants for `hold` until `fence_time`.
+    pub fn new(rules: Rules, now: Time, fence_time: Time, hold: Span, claim: &Owners, offset: u64) -> Self {
+        let earlier = Rules { hold: hold.max(rules.hold), ..rules };
+        let until = earlier.end(fence_time.max(now));
         let slot = |row: &Row| Slot {
             row: row.clone(),
             phase: Phase::Held,
@@ -213,6 +230,7 @@
             .collect();
         Self {
             rules,
+            earlier,
             me: claim.leader.clone(),
             end: offset + 1,
             services,
@@ -228,7 +246,7 @@
     /// Lowers the bound on what an earlier leader may have sent, once that
     /// leader is known to have stopped.
     pub fn settle(&mut self, now: Time) {
-        let until = self.rules.end(now);
+        let until = self.earlier.end(now);
         for slot in self.services.values_mut().flatten().filter(|s| !s.granted) {
             slot.until = slot.until.min(until);
             slot.earlier = slot.earlier.min(until);
@@ -455,7 +473,10 @@
             slots.iter().map(|s| s.row.clone()).filter(|r| !r.target.is_empty()).collect()
         };
         let services = self.services.iter().map(|(name, slots)| (name.clone(), rows(slots))).collect();
-        steps.push(Step::Write { table: Owners { leader: self.me.clone(), services }, end: self.end });
+        steps.push(Step::Write {
+            table: Owners { leader: self.me.clone(), hold: self.rules.hold, services },
+            end: self.end,
+        });
     }
 
     /// Notes that the store accepted the table of the last write.
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -52,6 +52,8 @@
     reported: Time,
     /// Requests at the target with the last answer.
     fill: f64,
+    /// Whether the time was measured since the last report to the leader.
+    measured: bool,
     fails: f64,
     pause: Span,
     paused: Time,
@@ -67,6 +69,7 @@
             others: 0.0,
             reported: zero,
             fill: 0.0,
+            measured: false,
             fails: 0.0,
             pause: Span::ZERO,
             paused: zero,
@@ -190,6 +193,7 @@
                 let queue = seen.fill / slots.max(1.0);
                 let time = took.as_secs_f64() / queue.max(1.0);
                 seen.time += (time - seen.time) * TIME_WEIGHT;
+                seen.measured = true;
                 seen.pause = Span::ZERO;
             }
             End::Dropped => {}
@@ -211,9 +215,13 @@
         seen.reported = now;
     }
 
-    /// Returns the mean time of a target's requests, in seconds, if measured.
-    pub fn time(&self, id: &str) -> Option<f64> {
-        self.seen.get(id).map(|s| s.time)
+    /// Returns the mean times of requests, in seconds, of the targets that were
+    /// measured since the last call.
+    pub fn take_times(&mut self) -> Vec<(Arc<str>, f32)> {
+        let time = |(id, seen): (&Arc<str>, &mut Seen)| {
+            std::mem::take(&mut seen.measured).then(|| (id.clone(), seen.time as f32))
+        };
+        self.seen.iter_mut().filter_map(time).collect()
     }
 
     /// Forgets targets that are gone and have no request.
--- a/crates/catkin-route/src/owners.rs
+++ b/crates/catkin-route/src/owners.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::directory::Life,
-    catkin::{Code, Error},
+    catkin::{Code, Error, types::Span},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
@@ -48,6 +48,8 @@
 pub struct Owners {
     /// The process that wrote the table.
     pub leader: Leader,
+    /// How long its grants hold.
+    pub hold: Span,
     /// Rows of each service in the order of their keys, without gaps.
     pub services: BTreeMap<Arc<str>, Vec<Row>>,
 }
--- a/crates/catkin-route/tests/common/mod.rs
+++ b/crates/catkin-route/tests/common/mod.rs
@@ -68,8 +68,8 @@
         for id in ids {
             directory.put(at(0), entry(id, 1));
         }
-        let claim = granter::claim(&leader("a"), None, 0);
-        let granter = Granter::new(RULES, at(0), at(0), &claim, 0);
+        let claim = granter::claim(&leader("a"), RULES.hold, None, 0);
+        let granter = Granter::new(RULES, at(0), at(0), RULES.hold, &claim, 0);
         Self { granter, directory, loads: Loads::default(), now: 0, end: 1, table: Some(claim) }
     }
 
--- a/crates/catkin-route/tests/explore.rs
+++ b/crates/catkin-route/tests/explore.rs
@@ -121,13 +121,14 @@
 impl World {
     fn new() -> Self {
         let row = Row { from: 0, to: 0, target: "a".into(), born: 1, fence: 1, handover: None };
-        let table = Owners { leader: leader("x"), services: [(SERVICE.into(), vec![row])].into() };
-        let claim = granter::claim(&leader("x"), Some(&table), 1);
+        let table =
+            Owners { leader: leader("x"), hold: RULES.hold, services: [(SERVICE.into(), vec![row])].into() };
+        let claim = granter::claim(&leader("x"), RULES.hold, Some(&table), 1);
         let server = Server { born: 1, conns: [1, 1], ..Server::default() };
         Self {
             now: 0,
             end: 2,
-            first: Some(Granter::new(RULES, at(0), at(0), &claim, 1)),
+            first: Some(Granter::new(RULES, at(0), at(0), RULES.hold, &claim, 1)),
             second: None,
             table: claim,
             servers: [server.clone(), server],
@@ -264,9 +265,10 @@
             }
             Event::Drain => self.draining = true,
             Event::Claim => {
-                let claim = granter::claim(&leader("y"), Some(&self.table), self.end);
+                let claim = granter::claim(&leader("y"), RULES.hold, Some(&self.table), self.end);
                 let wait = if without.wait { 0 } else { ALONE };
-                let second = Granter::new(RULES, at(self.now), at(self.now + wait), &claim, self.end);
+                let second =
+                    Granter::new(RULES, at(self.now), at(self.now + wait), RULES.hold, &claim, self.end);
                 (self.end, self.table, self.claimed) = (self.end + 1, claim, Some(self.now));
                 self.known = self.servers[0].born;
                 self.second = Some(second);
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -155,7 +155,7 @@
 fn claim_keeps_owners_with_higher_fence() {
     let lead = settled(&["a", "b"]);
     let last = lead.table.unwrap();
-    let next = granter::claim(&leader("b"), Some(&last), lead.end);
+    let next = granter::claim(&leader("b"), RULES.hold, Some(&last), lead.end);
     for (old, new) in last.services["s"].iter().zip(&next.services["s"]) {
         assert_eq!((old.from, old.to, &old.target), (new.from, new.to, &new.target));
         assert!(new.fence > old.fence);
@@ -177,9 +177,9 @@
 fn unreachable_target_waits_for_earlier_leader() {
     let lead = settled(&["a", "b"]);
     let (now, end) = (lead.now, lead.end);
-    let claim = granter::claim(&leader("b"), lead.table.as_ref(), end);
+    let claim = granter::claim(&leader("b"), RULES.hold, lead.table.as_ref(), end);
     for settle in [false, true] {
-        let granter = Granter::new(RULES, at(now), at(now + 10_000), &claim, end);
+        let granter = Granter::new(RULES, at(now), at(now + 10_000), RULES.hold, &claim, end);
         let mut next = Lead {
             granter,
             directory: Default::default(),
