--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -12,7 +12,7 @@
     },
     std::{
         cell::{Cell, RefCell},
-        fs,
+        fs, io,
         net::{SocketAddr, TcpListener},
         path::PathBuf,
         process::{Child, Command, Stdio},
@@ -20,6 +20,7 @@
         sync::atomic::{AtomicU16, Ordering},
         time::{Duration, Instant},
     },
+    tokio::net::TcpStream,
 };
 
 /// First port of the tests, below those that the system gives out.
@@ -64,8 +65,11 @@
         edge
     }
 
-    /// Starts the process again.
+    /// Starts the process again if it has ended.
     pub(crate) fn restart(&self) {
+        if !self.has_ended() {
+            return;
+        }
         let child = Command::new(env!("CARGO_BIN_EXE_catkin-edge"))
             .arg("--settings")
             .arg(&self.file)
@@ -76,8 +80,11 @@
         *self.child.borrow_mut() = Some(child);
     }
 
-    /// Sends a signal to the process.
+    /// Sends a signal to the process if it runs.
     pub(crate) fn signal(&self, signal: Signal) {
+        if self.has_ended() {
+            return;
+        }
         if let Some(child) = &*self.child.borrow() {
             let pid = Pid::from_raw(i32::try_from(child.id()).unwrap());
             kill(pid, signal).unwrap();
@@ -117,10 +124,11 @@
 /// A store, servers and edge processes.
 pub(crate) struct Fleet {
     pub(crate) store: Store,
-    pub(crate) store_addr: SocketAddr,
     pub(crate) servers: Vec<Server>,
     pub(crate) edges: Vec<Edge>,
     pub(crate) ledger: Ledger,
+    /// Between each edge process and the store.
+    pub(crate) links: Vec<Proxy>,
     next: Rc<Cell<u64>>,
 }
 
@@ -155,8 +163,13 @@
             server.start().await;
             servers.push(server);
         }
-        let edges = (0..edges).map(|i| Edge::start(&format!("edge-{i}"), store_addr)).collect();
-        let fleet = Self { store, store_addr, servers, edges, ledger, next: Rc::default() };
+        let mut fleet =
+            Self { store, servers, edges: Vec::new(), ledger, links: Vec::new(), next: Rc::default() };
+        for i in 0..edges {
+            let link = Proxy::start(store_addr).await;
+            fleet.edges.push(Edge::start(&format!("edge-{i}"), link.addr));
+            fleet.links.push(link);
+        }
         fleet.wait_until_served(Duration::from_secs(15)).await;
         fleet
     }
@@ -193,7 +206,7 @@
     }
 
     /// Notes refusals, and successes that are another request's.
-    fn judge(&self, id: &str, got: Option<Got>, once: bool) -> Option<Got> {
+    pub(crate) fn judge(&self, id: &str, got: Option<Got>, once: bool) -> Option<Got> {
         if let Some(got) = &got {
             if matches!(got.status, 408 | 421 | 429 | 503) {
                 self.ledger.refused(id, once);
@@ -258,3 +271,101 @@
         closes: !reply.reusable,
     })
 }
+
+/// How a proxy treats bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Link {
+    /// It passes them on.
+    #[default]
+    Whole,
+    /// It passes them on after 150 ms.
+    Slow,
+    /// It passes requests on and no answer.
+    OneWay,
+    /// It passes nothing on.
+    Silent,
+    /// It resets connections.
+    Reset,
+}
+
+/// A proxy on loopback that harms what goes through it.
+#[derive(Clone)]
+pub(crate) struct Proxy {
+    link: Rc<Cell<Link>>,
+    pub(crate) addr: SocketAddr,
+}
+
+impl Proxy {
+    /// Starts a proxy in front of an address.
+    pub(crate) async fn start(to: SocketAddr) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let proxy = Self { link: Rc::default(), addr: listener.local_addr().unwrap() };
+        let link = proxy.link.clone();
+        actix_rt::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let link = link.clone();
+                actix_rt::spawn(async move {
+                    let Ok(far) = TcpStream::connect(to).await else { return };
+                    let (near, far) = (Rc::new(near), Rc::new(far));
+                    let there = pump(near.clone(), far.clone(), link.clone(), false);
+                    let back = pump(far, near.clone(), link, true);
+                    tokio::select! {
+                        () = there => {}
+                        () = back => {}
+                    }
+                });
+            }
+        });
+        proxy
+    }
+
+    /// Changes how bytes are treated.
+    pub(crate) fn set(&self, link: Link) {
+        self.link.set(link);
+    }
+}
+
+/// Copies bytes one way until an end, or until the link resets connections.
+async fn pump(from: Rc<TcpStream>, to: Rc<TcpStream>, link: Rc<Cell<Link>>, is_answer: bool) {
+    let mut buffer = vec![0; 16 << 10];
+    loop {
+        let ready = tokio::time::timeout(Duration::from_millis(100), from.readable()).await;
+        match link.get() {
+            Link::Reset => {
+                let _ = from.set_zero_linger();
+                let _ = to.set_zero_linger();
+                return;
+            }
+            Link::Silent => {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+            Link::OneWay if is_answer => {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+            Link::Slow => tokio::time::sleep(Duration::from_millis(150)).await,
+            Link::OneWay | Link::Whole => {}
+        }
+        if ready.is_err() {
+            continue;
+        }
+        let count = match from.try_read(&mut buffer) {
+            Ok(0) => return,
+            Ok(count) => count,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+            Err(_) => return,
+        };
+        let mut rest = &buffer[..count];
+        while !rest.is_empty() {
+            if to.writable().await.is_err() {
+                return;
+            }
+            match to.try_write(rest) {
+                Ok(count) => rest = &rest[count..],
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+}
