route: give a grace only to entries that vanish together

A process whose reads had been silent for 2 s took the next removed entry for one that lapsed, and kept sending for 2.2 s. Change: the grace needs the removal of 40% of the entries at once. Test seen failing (as lapsed_entries_have_grace with one entry): few_removed_entries_have_no_grace.

--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -45,9 +45,6 @@
 /// Pause between two reads of the owners while the leader sends none.
 const OWNERS_PAUSE: Span = Span::from_millis(700);
 
-/// Silence of the store after which its return starts a grace for entries.
-const OUTAGE_MIN: Span = Span::from_millis(2_000);
-
 /// Applies one record. Returns whether it changed anything.
 type Apply = fn(&Node, Time, &[u8], &[u8]) -> bool;
 
@@ -86,7 +83,7 @@
 
 /// Applies changes that the leader passed on.
 pub(crate) fn relay_targets(node: &Node, batch: &Batch, at: Time) {
-    note_return(node, at);
+    note_lapse(node, batch.changes.iter().filter(|c| c.2.is_empty()).count());
     relay(node, &node.targets, batch, at, apply_target);
     node.room.notify_waiters();
 }
@@ -109,8 +106,8 @@
 struct Reader<'a> {
     node: &'a Node,
     feed: &'a Feed,
-    /// Runs before records are applied, with the time of the read.
-    before: fn(&Node, Time),
+    /// Runs before records are applied, with the number of removed keys.
+    before: fn(&Node, usize),
     apply: Apply,
     failing: bool,
 }
@@ -133,7 +130,6 @@
         let sent = node.now();
         let Some(from) = feed.next() else {
             let newest = node.store.newest(feed.topic, within).await?;
-            (self.before)(node, sent);
             let kept = newest.items.iter().filter(|r| !r.value.is_empty());
             let keys = kept.clone().map(|r| r.key.clone()).collect();
             for record in kept {
@@ -147,10 +143,12 @@
             // The leader passed changes on meanwhile.
             return Ok(None);
         }
-        (self.before)(node, sent);
         let to = from + batch.records.len() as u64;
-        for (offset, record) in (from..).zip(batch.records) {
-            let Some(Keyed { key, value }) = keyed(record, feed.topic) else { continue };
+        let decoded = batch.records.into_iter().map(|record| keyed(record, feed.topic));
+        let records: Vec<Option<Keyed>> = decoded.collect();
+        (self.before)(node, records.iter().flatten().filter(|r| r.value.is_empty()).count());
+        for (offset, record) in (from..).zip(records) {
+            let Some(Keyed { key, value }) = record else { continue };
             if (self.apply)(node, node.now(), &key, &value) {
                 feed.keep((offset, key, value));
             }
@@ -204,19 +202,18 @@
     }
 }
 
-/// Starts the grace for entries if the store was silent for long.
-fn note_return(node: &Node, at: Time) {
-    let last = node.targets.fresh();
-    if node.targets.next().is_some() && at.since(last) > OUTAGE_MIN {
-        log::info!(silence_ms = at.since(last).as_millis(); "directory regained");
-        node.directory.borrow_mut().returned(node.now());
+/// Starts the grace for entries that lapsed while the store was away, if so
+/// many are removed.
+fn note_lapse(node: &Node, gone: usize) {
+    if node.directory.borrow_mut().lapse(node.now(), gone) {
+        log::info!(gone; "entries lapsed; their targets have time to write them again");
     }
 }
 
 /// Keeps the directory of targets.
 pub(crate) async fn targets(node: Rc<Node>) {
     let mut reader =
-        Reader { node: &node, feed: &node.targets, before: note_return, apply: apply_target, failing: false };
+        Reader { node: &node, feed: &node.targets, before: note_lapse, apply: apply_target, failing: false };
     loop {
         if is_relayed(&node, &node.targets) {
             sleep(RELAY_LOOK).await;
@@ -225,6 +222,8 @@
         let keys = reader.next(Span::ZERO).await;
         if let Some(keys) = keys {
             let known = |id: &str| keys.contains(id.as_bytes());
+            let gone = node.directory.borrow().all().filter(|t| !known(&t.entry.life.id)).count();
+            note_lapse(&node, gone);
             node.directory.borrow_mut().retain(node.now(), known);
         }
         node.listed.set(true);
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -18,6 +18,13 @@
 /// lapsed during the outage come back.
 const RETURN_GRACE: Span = Span::from_millis(2_200);
 
+/// Share of all entries whose removal at once means that they lapsed. Planned
+/// work takes fewer away at a time.
+const LAPSE_SHARE: f64 = 0.4;
+
+/// Least number of such entries.
+const LAPSE_MIN: usize = 3;
+
 /// One process of a target. A restarted target has the same id and a later
 /// start.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -75,9 +82,15 @@
 }
 
 impl Directory {
-    /// Notes that the store answered again after an outage.
-    pub fn returned(&mut self, now: Time) {
-        self.grace = now.after(RETURN_GRACE);
+    /// Takes the number of entries that are about to be removed at once. So
+    /// many never leave together: they lapsed while the store was away, and
+    /// targets that live write them again. Returns whether that is so.
+    pub fn lapse(&mut self, now: Time, gone: usize) -> bool {
+        let many = gone as f64 >= LAPSE_SHARE * self.targets.len() as f64 && gone >= LAPSE_MIN;
+        if many {
+            self.grace = now.after(RETURN_GRACE);
+        }
+        many
     }
 
     /// Puts a new or changed entry in. Returns whether it says something new;
--- a/crates/catkin-route/tests/directory.rs
+++ b/crates/catkin-route/tests/directory.rs
@@ -31,16 +31,24 @@
     assert_eq!(directory.get("a").unwrap().leaving, Some(at(1_000)));
 }
 
+/// Starts with four targets.
+fn four() -> Directory {
+    let mut directory = Directory::default();
+    for id in ["a", "b", "c", "d"] {
+        directory.put(at(0), entry(id, 1));
+    }
+    directory
+}
+
 /// Entries that lapsed while the store was away count as present until the
 /// targets had time to write them again; those that stay away are gone.
 #[test]
 fn lapsed_entries_have_grace() {
-    let mut directory = Directory::default();
-    directory.put(at(0), entry("a", 1));
-    directory.put(at(0), entry("b", 1));
-    directory.returned(at(10_000));
-    directory.remove(at(10_100), "a");
-    directory.remove(at(10_100), "b");
+    let mut directory = four();
+    assert!(directory.lapse(at(10_000), 4));
+    for id in ["a", "b", "c", "d"] {
+        directory.remove(at(10_100), id);
+    }
     assert!(directory.get("a").is_some());
     directory.put(at(11_000), entry("b", 1));
     directory.tick(at(12_300));
@@ -48,6 +56,16 @@
     assert!(directory.get("b").unwrap().lapsed.is_none());
 }
 
+/// A process that was cut off from the store for a while took entries of
+/// targets that had left for lapsed ones, and went on sending to them.
+#[test]
+fn few_removed_entries_have_no_grace() {
+    let mut directory = four();
+    assert!(!directory.lapse(at(10_000), 1));
+    directory.remove(at(10_000), "a");
+    assert!(directory.get("a").is_none());
+}
+
 /// Without an outage an entry that is removed is gone at once.
 #[test]
 fn removed_entry_is_gone() {
@@ -60,9 +78,9 @@
 /// A target that announced its leaving before an outage gets no grace.
 #[test]
 fn leaving_target_has_no_grace() {
-    let mut directory = Directory::default();
+    let mut directory = four();
     directory.put(at(0), Entry { draining: true, ..entry("a", 1) });
-    directory.returned(at(10_000));
+    directory.lapse(at(10_000), 4);
     directory.remove(at(10_100), "a");
     assert!(directory.get("a").is_none());
 }
