edge: a leader that reaches the store stays

Change: the holder of the first partition claims only when the leader has not reached the store for 1.6 s (the leader tells with each notice), when nothing runs at its address, or when no table names one.

--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -184,8 +184,7 @@
 
 /// Returns whether the leader's word on a topic suffices.
 fn is_relayed(node: &Node, feed: &Feed) -> bool {
-    let leads = node.seat.get().is_some();
-    !leads && feed.next().is_some() && node.now().since(feed.fresh()) < RELAY_MAX
+    !node.leads.get() && feed.next().is_some() && node.now().since(feed.fresh()) < RELAY_MAX
 }
 
 /// Keeps the newest configuration in force.
@@ -197,7 +196,7 @@
             sleep(RELAY_LOOK).await;
             continue;
         }
-        let wait = if node.seat.get().is_some() { CONFIG_WAIT } else { Span::ZERO };
+        let wait = if node.leads.get() { CONFIG_WAIT } else { Span::ZERO };
         reader.next(wait).await;
     }
 }
@@ -235,7 +234,7 @@
 /// Reads the owners from the store while the leader sends none.
 pub(crate) async fn owners(node: Rc<Node>) {
     loop {
-        if node.now().since(node.linked.get()) > RELAY_MAX && node.seat.get().is_none() {
+        if node.now().since(node.linked.get()) > RELAY_MAX && !node.leads.get() {
             match node.store.newest(lead::TOPIC, ANSWER_MAX.as_duration()).await {
                 Ok(newest) => adopt(&node, &newest.items, newest.end),
                 Err(refusal) => log::debug!(refusal:display; "owners not read"),
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -29,7 +29,7 @@
 /// Key of the table in its topic.
 pub(crate) const KEY: &[u8] = b"table";
 
-/// Group whose first partition makes its holder the leader.
+/// Group whose first partition makes its holder the next leader.
 const GROUP: &str = "edge";
 
 /// Topic whose partitions the group shares out. It holds no records.
@@ -44,6 +44,10 @@
 /// The same for processes with little processor time or bandwidth.
 const ORPHAN_WEAK: Span = Span::from_millis(3_000);
 
+/// Time since the leader last reached the store after which the next process
+/// claims. Holds bridge it: they are renewed four times as often as they end.
+const SUCCEED: Span = Span::from_millis(1_600);
+
 /// Pause between two joins; three fit into the time above.
 const JOIN_PAUSE: Span = Span::from_millis(300);
 
@@ -113,10 +117,10 @@
     let patience = if node.is_strong() { ORPHAN } else { ORPHAN_WEAK };
     let is_new = node.linked.get() < node.started;
     let orphan = silence > patience || is_new && node.is_strong();
-    node.seat.get().is_some() || node.standby.get() && silence < ORPHAN_WEAK || orphan
+    node.leads.get() || node.standby.get() && silence < ORPHAN_WEAK || orphan
 }
 
-/// Stays a member of the group that elects the leader.
+/// Stays a member of the group that names the next leader.
 pub(crate) async fn join(node: Rc<Node>) {
     let member = member(&node);
     let mut generation = 0;
@@ -133,37 +137,52 @@
         match node.store.join(&member, generation, ANSWER_MAX.as_duration()).await {
             Ok(seat) => {
                 generation = seat.generation;
-                let now = node.now();
-                let holds = seat.holds(0);
-                if holds != node.seat.get().is_some() {
-                    log::info!(generation, holds; "leadership of the group changed");
-                }
-                node.seat.set(holds.then_some(now));
+                node.seat.set(Some(node.now()));
+                node.first.set(seat.holds(0));
             }
-            Err(Refusal::Fenced) => node.seat.set(None),
+            Err(Refusal::Fenced) => node.first.set(false),
             Err(refusal) => log::debug!(refusal:display; "group not joined"),
         }
         sleep(JOIN_PAUSE).await;
     }
 }
 
-/// Leaves the group, so that another process leads at once.
+/// Leaves the group, so that another process is named at once.
 pub(crate) async fn leave(node: Rc<Node>) {
+    node.seat.set(None);
+    node.first.set(false);
     if let Err(refusal) = node.store.leave(&member(&node), ANSWER_MAX.as_duration()).await {
         log::info!(refusal:display; "group not left; its time-out will do it");
     }
 }
 
-/// Leads while the group says so.
+/// Returns whether this process should claim leadership. The group moves its
+/// partitions with every change of members; a leader that reaches the store
+/// stays all the same, since each change costs renewals of all keys.
+fn may_claim(node: &Node) -> bool {
+    let now = node.now();
+    let knows = node.config.borrow().is_some() && node.listed.get();
+    let member = node.seat.get().is_some_and(|at| now.since(at) < SEAT_TTL);
+    if node.is_leaving() || !knows || !member {
+        return false;
+    }
+    match node.owned() {
+        Some(owned) if owned.table.leader == node.me => true,
+        // The process before this one on the same VM has ended.
+        Some(owned) if owned.table.leader.vm == node.me.vm => node.first.get(),
+        Some(_) => node.first.get() && now.since(node.alive.get()) > SUCCEED,
+        None => node.first.get(),
+    }
+}
+
+/// Leads from time to time.
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
-        if node.seat.get().is_some()
-            && !node.is_leaving()
-            && node.config.borrow().is_some()
-            && node.listed.get()
-        {
+        if may_claim(&node) {
             if let Some(claim) = claim(&node).await {
+                node.leads.set(true);
                 lead(&node, claim).await;
+                node.leads.set(false);
             }
         }
         sleep(ROUND).await;
@@ -197,6 +216,15 @@
             None
         }
     };
+    let known = node.owned().map(|o| o.table.leader.clone());
+    if let Some(last) =
+        last.as_ref().filter(|l| l.leader.vm != node.me.vm && Some(&l.leader) != known.as_ref())
+    {
+        // Another process leads since; whether it lives is to be seen.
+        node.alive.set(node.now());
+        node.adopt(newest.end.saturating_sub(1), last.clone());
+        return None;
+    }
     let table = granter::claim(&node.me, rules(node).hold, last.as_ref(), newest.end);
     let hold = last.as_ref().map_or(Span::ZERO, |l| l.hold);
     let earlier = last.map(|l| l.leader).filter(|l| *l != node.me);
@@ -322,7 +350,7 @@
 
 fn ends(node: &Node, granter: &Granter, last: Time, now: Time) -> Option<&'static str> {
     match node.seat.get() {
-        None => Some("another process leads"),
+        None => Some("the group was left, or another process leads"),
         Some(_) if node.is_leaving() => Some("stopping"),
         Some(_) if granter.is_fenced() => Some("a target has seen a higher fence"),
         Some(at) if now.since(at) > ALONE_MAX => Some("the store is away for too long"),
@@ -331,6 +359,7 @@
             node.seat.set(None);
             Some("this process stood still")
         }
+        Some(_) if node.owned().is_some_and(|o| o.table.leader != node.me) => Some("another process leads"),
         Some(_) => None,
     }
 }
--- a/crates/catkin-edge/src/link.rs
+++ b/crates/catkin-edge/src/link.rs
@@ -83,6 +83,8 @@
     peers: u32,
     /// Whether the process should stand by to follow the leader.
     standby: bool,
+    /// Microseconds since the leader last reached the store.
+    alone: u64,
     /// A newer table and its version.
     table: Option<(u64, Owners)>,
     /// Changes of the configuration and of the directory.
@@ -242,7 +244,7 @@
             }
         }
         // Only the leader's word counts; others end the link.
-        if node.seat.get().is_none() {
+        if !node.leads.get() {
             return Ok(());
         }
         let newer = node.owned().filter(|o| sent.is_none_or(|sent| sent < o.version));
@@ -254,10 +256,11 @@
         for (next, changes) in next.iter_mut().zip(&changes) {
             *next = changes.as_ref().map(|c| c.to).or(*next);
         }
+        let alone = node.seat.get().map_or(u64::MAX, |at| now.since(at).as_micros());
         let news = changes.iter().flatten().any(|c| !c.records.is_empty());
         // Nothing new waits for the next report, which tells of the age.
         if asked || table.is_some() || news {
-            write(&mut writer, &Notice { peers: count, standby, table, changes }).await?;
+            write(&mut writer, &Notice { peers: count, standby, alone, table, changes }).await?;
         }
     }
 }
@@ -281,6 +284,10 @@
         if let Some(addr) = leader {
             if let Err(error) = link(&node, addr).await {
                 log::debug!(leader:display = addr, error:display; "link to the leader ended");
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    // Nothing runs there, so the next leader need not wait.
+                    node.alive.set(Time::default());
+                }
             }
         }
         sleep(REPORT_PAUSE).await;
@@ -296,9 +303,10 @@
         node.adopt(version, table);
     }
     // The leader reports to itself as well; its own changes are no news to it.
-    if node.seat.get().is_some() {
+    if node.leads.get() {
         return;
     }
+    node.alive.set(node.alive.get().max(now.before(Span::from_micros(notice.alone))));
     let at = |c: &Changes| now.before(Span::from_micros(c.age));
     let [configs, targets] = notice.changes;
     if let Some(changes) = configs {
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -92,8 +92,15 @@
     pub(crate) standby: Cell<bool>,
     /// When the leader last answered a report.
     pub(crate) linked: Cell<Time>,
-    /// When the group last confirmed this process as the leader.
+    /// When the group last confirmed this process as a member.
     pub(crate) seat: Cell<Option<Time>>,
+    /// Whether the group makes this process the first to follow a leader that
+    /// is gone.
+    pub(crate) first: Cell<bool>,
+    /// Whether this process leads.
+    pub(crate) leads: Cell<bool>,
+    /// When the leader was last known to reach the store.
+    pub(crate) alive: Cell<Time>,
     /// Counters.
     pub(crate) metrics: Metrics,
 }
@@ -146,6 +153,9 @@
             standby: Cell::new(false),
             linked: Cell::new(Time::default()),
             seat: Cell::new(None),
+            first: Cell::new(false),
+            leads: Cell::new(false),
+            alive: Cell::new(Boot.now()),
             metrics: Metrics::new(),
         }
     }
