--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -19,6 +19,7 @@
 //! | `link` | reports to the leader; tables and changes from it |
 //! | `admin` | readiness and metrics |
 //! | `stop` | signals and graceful shutdown |
+//! | `lines` | a bound on the log lines of each kind |
 //! | `node` | the state that these share |
 
 mod accept;
@@ -27,6 +28,7 @@
 mod feed;
 mod follow;
 mod lead;
+mod lines;
 mod link;
 mod metrics;
 mod node;
@@ -94,7 +96,7 @@
         println!("settings: ok");
         return ExitCode::SUCCESS;
     }
-    logs::init(settings.logs);
+    logs::init_stdout(settings.logs);
     match actix_rt::System::new().block_on(run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
@@ -121,6 +123,10 @@
     actix_rt::spawn(link::listen(node.clone(), peers));
     actix_rt::spawn(link::report(node.clone()));
     actix_rt::spawn(admin::serve(node.clone(), admin));
+    if let Some(addr) = node.set.metrics {
+        let listener = catkin_net::listen(addr).await?;
+        actix_rt::spawn(admin::serve(node.clone(), listener));
+    }
     actix_rt::spawn(accept::serve(node.clone(), callers));
     stop::wait(node).await
 }
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -1,7 +1,7 @@
 //! What one process knows.
 
 use {
-    crate::{feed::Feed, metrics::Metrics, pool::Pool, settings::Settings},
+    crate::{feed::Feed, lines::Lines, metrics::Metrics, pool::Pool, settings::Settings},
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
     catkin::types::{Span, Time},
     catkin_net::Boot,
@@ -101,6 +101,8 @@
     pub(crate) leads: Cell<bool>,
     /// When the leader was last known to reach the store.
     pub(crate) alive: Cell<Time>,
+    /// Bounds of log lines.
+    pub(crate) lines: Lines,
     /// Counters.
     pub(crate) metrics: Metrics,
 }
@@ -156,6 +158,7 @@
             first: Cell::new(false),
             leads: Cell::new(false),
             alive: Cell::new(Boot.now()),
+            lines: Lines::default(),
             metrics: Metrics::new(),
         }
     }
--- a/crates/catkin-edge/src/send.rs
+++ b/crates/catkin-edge/src/send.rs
@@ -102,7 +102,9 @@
     let mut conn = match conn {
         Ok(conn) => conn,
         Err(error) => {
-            log::info!(id = &*job.id, target_id = &*life.id, error:display; "target not reached");
+            if node.lines.allow(node.now(), "target not reached") {
+                log::info!(id = &*job.id, target_id = &*life.id, error:display; "target not reached");
+            }
             count.end = End::Unreached;
             node.metrics.send("unreached");
             return Sent::Unreached;
@@ -122,7 +124,10 @@
         }
         Ok(Err(broken)) => {
             let error = &broken.error;
-            log::info!(id = &*job.id, target_id = &*life.id, error:display, answered = broken.answered; "answer lost");
+            if node.lines.allow(node.now(), "answer lost") {
+                let answered = broken.answered;
+                log::info!(id = &*job.id, target_id = &*life.id, error:display, answered; "answer lost");
+            }
             count.end = End::Failed;
             node.metrics.send("lost");
             return Sent::Lost;
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -118,10 +118,30 @@
     }
     let answer = tries(node, &job).await;
     let took = node.now().since(incoming.came);
+    note(node, &config, &job, &answer, took);
     node.metrics.answer(end_name(answer.status), took);
     answer
 }
 
+/// Writes the line of a finished request: what decided it and how it ended.
+fn note(node: &Node, config: &Config, job: &Job<'_>, answer: &Answer, took: Span) {
+    let kind = if answer.status.is_success() { "request served" } else { "request answered" };
+    if !node.lines.allow(node.now(), kind) {
+        return;
+    }
+    let text = |name: &HeaderName| {
+        let value = answer.headers.iter().find(|(other, _)| other == name)?;
+        value.1.to_str().ok()
+    };
+    let owners = node.owned().map(|o| o.version);
+    log::info!(
+        id = &*job.id, route = &*job.rule.name, service = &*job.service, key = job.key,
+        status = answer.status.as_u16(), stamp = text(&name::STAMP), took_ms = took.as_millis(),
+        config = config.version, owners, peers = node.peers.get();
+        "{kind}"
+    );
+}
+
 fn end_name(status: StatusCode) -> &'static str {
     match status.as_u16() {
         200..=299 => "success",
@@ -158,10 +178,12 @@
             Sent::Late => (End::Lost, Code::OutcomeUnknown),
         };
         tries.ended(&target.life, end);
-        log::info!(
-            id = &*job.id, target_id = &*target.life.id, end:debug, sends = tries.sends();
-            "send not successful"
-        );
+        if node.lines.allow(node.now(), "send not successful") {
+            log::info!(
+                id = &*job.id, target_id = &*target.life.id, end:debug, sends = tries.sends();
+                "send not successful"
+            );
+        }
         if !tries.may_repeat(node.now()) {
             break code;
         }
@@ -176,11 +198,13 @@
 fn give_up(node: &Node, job: &Job<'_>, tries: &Tries, code: Code) -> Answer {
     let code = tries.verdict(code);
     let held = node.now().since(job.incoming.came);
-    log::info!(
-        id = &*job.id, service = &*job.service, key = job.key, code:display, sends = tries.sends(),
-        exposed = tries.is_exposed(), held_ms = held.as_millis();
-        "request not served"
-    );
+    if node.lines.allow(node.now(), "request not served") {
+        log::info!(
+            id = &*job.id, service = &*job.service, key = job.key, code:display, sends = tries.sends(),
+            exposed = tries.is_exposed(), held_ms = held.as_millis();
+            "request not served"
+        );
+    }
     answer(code, job.until.since(node.now()))
 }
 
@@ -200,7 +224,9 @@
 }
 
 fn refuse(node: &Node, incoming: &Incoming, id: &str, code: Code) -> Answer {
-    log::info!(id, code:display, path = incoming.head.path(); "request refused");
+    if node.lines.allow(node.now(), "request refused") {
+        log::info!(id, code:display, path = incoming.head.path(); "request refused");
+    }
     node.metrics.answer("refused", node.now().since(incoming.came));
     answer(code, PAUSE_MAX)
 }
--- a/crates/catkin-edge/src/settings.rs
+++ b/crates/catkin-edge/src/settings.rs
@@ -24,6 +24,10 @@
     /// Address for the platform's question whether the process is ready, and
     /// for metrics (HTTP).
     pub(crate) admin: SocketAddr,
+    /// Address for metrics alone (HTTP); without it they are at the admin
+    /// address only.
+    #[serde(default)]
+    pub(crate) metrics: Option<SocketAddr>,
     /// Address for other edge processes (TCP).
     pub(crate) peers: SocketAddr,
     /// Address of the platform's store (HTTP).
--- a/crates/catkin/src/logs.rs
+++ b/crates/catkin/src/logs.rs
@@ -40,3 +40,24 @@
         })
         .apply();
 }
+
+/// Sends log lines to the standard output stream, as [`init`] does to the
+/// error stream.
+///
+/// # Panics
+///
+/// Panics if logs were set up before.
+pub fn init_stdout(layout: Layout) {
+    let filter = RustLogFilterBuilder::from_default_env_or("info").build();
+    logforth::starter_log::builder()
+        .dispatch(|d| {
+            let d = d.filter(filter);
+            match layout {
+                Layout::Text => {
+                    d.append(append::Stdout::default().with_layout(TextLayout::default().no_color()))
+                }
+                Layout::Json => d.append(append::Stdout::default().with_layout(JsonLayout::default())),
+            }
+        })
+        .apply();
+}
