edge: answer open requests before the process ends

Change: 0.6 s before its grace ends a process answers what is open with 504, which promises nothing. Test seen failing: stopping_process_answers_what_is_open.

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -63,7 +63,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stage.wait_for(|s| *s == Stage::Closing) => return,
+            _ = stage.wait_for(|s| *s >= Stage::Closing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -140,7 +140,7 @@
                 read = tokio::time::timeout(patience, self.fill()) => read,
                 // A request that crosses this close was not read, so its
                 // caller may send it elsewhere.
-                _ = stage.wait_for(|s| *s == Stage::Closing), if is_idle => return Ok(Read::End),
+                _ = stage.wait_for(|s| *s >= Stage::Closing), if is_idle => return Ok(Read::End),
             };
             match read {
                 Ok(Ok(0)) | Err(_) => return Ok(Read::End),
@@ -191,8 +191,13 @@
     /// Returns whether the connection stays open.
     async fn answer(&mut self, node: &Rc<Node>, incoming: Incoming) -> io::Result<bool> {
         let served = serve::serve(node, &incoming);
+        let mut stage = node.stage.subscribe();
         let answer = tokio::select! {
             answer = served => answer,
+            _ = stage.wait_for(|s| *s == Stage::Ending) => {
+                // Whether the request ran is not known.
+                Answer::refusal(StatusCode::GATEWAY_TIMEOUT, None)
+            }
             () = gone(&self.stream, &mut self.buffer) => {
                 // Dropping the request closes its connection to the target,
                 // which ends the work there.
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -42,6 +42,8 @@
     Leaving,
     /// New connections have had time to go elsewhere; idle ones are closed.
     Closing,
+    /// The process ends; requests in progress are answered by it.
+    Ending,
 }
 
 /// State of the process, shared by its tasks.
--- a/crates/catkin-edge/src/stop.rs
+++ b/crates/catkin-edge/src/stop.rs
@@ -14,8 +14,13 @@
 /// connections should come, with two questions a second apart.
 const SETTLE: Span = Span::from_millis(2_600);
 
-/// Part of the platform's grace that is left for the end of the process.
-const GRACE_LEFT: Span = Span::from_millis(400);
+/// Part of the platform's grace that is left for the last answers and the end
+/// of the process. It lies within the last sixth of the grace, in which work
+/// may be broken off.
+const GRACE_LEFT: Span = Span::from_millis(600);
+
+/// Time for the last answers to leave.
+const LAST: Span = Span::from_millis(200);
 
 fn listen(kind: SignalKind) -> Result<Signal, Error> {
     signal(kind).map_err(|e| Error::new(Code::Internal, format!("no signal handler: {e}")))
@@ -62,5 +67,9 @@
         }
         sleep(Span::from_millis(20)).await;
     }
+    if node.open.get() > 0 {
+        node.stage.send_replace(Stage::Ending);
+        sleep(LAST).await;
+    }
     log::info!(open = node.open.get(); "stopped");
 }
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -244,6 +244,32 @@
     fleet.check();
 }
 
+/// A process that ends gives callers of silent targets an answer first: one
+/// that says nothing about whether the request ran.
+#[actix_rt::test]
+async fn stopping_process_answers_what_is_open() {
+    let fleet = Fleet::start(1).await;
+    put_config(&fleet.store, &Plan { timeout_ms: 20_000, ..plan(2) });
+    sleep(1_900).await;
+    for server in &fleet.servers[3..] {
+        server.set_faults(ServerFaults { lost: 1, ..ServerFaults::default() });
+    }
+    let edge = &fleet.edges[0];
+    let mut conn = open(edge).await.unwrap();
+    let mut head = catkin_net::request(Method::POST, "/order/x".parse().unwrap());
+    for (name, value) in [("host", "h"), ("x-request-id", "open"), ("x-deadline-ms", "15000")] {
+        head.headers.insert(name.parse().unwrap(), value.parse().unwrap());
+    }
+    let exchange = conn.exchange(head, Vec::new(), false, |_| true);
+    let term = async {
+        sleep(300).await;
+        edge.signal(Signal::SIGTERM);
+    };
+    let (reply, ()) = tokio::join!(exchange, term);
+    assert_eq!(reply.expect("no answer before the end").head.status.as_u16(), 504);
+    fleet.check();
+}
+
 /// Hostile or broken entries and configurations name nothing to use and end
 /// nothing.
 #[actix_rt::test]
