--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -214,7 +214,7 @@
         for (name, value) in answer.headers {
             response.headers_mut().append(name, value);
         }
-        if let Some(after) = answer.retry.and_then(|after| retry_after(after)) {
+        if let Some(after) = answer.retry.and_then(retry_after) {
             response.headers_mut().insert(RETRY_AFTER, after);
         }
         if close {
--- a/crates/catkin-edge/src/feed.rs
+++ b/crates/catkin-edge/src/feed.rs
@@ -92,10 +92,10 @@
         let mut backlog = self.backlog.borrow_mut();
         self.first.set(self.first.get().min(change.0));
         backlog.push_back(change);
-        if backlog.len() > BACKLOG_MAX {
-            if let Some(dropped) = backlog.pop_front() {
-                self.first.set(dropped.0 + 1);
-            }
+        if backlog.len() > BACKLOG_MAX
+            && let Some(dropped) = backlog.pop_front()
+        {
+            self.first.set(dropped.0 + 1);
         }
     }
 
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -178,12 +178,12 @@
 /// Leads from time to time.
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
-        if may_claim(&node) {
-            if let Some(claim) = claim(&node).await {
-                node.leads.set(true);
-                lead(&node, claim).await;
-                node.leads.set(false);
-            }
+        if may_claim(&node)
+            && let Some(claim) = claim(&node).await
+        {
+            node.leads.set(true);
+            lead(&node, claim).await;
+            node.leads.set(false);
         }
         sleep(ROUND).await;
     }
--- a/crates/catkin-edge/src/link.rs
+++ b/crates/catkin-edge/src/link.rs
@@ -56,6 +56,9 @@
     Stop(u64),
 }
 
+/// Keys and the requests for each.
+type KeyCounts = Vec<(u16, u16)>;
+
 /// What a process reports.
 #[derive(Debug, Serialize, Deserialize)]
 struct Report {
@@ -65,7 +68,7 @@
     /// Offsets of the next records of the configuration and the directory.
     next: [Option<u64>; 2],
     /// Requests by service and key since the last report.
-    keys: Vec<(Arc<str>, Vec<(u16, u16)>)>,
+    keys: Vec<(Arc<str>, KeyCounts)>,
     /// Whether the process can do the work of a leader well.
     strong: bool,
     /// Mean time of a request at each target that was measured, in seconds.
@@ -266,7 +269,7 @@
 }
 
 fn report_now(node: &Node) -> Report {
-    let mut keys: HashMap<Arc<str>, Vec<(u16, u16)>> = HashMap::new();
+    let mut keys: HashMap<Arc<str>, KeyCounts> = HashMap::new();
     for ((service, key), count) in node.keys.take() {
         keys.entry(service).or_default().push((key, count));
     }
@@ -281,13 +284,13 @@
 pub(crate) async fn report(node: Rc<Node>) {
     loop {
         let leader = node.owned().map(|o| o.table.leader.addr);
-        if let Some(addr) = leader {
-            if let Err(error) = link(&node, addr).await {
-                log::debug!(leader:display = addr, error:display; "link to the leader ended");
-                if error.kind() == io::ErrorKind::ConnectionRefused {
-                    // Nothing runs there, so the next leader need not wait.
-                    node.alive.set(Time::default());
-                }
+        if let Some(addr) = leader
+            && let Err(error) = link(&node, addr).await
+        {
+            log::debug!(leader:display = addr, error:display; "link to the leader ended");
+            if error.kind() == io::ErrorKind::ConnectionRefused {
+                // Nothing runs there, so the next leader need not wait.
+                node.alive.set(Time::default());
             }
         }
         sleep(REPORT_PAUSE).await;
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -159,13 +159,13 @@
 async fn killed_leader_is_followed() {
     let mut fleet = Fleet::start(3).await;
     // Whoever leads, each of the three is killed once.
-    for i in 0..3 {
+    for (i, key) in KEYS.into_iter().enumerate().take(3) {
         fleet.edges[i].kill();
         let others: Vec<_> = (0..3).filter(|j| *j != i).collect();
         let until = Instant::now() + Duration::from_secs(4);
         while Instant::now() < until {
             for j in &others {
-                let got = fleet.get(&fleet.edges[*j], KEYS[i]).await;
+                let got = fleet.get(&fleet.edges[*j], key).await;
                 assert_eq!(got.unwrap().status, 200);
             }
             sleep(50).await;
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -353,12 +353,8 @@
                 // not yet carried out with it.
                 slot.phase = Phase::Waiting(now);
             }
-            // A new leader's fence is higher than what any process has seen.
-            Some(target) if slot.granted && slot.doubt.is_some_and(|at| target.heard <= at) => {
-                if now >= slot.until {
-                    slot.phase = Phase::Waiting(now);
-                }
-            }
+            Some(target) if in_doubt(slot, target) && now >= slot.until => slot.phase = Phase::Waiting(now),
+            Some(target) if in_doubt(slot, target) => {}
             _ if slot.fails >= FAILS_MAX => slot.phase = Phase::Waiting(slot.until),
             Some(target) if target.is_open() => {}
             _ if !self.addrs.contains_key(&slot.row.life()) => slot.phase = Phase::Waiting(slot.until),
@@ -492,6 +488,13 @@
     }
 }
 
+/// Returns whether another process may run in place of a slot's owner. A new
+/// leader's first grant is not in doubt: its fence is higher than what any
+/// process has seen.
+fn in_doubt(slot: &Slot, target: &Target) -> bool {
+    slot.granted && slot.doubt.is_some_and(|at| target.heard <= at)
+}
+
 /// The slot of a service whose keys nobody has held yet.
 fn unowned() -> Slot {
     Slot {
--- a/crates/catkin-route/src/split.rs
+++ b/crates/catkin-route/src/split.rs
@@ -1,15 +1,29 @@
 //! Sharing the requests of a route among its services by weight.
 
 use {
-    crate::config::Rule,
+    crate::config::{Part, Rule},
     std::{collections::HashMap, sync::Arc},
 };
 
+/// One service of a route: its weight and what it is owed.
+#[derive(Debug)]
+struct Credit {
+    service: Arc<str>,
+    weight: u32,
+    owed: i64,
+}
+
+impl Credit {
+    fn new(part: &Part) -> Self {
+        Self { service: part.service.clone(), weight: part.weight, owed: 0 }
+    }
+}
+
 /// Smooth weighted round robin for each route. A route whose parts change
 /// starts again.
 #[derive(Debug, Default)]
 pub struct Split {
-    credits: HashMap<Arc<str>, Vec<(Arc<str>, u32, i64)>>,
+    credits: HashMap<Arc<str>, Vec<Credit>>,
 }
 
 impl Split {
@@ -20,17 +34,17 @@
         }
         let credits = self.credits.entry(rule.name.clone()).or_default();
         let same = credits.len() == rule.parts.len()
-            && credits.iter().zip(&rule.parts).all(|(c, p)| c.0 == p.service && c.1 == p.weight);
+            && credits.iter().zip(&rule.parts).all(|(c, p)| c.service == p.service && c.weight == p.weight);
         if !same {
-            *credits = rule.parts.iter().map(|p| (p.service.clone(), p.weight, 0)).collect();
+            *credits = rule.parts.iter().map(Credit::new).collect();
         }
-        let total: i64 = credits.iter().map(|c| i64::from(c.1)).sum();
+        let total: i64 = credits.iter().map(|c| i64::from(c.weight)).sum();
         for credit in credits.iter_mut() {
-            credit.2 += i64::from(credit.1);
+            credit.owed += i64::from(credit.weight);
         }
-        let best = (0..credits.len()).max_by_key(|i| (credits[*i].2, std::cmp::Reverse(*i))).unwrap_or(0);
-        credits[best].2 -= total;
-        credits[best].0.clone()
+        let best = (0..credits.len()).max_by_key(|i| (credits[*i].owed, std::cmp::Reverse(*i))).unwrap_or(0);
+        credits[best].owed -= total;
+        credits[best].service.clone()
     }
 
     /// Forgets routes that a new configuration dropped.
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -43,7 +43,7 @@
     lead.run(700, done);
     assert!(lead.table.as_ref().unwrap().services.is_empty());
     lead.run(1_000, done);
-    assert_eq!(lead.table.unwrap().services["s"].iter().filter(|r| &*r.target == "b").count() > 0, true);
+    assert!(lead.table.unwrap().services["s"].iter().any(|r| &*r.target == "b"));
 }
 
 /// Keys are renewed well before their hold ends.
