edge: tell processes of targets that the others fill

Change: reports tell a process's requests at each target, the leader tells the sums at full targets, and old reports count longer in a larger fleet.

--- a/crates/catkin-edge/src/link.rs
+++ b/crates/catkin-edge/src/link.rs
@@ -71,6 +71,8 @@
     keys: Vec<(Arc<str>, KeyCounts)>,
     /// Whether the process can do the work of a leader well.
     strong: bool,
+    /// Requests of this process at each target.
+    own: Vec<(Arc<str>, u32)>,
     /// Mean time of a request at each target that was measured, in seconds.
     times: Vec<(Arc<str>, f32)>,
 }
@@ -88,6 +90,8 @@
     standby: bool,
     /// Microseconds since the leader last reached the store.
     alone: u64,
+    /// Full targets and the requests of all processes at them.
+    full: Vec<(Arc<str>, u32)>,
     /// A newer table and its version.
     table: Option<(u64, Owners)>,
     /// Changes of the configuration and of the directory.
@@ -116,8 +120,28 @@
     }
 }
 
-/// When each process reported last, and whether it is strong.
-type Peers = Rc<RefCell<BTreeMap<Arc<str>, (Time, bool)>>>;
+/// What a process reported last.
+#[derive(Debug)]
+struct Peer {
+    at: Time,
+    strong: bool,
+    own: Vec<(Arc<str>, u32)>,
+}
+
+/// The processes that report, by VM.
+type Peers = Rc<RefCell<BTreeMap<Arc<str>, Peer>>>;
+
+/// Returns the targets whose slots are full, and the requests of all processes
+/// at them. A process alone does not see the others fill a target.
+fn full(node: &Node, peers: &Peers) -> Vec<(Arc<str>, u32)> {
+    let mut totals: HashMap<Arc<str>, u32> = HashMap::new();
+    for (id, own) in peers.borrow().values().flat_map(|peer| &peer.own) {
+        *totals.entry(id.clone()).or_default() += own;
+    }
+    let directory = node.directory.borrow();
+    totals.retain(|id, total| directory.get(id).is_some_and(|t| *total >= t.entry.slots));
+    totals.into_iter().collect()
+}
 
 /// Processes that stand by to follow the leader.
 const STANDBYS: usize = 3;
@@ -127,8 +151,8 @@
 fn stands_by(node: &Node, peers: &Peers, vm: &str) -> bool {
     let peers = peers.borrow();
     let others = || peers.iter().filter(|(other, _)| **other != node.me.vm);
-    let strong = others().filter(|(_, peer)| peer.1);
-    let weak = others().filter(|(_, peer)| !peer.1);
+    let strong = others().filter(|(_, peer)| peer.strong);
+    let weak = others().filter(|(_, peer)| !peer.strong);
     strong.chain(weak).take(STANDBYS).any(|(other, _)| **other == *vm)
 }
 
@@ -195,8 +219,9 @@
 fn take(node: &Node, peers: &Peers, report: &Report) -> u32 {
     let now = node.now();
     let mut peers = peers.borrow_mut();
-    peers.insert(report.vm.clone(), (now, report.strong));
-    peers.retain(|_, peer| now.since(peer.0) < PEER_MAX);
+    let peer = Peer { at: now, strong: report.strong, own: report.own.clone() };
+    peers.insert(report.vm.clone(), peer);
+    peers.retain(|_, peer| now.since(peer.at) < PEER_MAX);
     lead::with_loads(|loads| {
         for (service, keys) in &report.keys {
             for (key, count) in keys {
@@ -263,7 +288,11 @@
         let news = changes.iter().flatten().any(|c| !c.records.is_empty());
         // Nothing new waits for the next report, which tells of the age.
         if asked || table.is_some() || news {
-            write(&mut writer, &Notice { peers: count, standby, alone, table, changes }).await?;
+            write(
+                &mut writer,
+                &Notice { peers: count, standby, alone, full: full(node, peers), table, changes },
+            )
+            .await?;
         }
     }
 }
@@ -274,10 +303,11 @@
         keys.entry(service).or_default().push((key, count));
     }
     let times = node.loads.borrow_mut().take_times();
+    let own = node.loads.borrow().own();
     let version = node.owned().map(|o| o.version);
     let next = [node.configs.next(), node.targets.next()];
     let strong = node.is_strong();
-    Report { vm: node.me.vm.clone(), version, next, strong, keys: keys.into_iter().collect(), times }
+    Report { vm: node.me.vm.clone(), version, next, strong, own, keys: keys.into_iter().collect(), times }
 }
 
 /// Reports to the leader and takes its tables.
@@ -302,6 +332,9 @@
     node.linked.set(now);
     node.peers.set(notice.peers.max(1));
     node.standby.set(notice.standby);
+    for (id, total) in &notice.full {
+        node.loads.borrow_mut().share(now, id, *total, notice.peers);
+    }
     if let Some((version, table)) = notice.table {
         node.adopt(version, table);
     }
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -15,6 +15,9 @@
 /// Age at which half of what a target reported of other callers still counts.
 const REPORT_HALF: Span = Span::from_millis(400);
 
+/// Processes up to which that age holds.
+const REPORT_PEERS: f64 = 12.0;
+
 /// Weight of a new result in the share of failed requests.
 const FAIL_WEIGHT: f64 = 0.15;
 
@@ -76,8 +79,11 @@
         }
     }
 
-    fn others(&self, now: Time) -> f64 {
-        let halves = now.since(self.reported).as_secs_f64() / REPORT_HALF.as_secs_f64();
+    /// Returns the requests of other processes at the target. With more
+    /// processes each hears of it less often, and believes it for longer.
+    fn others(&self, now: Time, peers: u32) -> f64 {
+        let half = REPORT_HALF.as_secs_f64() * (f64::from(peers) / REPORT_PEERS).max(1.0);
+        let halves = now.since(self.reported).as_secs_f64() / half;
         self.others * 0.5_f64.powf(halves)
     }
 }
@@ -124,17 +130,17 @@
         let slots = target.entry.slots;
         let share = (OWN_SHARE * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
         let seen = self.of(&target.entry.life);
-        let total = f64::from(seen.own) + seen.others(now);
+        let total = f64::from(seen.own) + seen.others(now, peers);
         seen.paused <= now && seen.own < share.max(OWN_MIN) && total < FILL_MAX * f64::from(slots)
     }
 
     /// Returns the expected time for one more request, in seconds.
-    pub fn expected(&mut self, now: Time, target: &Target) -> f64 {
+    pub fn expected(&mut self, now: Time, target: &Target, peers: u32) -> f64 {
         let far = target.entry.zone != self.zone;
         let slots = f64::from(target.entry.slots.max(1));
         let cold = target.cold > now;
         let seen = self.of(&target.entry.life);
-        let ahead = f64::from(seen.own) + seen.others(now);
+        let ahead = f64::from(seen.own) + seen.others(now, peers);
         let waiting = (ahead + 1.0 - slots).max(0.0);
         // Below its slots a target is only a little slower with each request;
         // the term spreads requests over equal targets.
@@ -160,7 +166,7 @@
             if !target.is_open() || avoid.contains(life) || !self.has_room(now, target, peers) {
                 continue;
             }
-            let expected = self.expected(now, target);
+            let expected = self.expected(now, target, peers);
             if best.is_none_or(|(least, _)| expected < least) {
                 best = Some((expected, target));
             }
@@ -215,6 +221,23 @@
         seen.reported = now;
     }
 
+    /// Returns this process's requests at each target that has some.
+    pub fn own(&self) -> Vec<(Arc<str>, u32)> {
+        let busy = self.seen.iter().filter(|(_, seen)| seen.own > 0);
+        busy.map(|(id, seen)| (id.clone(), seen.own)).collect()
+    }
+
+    /// Takes the requests of all processes at a target, as the leader counts
+    /// them.
+    pub fn share(&mut self, now: Time, id: &str, total: u32, peers: u32) {
+        let Some(seen) = self.seen.get_mut(id) else { return };
+        let others = f64::from(total.saturating_sub(seen.own));
+        if others > seen.others(now, peers) {
+            seen.others = others;
+            seen.reported = now;
+        }
+    }
+
     /// Returns the mean times of requests, in seconds, of the targets that were
     /// measured since the last call.
     pub fn take_times(&mut self) -> Vec<(Arc<str>, f32)> {
