--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -64,6 +64,10 @@
     skew: 1.025,
 };
 
+/// Time by which grants go ahead of the table that names the new owners. A
+/// request that is there first is misdirected.
+const GRANT_LEAD: Span = Span::from_millis(6);
+
 /// Pause between two rounds of the leader.
 const ROUND: Span = Span::from_millis(60);
 
@@ -291,6 +295,8 @@
     let conns = Conns::default();
     let (sender, mut results) = mpsc::unbounded_channel();
     let mut balanced = now;
+    // A table that the store accepted and whose grants are still to be sent.
+    let mut written: Option<(u64, Owners)> = None;
     let mut decayed = now;
     log::info!(offset; "leading");
     loop {
@@ -315,6 +321,7 @@
             None => Vec::new(),
         };
         let steps = with_loads(|loads| granter.tick(now, &keyed, &node.directory.borrow(), loads));
+        let granted = written.take();
         for step in steps {
             match step {
                 Step::Send(command) => {
@@ -329,10 +336,21 @@
                         return;
                     }
                     granter.written(node.now());
-                    node.adopt(end, table);
+                    written = Some((end, table));
                 }
             }
         }
+        if let Some((end, table)) = granted {
+            let node = node.clone();
+            actix_rt::spawn(async move {
+                sleep(GRANT_LEAD).await;
+                node.adopt(end, table);
+            });
+        }
+        if written.is_some() {
+            // The grants of the new owners go out in the next round.
+            continue;
+        }
         let pause = BALANCE.scale((f64::from(node.peers.get()) / BALANCE_PEERS).max(1.0));
         if now.since(balanced) >= pause {
             balanced = now;
