Remove duplicates and dead fields, and start ended processes again in the soak

Likely cause, not shown by a run: a process that was stopped by a signal while it drained ended after the 6 s for which the fault waited, and nobody started it again. The soak now starts ended processes every 500 ms, as the platform does, and keeps the seed. Nothing in the program's behaviour changes.

--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -96,7 +96,7 @@
         println!("settings: ok");
         return ExitCode::SUCCESS;
     }
-    logs::init_stdout(settings.logs);
+    logs::init_to(settings.logs, logs::Output::Standard);
     match actix_rt::System::new().block_on(run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -179,7 +179,8 @@
         let until = Instant::now() + within;
         for edge in &self.edges {
             while self.get(edge, 1).await.is_none_or(|got| got.status != 200) {
-                assert!(Instant::now() < until, "no service within {within:?}");
+                let ended: Vec<bool> = self.edges.iter().map(Edge::has_ended).collect();
+                assert!(Instant::now() < until, "no service within {within:?}; ended: {ended:?}");
                 actix_rt::time::sleep(Duration::from_millis(100)).await;
             }
         }
--- a/crates/catkin-edge/tests/soak.rs
+++ b/crates/catkin-edge/tests/soak.rs
@@ -19,8 +19,10 @@
     std::{cell::Cell, env, rc::Rc, time::Duration},
 };
 
-/// Seeds that failed once, with the cause.
-const REGRESSIONS: [u64; 0] = [];
+/// Seeds that failed once. 18: a process that was told to stop and then stopped
+/// by a signal ended later than the test waited, and was not started again; the
+/// test started processes itself then.
+const REGRESSIONS: [u64; 1] = [18];
 
 /// Seeds of a run in CI.
 const SEEDS_CI: u64 = 2;
@@ -83,6 +85,16 @@
     }
 }
 
+/// Starts ended processes again, as the platform does.
+async fn supervise(fleet: Rc<Fleet>, stop: Rc<Cell<bool>>) {
+    while !stop.get() {
+        sleep(500).await;
+        for edge in &fleet.edges {
+            edge.restart();
+        }
+    }
+}
+
 /// Does one thing that goes wrong, and mends it after a while.
 async fn fault(fleet: Rc<Fleet>, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -93,8 +105,6 @@
     match kind {
         0 => {
             edge.kill();
-            sleep(wait / 4).await;
-            edge.restart();
         }
         1 => {
             edge.signal(Signal::SIGSTOP);
@@ -103,14 +113,6 @@
         }
         2 => {
             edge.signal(Signal::SIGTERM);
-            // Another fault may start it again before this one looks.
-            for _ in 0..100 {
-                if edge.has_ended() {
-                    break;
-                }
-                sleep(60).await;
-            }
-            edge.restart();
         }
         3 => {
             let links = [Link::Slow, Link::OneWay, Link::Silent, Link::Reset];
@@ -164,6 +166,7 @@
     let callers: Vec<_> = (0..CALLERS)
         .map(|i| actix_rt::spawn(call(fleet.clone(), seed * 100 + i, stop.clone(), tally.clone())))
         .collect();
+    actix_rt::spawn(supervise(fleet.clone(), stop.clone()));
     let mut faults = vec![actix_rt::spawn(release(fleet.clone()))];
     for version in 0..FAULTS {
         let route = Route { prefix: "/more/", kind: "idempotent", parts: vec![("keyed", 1)] };
@@ -177,9 +180,6 @@
         fault.await.unwrap();
     }
     for edge in &fleet.edges {
-        if edge.has_ended() {
-            edge.restart();
-        }
         edge.signal(Signal::SIGCONT);
     }
     fleet.wait_until_served(Duration::from_secs(20)).await;
--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -58,7 +58,6 @@
     stream: TcpStream,
     buffer: BytesMut,
     config: ServiceConfig,
-    fresh: bool,
 }
 
 /// A complete answer.
@@ -124,12 +123,7 @@
     pub async fn open(addr: SocketAddr, within: Duration, config: ServiceConfig) -> io::Result<Self> {
         let stream = tokio::time::timeout(within, TcpStream::connect(addr)).await??;
         tune(&stream);
-        Ok(Self { stream, buffer: BytesMut::new(), config, fresh: true })
-    }
-
-    /// Returns whether the connection has carried no request yet.
-    pub fn is_fresh(&self) -> bool {
-        self.fresh
+        Ok(Self { stream, buffer: BytesMut::new(), config })
     }
 
     /// Returns whether the connection is open and nothing unasked has arrived.
@@ -153,7 +147,6 @@
         chunked: bool,
         is_own: impl Fn(&ResponseHead) -> bool,
     ) -> Result<Reply, Broken> {
-        self.fresh = false;
         let mut codec = ClientCodec::new(self.config.clone());
         let mut out = encode(&mut codec, head, body, chunked).map_err(|error| Broken {
             error,
--- a/crates/catkin-route/src/config.rs
+++ b/crates/catkin-route/src/config.rs
@@ -74,8 +74,6 @@
 pub struct Spec {
     /// Whether each key has one owner.
     pub keyed: bool,
-    /// Connections that one target accepts from all callers.
-    pub connections: u32,
 }
 
 /// One version of the configuration.
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -66,8 +66,6 @@
     pub lapsed: Option<Time>,
     /// End of its slow start.
     pub cold: Time,
-    /// When this process was first seen.
-    pub seen: Time,
     /// When it last wrote its entry.
     pub heard: Time,
 }
@@ -102,8 +100,7 @@
         let new = same.is_none_or(|t| plain(&t.entry) != plain(&entry) || t.lapsed.is_some());
         self.changes += u64::from(new);
         let leaving = entry.draining.then(|| same.and_then(|t| t.leaving).unwrap_or(now));
-        let seen = same.map_or(now, |t| t.seen);
-        let target = Target { cold: now.after(entry.cold), leaving, lapsed: None, seen, heard: now, entry };
+        let target = Target { cold: now.after(entry.cold), leaving, lapsed: None, heard: now, entry };
         self.insert(target);
         new
     }
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -213,15 +213,9 @@
             row: row.clone(),
             phase: Phase::Held,
             until,
-            late: Time::default(),
             earlier: until,
             next: now,
-            busy: None,
-            fails: 0,
-            granted: false,
-            dest: None,
-            moved: None,
-            doubt: None,
+            ..unowned()
         };
         let services = claim
             .services
--- a/crates/catkin-route/tests/config.rs
+++ b/crates/catkin-route/tests/config.rs
@@ -28,7 +28,7 @@
 }
 
 fn config(rules: Vec<(Arc<str>, Rule)>) -> Result<Config, catkin::Error> {
-    let spec = || Spec { keyed: false, connections: 10 };
+    let spec = || Spec { keyed: false };
     let services: HashMap<Arc<str>, Spec> = [("s".into(), spec()), ("t".into(), spec())].into();
     Config::new(1, LIMITS, rules, services)
 }
--- a/crates/catkin/src/logs.rs
+++ b/crates/catkin/src/logs.rs
@@ -20,6 +20,15 @@
     Json,
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// The standard error stream, for programs that print results.
+    Error,
+    /// The standard output stream.
+    Standard,
+}
+
 /// Sends log lines to the standard error stream. `RUST_LOG` sets the levels;
 /// without it lines of level info and above are written.
 ///
@@ -27,36 +36,27 @@
 ///
 /// Panics if logs were set up before.
 pub fn init(layout: Layout) {
-    let filter = RustLogFilterBuilder::from_default_env_or("info").build();
-    logforth::starter_log::builder()
-        .dispatch(|d| {
-            let d = d.filter(filter);
-            match layout {
-                Layout::Text => {
-                    d.append(append::Stderr::default().with_layout(TextLayout::default().no_color()))
-                }
-                Layout::Json => d.append(append::Stderr::default().with_layout(JsonLayout::default())),
-            }
-        })
-        .apply();
+    init_to(layout, Output::Error);
 }
 
-/// Sends log lines to the standard output stream, as [`init`] does to the
-/// error stream.
+/// Sends log lines to a stream, as [`init`] does.
 ///
 /// # Panics
 ///
 /// Panics if logs were set up before.
-pub fn init_stdout(layout: Layout) {
+pub fn init_to(layout: Layout, output: Output) {
     let filter = RustLogFilterBuilder::from_default_env_or("info").build();
+    let text = || TextLayout::default().no_color();
+    let json = JsonLayout::default;
+    let (stderr, stdout) = (append::Stderr::default, append::Stdout::default);
     logforth::starter_log::builder()
         .dispatch(|d| {
             let d = d.filter(filter);
-            match layout {
-                Layout::Text => {
-                    d.append(append::Stdout::default().with_layout(TextLayout::default().no_color()))
-                }
-                Layout::Json => d.append(append::Stdout::default().with_layout(JsonLayout::default())),
+            match (output, layout) {
+                (Output::Error, Layout::Text) => d.append(stderr().with_layout(text())),
+                (Output::Error, Layout::Json) => d.append(stderr().with_layout(json())),
+                (Output::Standard, Layout::Text) => d.append(stdout().with_layout(text())),
+                (Output::Standard, Layout::Json) => d.append(stdout().with_layout(json())),
             }
         })
         .apply();
