net: reset a connection whose request was given up

The connection had been closed, and an ordinary close still delivers what is on its way. Change: a connection is reset if its exchange has no complete answer. Test seen failing: abandoned_exchange_resets_connection.

--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -58,6 +58,18 @@
     stream: TcpStream,
     buffer: BytesMut,
     config: ServiceConfig,
+    /// Whether a request was begun and has no complete answer.
+    busy: bool,
+}
+
+impl Drop for Conn {
+    /// Resets a connection whose request was given up. Bytes that a partition
+    /// holds up would be delivered after an ordinary close.
+    fn drop(&mut self) {
+        if self.busy {
+            let _ = self.stream.set_zero_linger();
+        }
+    }
 }
 
 /// A complete answer.
@@ -123,7 +135,7 @@
     pub async fn open(addr: SocketAddr, within: Duration, config: ServiceConfig) -> io::Result<Self> {
         let stream = tokio::time::timeout(within, TcpStream::connect(addr)).await??;
         tune(&stream);
-        Ok(Self { stream, buffer: BytesMut::new(), config })
+        Ok(Self { stream, buffer: BytesMut::new(), config, busy: false })
     }
 
     /// Returns whether the connection is open and nothing unasked has arrived.
@@ -153,7 +165,9 @@
             sent: false,
             answered: false,
         })?;
+        self.busy = true;
         let result = self.run(codec, &mut out, is_own).await;
+        self.busy = result.is_err() || !out.is_done();
         match result {
             Ok((head, body, reusable)) => Ok(Reply { head, body, reusable: reusable && out.is_done() }),
             Err((error, answered)) => Err(Broken { error, sent: out.written > 0, answered }),
--- a/crates/catkin-net/tests/exchange.rs
+++ b/crates/catkin-net/tests/exchange.rs
@@ -168,3 +168,19 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert!(!conn.is_quiet());
 }
+
+/// A command that was given up must not be delivered after a partition: only a
+/// reset takes back bytes that are on their way.
+#[actix_rt::test]
+async fn abandoned_exchange_resets_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut conn = open(listener.local_addr().unwrap()).await;
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let head = catkin_net::request(Method::POST, Uri::from_static("/a"));
+    let exchange = conn.exchange(head, Vec::new(), false, is_own);
+    assert!(tokio::time::timeout(Duration::from_millis(50), exchange).await.is_err());
+    drop(conn);
+    let mut bytes = Vec::new();
+    let end = stream.read_to_end(&mut bytes).await;
+    assert_eq!(end.unwrap_err().kind(), ErrorKind::ConnectionReset);
+}
