edge: writes of owners neither block nor end the leadership

Cause: the leader returned from its loop when the store did not take a table of owners. A leader that was told to stop gave up in the same way. Keys of a lost target went back to it once it was no longer suspect, because the directory still named it.

Change: tables are written by a task that repeats until the store says where they stand; renewals go on meanwhile. A leaving leader keeps its office until the store has heard of it. A target that failed a command gets no keys until the directory has heard of it again. lead.rs is split into seat, claim, record and command.

Ruled out: the hold is long enough; it is the renewals that ended.

Tests, seen failing first: target_lost_in_outage_leaves_the_others, leader_that_stops_in_outage_renews, lost_target_gets_no_keys_before_it_is_heard.

--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         feed::{Batch, Feed},
-        lead,
+        lead::record,
         node::{Node, sleep},
     },
     bytes::Bytes,
@@ -15,7 +15,6 @@
         name,
         store::Refusal,
     },
-    catkin_route::owners::Owners,
     std::{collections::HashSet, rc::Rc},
 };
 
@@ -235,20 +234,12 @@
 pub(crate) async fn owners(node: Rc<Node>) {
     loop {
         if node.now().since(node.linked.get()) > RELAY_MAX && !node.leads.get() {
-            match node.store.newest(lead::TOPIC, ANSWER_MAX.as_duration()).await {
-                Ok(newest) => adopt(&node, &newest.items, newest.end),
+            match record::read(&node).await {
+                Ok(record::Newest { table: Some(table), end }) => node.adopt(end.saturating_sub(1), table),
+                Ok(_) => {}
                 Err(refusal) => log::debug!(refusal:display; "owners not read"),
             }
         }
         sleep(OWNERS_PAUSE).await;
     }
 }
-
-fn adopt(node: &Node, items: &[Keyed], end: u64) {
-    let Some(record) = items.iter().find(|r| *r.key == *lead::KEY) else { return };
-    match Owners::decode(&record.value) {
-        // The table is the only key of its topic, so its record is the last.
-        Ok(table) => node.adopt(end.saturating_sub(1), table),
-        Err(error) => log::warn!(error:display; "table of owners ignored"),
-    }
-}
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -1,56 +1,37 @@
-//! Membership, the leader's claim, commands to targets and moves of keys.
+//! Leading: commands to targets, records of owners and moves of keys.
+//!
+//! | module | responsibility |
+//! |---|---|
+//! | `seat` | membership of the group that names the next leader |
+//! | `claim` | the claim of leadership |
+//! | `record` | the record of the table of owners |
+//! | `command` | commands to targets |
+
+mod claim;
+mod command;
+pub(crate) mod record;
+pub(crate) mod seat;
 
 use {
     crate::{
-        follow::ANSWER_MAX,
         link,
         node::{Node, sleep},
     },
-    actix_http::ServiceConfig,
     catkin::types::{Span, Time},
-    catkin_net::Conn,
-    catkin_platform::{
-        grant,
-        store::{Member, Refusal},
-    },
     catkin_route::{
         balance::{self, Loads},
-        directory::Life,
-        granter::{self, Ask, Command, Granter, Outcome, Rules, Step},
-        owners::{Leader, Owners},
+        granter::{Ask, Command, Granter, Outcome, Rules, Step},
+        owners::Owners,
+    },
+    claim::Claim,
+    command::{Conns, GRANT_MAX},
+    std::{cell::RefCell, rc::Rc, sync::Arc},
+    tokio::{
+        sync::mpsc::{self, UnboundedSender},
+        task::JoinSet,
     },
-    std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration},
-    tokio::sync::mpsc,
 };
 
-/// Topic of the table of owners.
-pub(crate) const TOPIC: &str = "keyed.owners";
-
-/// Key of the table in its topic.
-pub(crate) const KEY: &[u8] = b"table";
-
-/// Group whose first partition makes its holder the next leader.
-const GROUP: &str = "edge";
-
-/// Topic whose partitions the group shares out. It holds no records.
-const SEATS: &str = "edge.seats";
-
-/// Silence after which the group drops a member: the platform's least.
-const SEAT_TTL: Span = Span::from_millis(1_000);
-
-/// Silence of the leader after which every strong process stands by.
-const ORPHAN: Span = Span::from_millis(1_500);
-
-/// The same for processes with little processor time or bandwidth.
-const ORPHAN_WEAK: Span = Span::from_millis(3_000);
-
-/// Time since the leader last reached the store after which the next process
-/// claims. Holds bridge it: they are renewed four times as often as they end.
-const SUCCEED: Span = Span::from_millis(1_600);
-
-/// Pause between two joins; three fit into the time above.
-const JOIN_PAUSE: Span = Span::from_millis(300);
-
 /// Time without the store after which a leader stops renewing. It covers the
 /// outages that the platform announces.
 const ALONE_MAX: Span = Span::from_secs(10);
@@ -81,15 +62,6 @@
 /// so more processes get one less often.
 const BALANCE_PEERS: f64 = 16.0;
 
-/// Time for the answer to a grant.
-const GRANT_MAX: Duration = Duration::from_millis(500);
-
-/// Time for the answer to a release, which waits for the work in progress.
-const RELEASE_MAX: Duration = Duration::from_millis(1_500);
-
-/// Time to open a connection for a command.
-const CONNECT_MAX: Duration = Duration::from_millis(300);
-
 thread_local! {
     /// Loads that edge processes reported to this one.
     static LOADS: RefCell<Loads> = RefCell::default();
@@ -108,82 +80,11 @@
     RULES.stretch(keyed.map(|service| directory.of(service).count()).sum())
 }
 
-fn member(node: &Node) -> Member {
-    let name = format!("{}.{}", node.me.vm, node.me.incarnation);
-    Member { group: GROUP, name: name.into(), topic: SEATS, ttl: SEAT_TTL }
-}
-
-/// Returns whether this process should be a member: the leader, those that it
-/// chose to stand by, and all that hear of no leader. Members that can't lead
-/// soon would only cost calls.
-fn wants_seat(node: &Node) -> bool {
-    let silence = node.now().since(node.linked.get().max(node.started));
-    let patience = if node.is_strong() { ORPHAN } else { ORPHAN_WEAK };
-    let is_new = node.linked.get() < node.started;
-    let orphan = silence > patience || is_new && node.is_strong();
-    node.leads.get() || node.standby.get() && silence < ORPHAN_WEAK || orphan
-}
-
-/// Stays a member of the group that names the next leader.
-pub(crate) async fn join(node: Rc<Node>) {
-    let member = member(&node);
-    let mut generation = 0;
-    let mut joined = false;
-    while !node.is_leaving() {
-        if !wants_seat(&node) {
-            if std::mem::take(&mut joined) {
-                leave(node.clone()).await;
-            }
-            sleep(JOIN_PAUSE).await;
-            continue;
-        }
-        joined = true;
-        match node.store.join(&member, generation, ANSWER_MAX.as_duration()).await {
-            Ok(seat) => {
-                generation = seat.generation;
-                node.seat.set(Some(node.now()));
-                node.first.set(seat.holds(0));
-            }
-            Err(Refusal::Fenced) => node.first.set(false),
-            Err(refusal) => log::debug!(refusal:display; "group not joined"),
-        }
-        sleep(JOIN_PAUSE).await;
-    }
-}
-
-/// Leaves the group, so that another process is named at once.
-pub(crate) async fn leave(node: Rc<Node>) {
-    node.seat.set(None);
-    node.first.set(false);
-    if let Err(refusal) = node.store.leave(&member(&node), ANSWER_MAX.as_duration()).await {
-        log::info!(refusal:display; "group not left; its time-out will do it");
-    }
-}
-
-/// Returns whether this process should claim leadership. The group moves its
-/// partitions with every change of members; a leader that reaches the store
-/// stays all the same, since each change costs renewals of all keys.
-fn may_claim(node: &Node) -> bool {
-    let now = node.now();
-    let knows = node.config.borrow().is_some() && node.listed.get();
-    let member = node.seat.get().is_some_and(|at| now.since(at) < SEAT_TTL);
-    if node.is_leaving() || !knows || !member {
-        return false;
-    }
-    match node.owned() {
-        Some(owned) if owned.table.leader == node.me => true,
-        // The process before this one on the same VM has ended.
-        Some(owned) if owned.table.leader.vm == node.me.vm => node.first.get(),
-        Some(_) => node.first.get() && now.since(node.alive.get()) > SUCCEED,
-        None => node.first.get(),
-    }
-}
-
 /// Leads from time to time.
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
-        if may_claim(&node)
-            && let Some(claim) = claim(&node).await
+        if claim::is_due(&node)
+            && let Some(claim) = claim::claim(&node).await
         {
             node.leads.set(true);
             lead(&node, claim).await;
@@ -193,183 +94,164 @@
     }
 }
 
-/// A claim that the store accepted.
-struct Claim {
-    table: Owners,
-    offset: u64,
-    /// How long the earlier leader's grants hold.
-    hold: Span,
-    /// The leader before, if it was another process.
-    earlier: Option<Leader>,
-}
-
-/// Claims leadership: writes the newest table once more with higher fences.
-async fn claim(node: &Node) -> Option<Claim> {
-    let newest = match node.store.newest(TOPIC, ANSWER_MAX.as_duration()).await {
-        Ok(newest) => newest,
-        Err(refusal) => {
-            log::info!(refusal:display; "owners not read");
-            return None;
-        }
-    };
-    let record = newest.items.iter().find(|r| *r.key == *KEY);
-    let last = match record.map(|r| Owners::decode(&r.value)).transpose() {
-        Ok(last) => last,
-        Err(error) => {
-            log::error!(error:display; "table of owners can't be read; it is replaced");
-            None
-        }
-    };
-    let known = node.owned().map(|o| o.table.leader.clone());
-    if let Some(last) =
-        last.as_ref().filter(|l| l.leader.vm != node.me.vm && Some(&l.leader) != known.as_ref())
-    {
-        // Another process leads since; whether it lives is to be seen.
-        node.alive.set(node.now());
-        node.adopt(newest.end.saturating_sub(1), last.clone());
-        return None;
-    }
-    let table = granter::claim(&node.me, rules(node).hold, last.as_ref(), newest.end);
-    let hold = last.as_ref().map_or(Span::ZERO, |l| l.hold);
-    let earlier = last.map(|l| l.leader).filter(|l| *l != node.me);
-    write(node, &table, newest.end).await.then_some(Claim { table, offset: newest.end, hold, earlier })
-}
-
-/// Writes a table after the record before `end`. Returns whether the store
-/// accepted it; it may have done so also if this returns false.
-async fn write(node: &Node, table: &Owners, end: u64) -> bool {
-    let bytes = match table.encode() {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            log::error!(error:display; "table of owners can't be encoded");
-            return false;
-        }
-    };
-    match node.store.append(TOPIC, KEY, &bytes, end, ANSWER_MAX.as_duration()).await {
-        Ok(offset) if offset == end => {
-            log::info!(offset, bytes = bytes.len(); "owners written");
-            true
-        }
-        Ok(offset) => {
-            log::error!(offset, end; "owners written at another offset");
-            false
-        }
-        Err(refusal) => {
-            log::warn!(end, refusal:display; "owners not written");
-            false
-        }
-    }
+/// What a leader waits for.
+enum Event {
+    /// A command has ended.
+    Ended(Command, Outcome),
+    /// The store has taken a table after the record before an offset, or has
+    /// another record there.
+    Written(u64, Owners, bool),
+    /// The earlier leader has stopped.
+    Stopped,
 }
 
-/// Connections for commands, by the process at their other end.
-type Conns = Rc<RefCell<HashMap<Life, Conn>>>;
-
-/// The task that asks the earlier leader to stop; it ends with the leadership.
-struct Asking(Option<actix_rt::task::JoinHandle<()>>);
-
-impl Drop for Asking {
-    fn drop(&mut self) {
-        if let Some(task) = &self.0 {
-            task.abort();
-        }
-    }
+/// One time of leadership. Its tasks end with it.
+struct Reign {
+    node: Rc<Node>,
+    granter: Granter,
+    conns: Conns,
+    tasks: JoinSet<()>,
+    events: UnboundedSender<Event>,
+    /// When loads were last decayed.
+    decayed: Time,
+    /// When keys were last balanced.
+    balanced: Time,
+    /// A table that the store accepted and whose grants are still to be sent.
+    written: Option<(u64, Owners)>,
 }
 
 /// Grants, renews and moves keys until another process may lead.
 async fn lead(node: &Rc<Node>, claim: Claim) {
-    let Claim { table, offset, hold, earlier } = claim;
+    let offset = claim.offset;
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let mut reign = Reign::new(node.clone(), claim, sender);
     let mut now = node.now();
-    // An earlier leader that is cut off from the store, but not from a target,
-    // goes on renewing there until it gives up by itself.
-    let fenced = if earlier.is_some() { now.after(ALONE_MAX) } else { now };
-    let mut granter = Granter::new(rules(node), now, fenced, hold, &table, offset);
-    node.adopt(offset, table);
-    let (stopped, mut stops) = mpsc::unbounded_channel();
-    let asking = earlier.map(|leader| {
-        actix_rt::spawn(async move {
-            link::stop(&leader).await;
-            let _ = stopped.send(());
-        })
-    });
-    let _asking = Asking(asking);
-    let conns = Conns::default();
-    let (sender, mut results) = mpsc::unbounded_channel();
-    let mut balanced = now;
-    // A table that the store accepted and whose grants are still to be sent.
-    let mut written: Option<(u64, Owners)> = None;
-    let mut decayed = now;
     log::info!(offset; "leading");
     loop {
         let last = std::mem::replace(&mut now, node.now());
-        if let Some(reason) = ends(node, &granter, last, now) {
+        if let Some(reason) = ends(node, &reign.granter, last, now) {
             log::info!(reason; "leading ended");
             return;
         }
-        if stops.try_recv().is_ok() {
-            log::info!("the earlier leader has stopped");
-            granter.settle(now.after(Span::from(GRANT_MAX)));
+        reign.round(now);
+        let event = tokio::time::timeout(ROUND.as_duration(), events.recv()).await;
+        let mut event = event.ok().flatten();
+        while let Some(next) = event {
+            if !reign.take(next) {
+                log::info!(reason = "another process has written the owners"; "leading ended");
+                return;
+            }
+            event = events.try_recv().ok();
         }
-        if now.since(decayed) >= balance::DECAY {
-            decayed = now;
-            with_loads(|loads| {
-                loads.decay();
-                loads.retain(&node.directory.borrow());
+    }
+}
+
+impl Reign {
+    fn new(node: Rc<Node>, claim: Claim, events: UnboundedSender<Event>) -> Self {
+        let Claim { table, offset, hold, earlier } = claim;
+        let now = node.now();
+        // An earlier leader that is cut off from the store, but not from a
+        // target, goes on renewing there until it gives up by itself.
+        let fenced = if earlier.is_some() { now.after(ALONE_MAX) } else { now };
+        let granter = Granter::new(rules(&node), now, fenced, hold, &table, offset);
+        node.adopt(offset, table);
+        let mut tasks = JoinSet::new();
+        if let Some(leader) = earlier {
+            let events = events.clone();
+            tasks.spawn_local(async move {
+                link::stop(&leader).await;
+                let _ = events.send(Event::Stopped);
             });
         }
-        let keyed: Vec<Arc<str>> = match &*node.config.borrow() {
+        let conns = Conns::default();
+        Self { node, granter, conns, tasks, events, decayed: now, balanced: now, written: None }
+    }
+
+    /// Sends what is due.
+    fn round(&mut self, now: Time) {
+        while self.tasks.try_join_next().is_some() {}
+        self.decay(now);
+        let keyed: Vec<Arc<str>> = match &*self.node.config.borrow() {
             Some(config) => config.keyed().cloned().collect(),
             None => Vec::new(),
         };
-        let steps = with_loads(|loads| granter.tick(now, &keyed, &node.directory.borrow(), loads));
-        let granted = written.take();
+        let directory = self.node.directory.borrow();
+        let steps = with_loads(|loads| self.granter.tick(now, &keyed, &directory, loads));
+        drop(directory);
         for step in steps {
             match step {
-                Step::Send(command) => {
-                    let (node, conns, sender) = (node.clone(), conns.clone(), sender.clone());
-                    actix_rt::spawn(async move {
-                        let outcome = command_once(&node, &conns, &command).await;
-                        let _ = sender.send((command, outcome));
-                    });
-                }
-                Step::Write { table, end } => {
-                    if !write(node, &table, end).await {
-                        return;
-                    }
-                    granter.written(node.now());
-                    written = Some((end, table));
-                }
+                Step::Send(command) => self.send(command),
+                Step::Write { table, end } => self.write(table, end),
             }
         }
-        if let Some((end, table)) = granted {
-            let node = node.clone();
-            actix_rt::spawn(async move {
-                sleep(GRANT_LEAD).await;
-                node.adopt(end, table);
-            });
-        }
-        if written.is_some() {
-            // The grants of the new owners go out in the next round.
-            continue;
+        if let Some((end, table)) = self.written.take() {
+            self.publish(end, table);
         }
-        let pause = BALANCE.scale((f64::from(node.peers.get()) / BALANCE_PEERS).max(1.0));
-        if now.since(balanced) >= pause {
-            balanced = now;
-            rebalance(node, &mut granter, &keyed, now);
+        let pause = BALANCE.scale((f64::from(self.node.peers.get()) / BALANCE_PEERS).max(1.0));
+        if now.since(self.balanced) >= pause {
+            self.balanced = now;
+            rebalance(&self.node, &mut self.granter, &keyed, now);
         }
-        let pause = tokio::time::timeout(ROUND.as_duration(), results.recv()).await;
-        if let Ok(Some((command, outcome))) = pause {
-            ended(node, &mut granter, &command, outcome);
+    }
+
+    fn decay(&mut self, now: Time) {
+        if now.since(self.decayed) < balance::DECAY {
+            return;
         }
-        while let Ok((command, outcome)) = results.try_recv() {
-            ended(node, &mut granter, &command, outcome);
+        self.decayed = now;
+        with_loads(|loads| {
+            loads.decay();
+            loads.retain(&self.node.directory.borrow());
+        });
+    }
+
+    fn send(&mut self, command: Command) {
+        let (node, conns, events) = (self.node.clone(), self.conns.clone(), self.events.clone());
+        self.tasks.spawn_local(async move {
+            let outcome = command::send(&node, &conns, &command).await;
+            let _ = events.send(Event::Ended(command, outcome));
+        });
+    }
+
+    /// Writes a table while renewals go on.
+    fn write(&mut self, table: Owners, end: u64) {
+        let (node, events) = (self.node.clone(), self.events.clone());
+        self.tasks.spawn_local(async move {
+            let accepted = record::write(&node, &table, end).await;
+            let _ = events.send(Event::Written(end, table, accepted));
+        });
+    }
+
+    /// Passes a table on once its grants had time to arrive.
+    fn publish(&mut self, end: u64, table: Owners) {
+        let node = self.node.clone();
+        self.tasks.spawn_local(async move {
+            sleep(GRANT_LEAD).await;
+            node.adopt(end, table);
+        });
+    }
+
+    /// Takes an event. Returns whether this process still leads.
+    fn take(&mut self, event: Event) -> bool {
+        match event {
+            Event::Ended(command, outcome) => ended(&self.node, &mut self.granter, &command, outcome),
+            Event::Written(_, _, false) => return false,
+            Event::Written(end, table, true) => {
+                self.granter.written(self.node.now());
+                self.written = Some((end, table));
+            }
+            Event::Stopped => {
+                log::info!("the earlier leader has stopped");
+                self.granter.settle(self.node.now().after(Span::from(GRANT_MAX)));
+            }
         }
+        true
     }
 }
 
 fn ends(node: &Node, granter: &Granter, last: Time, now: Time) -> Option<&'static str> {
     match node.seat.get() {
         None => Some("the group was left, or another process leads"),
-        Some(_) if node.is_leaving() => Some("stopping"),
         Some(_) if granter.is_fenced() => Some("a target has seen a higher fence"),
         Some(at) if now.since(at) > ALONE_MAX => Some("the store is away for too long"),
         // A process that stood still may have been replaced meanwhile.
@@ -402,41 +284,3 @@
         }
     }
 }
-
-async fn command_once(node: &Node, conns: &Conns, command: &Command) -> Outcome {
-    let within = if command.ask == Ask::Release { RELEASE_MAX } else { GRANT_MAX };
-    node.metrics.command(if command.ask == Ask::Release { "release" } else { "grant" });
-    let (head, body) = match grant::encode(command) {
-        Ok(request) => request,
-        Err(error) => {
-            log::error!(error:display; "command can't be encoded");
-            return Outcome::Unsent;
-        }
-    };
-    let Some(mut conn) = connect(conns, command, node.http.clone()).await else {
-        return Outcome::Unsent;
-    };
-    let exchange = conn.exchange(head, vec![body], false, |_| true);
-    match tokio::time::timeout(within, exchange).await {
-        Ok(Ok(reply)) => {
-            if reply.reusable {
-                conns.borrow_mut().insert(command.life.clone(), conn);
-            }
-            grant::decode(&reply)
-        }
-        Ok(Err(broken)) if !broken.sent => Outcome::Unsent,
-        Ok(Err(_)) => Outcome::Cut,
-        // The connection is closed with an unanswered command on it.
-        Err(_) => Outcome::Unknown,
-    }
-}
-
-/// Returns the kept connection to a process, or a new one if none is kept.
-async fn connect(conns: &Conns, command: &Command, http: ServiceConfig) -> Option<Conn> {
-    let kept = conns.borrow_mut().remove(&command.life);
-    match kept {
-        // A connection that the target closed may mean that its process ended.
-        Some(conn) => conn.is_quiet().then_some(conn),
-        None => Conn::open(command.addr, CONNECT_MAX, http).await.ok(),
-    }
-}
--- /dev/null
+++ b/crates/catkin-edge/src/lead/record.rs
@@ -0,0 +1,93 @@
+//! The record of the store that holds the table of owners.
+
+use {
+    crate::{
+        follow::ANSWER_MAX,
+        node::{Node, sleep},
+    },
+    catkin::types::Span,
+    catkin_platform::store::Refusal,
+    catkin_route::owners::Owners,
+};
+
+/// Topic of the table of owners.
+const TOPIC: &str = "keyed.owners";
+
+/// Key of the table in its topic.
+const KEY: &[u8] = b"table";
+
+/// Pause before a write that the store refused or did not answer is repeated.
+const REPEAT: Span = Span::from_millis(300);
+
+/// The newest record.
+#[derive(Debug)]
+pub(crate) struct Newest {
+    /// The table, if there is one that can be read.
+    pub(crate) table: Option<Owners>,
+    /// Offset after the record. The topic has only one key, so this is the
+    /// offset of the next record.
+    pub(crate) end: u64,
+}
+
+/// Reads the newest record.
+///
+/// # Errors
+///
+/// As any call of the store.
+pub(crate) async fn read(node: &Node) -> Result<Newest, Refusal> {
+    let newest = node.store.newest(TOPIC, ANSWER_MAX.as_duration()).await?;
+    let record = newest.items.iter().find(|record| *record.key == *KEY);
+    let table = match record.map(|record| Owners::decode(&record.value)).transpose() {
+        Ok(table) => table,
+        Err(error) => {
+            log::error!(error:display; "table of owners can't be read");
+            None
+        }
+    };
+    Ok(Newest { table, end: newest.end })
+}
+
+async fn append(node: &Node, bytes: &[u8], end: u64) -> Result<(), Refusal> {
+    let appended = node.store.append(TOPIC, KEY, bytes, end, ANSWER_MAX.as_duration()).await;
+    match appended {
+        Ok(_) => log::info!(offset = end, bytes = bytes.len(); "owners written"),
+        Err(refusal) => log::warn!(end, refusal:display; "owners not written"),
+    }
+    appended.map(drop)
+}
+
+fn encode(table: &Owners) -> Option<Vec<u8>> {
+    match table.encode() {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            log::error!(error:display; "table of owners can't be encoded");
+            None
+        }
+    }
+}
+
+/// Writes a table after the record before `end`, once. Returns whether the
+/// store accepted it; it may have done so also if this returns false.
+pub(super) async fn write_once(node: &Node, table: &Owners, end: u64) -> bool {
+    let Some(bytes) = encode(table) else { return false };
+    append(node, &bytes, end).await.is_ok()
+}
+
+/// Writes a table after the record before `end`, again and again until the
+/// store has said whether it stands there. Returns whether it does; otherwise
+/// another process has written a record there.
+pub(super) async fn write(node: &Node, table: &Owners, end: u64) -> bool {
+    let Some(bytes) = encode(table) else { return false };
+    loop {
+        match append(node, &bytes, end).await {
+            Ok(()) => return true,
+            // An earlier try that was not answered may have been carried out.
+            Err(Refusal::Moved(_)) => match read(node).await {
+                Ok(newest) => return newest.end == end + 1 && newest.table.as_ref() == Some(table),
+                Err(refusal) => log::info!(refusal:display; "owners not read"),
+            },
+            Err(_) => {}
+        }
+        sleep(REPEAT).await;
+    }
+}
--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -15,7 +15,7 @@
 //! | `pool` | idle connections to targets |
 //! | `feed` | the place in a topic, and its last changes |
 //! | `follow` | reads configuration, directory and owners from the store |
-//! | `lead` | membership, the leader's claim, commands and moves of keys |
+//! | `lead` | membership, the leader's claim, commands, records and moves of keys |
 //! | `link` | reports to the leader; tables and changes from it |
 //! | `admin` | readiness and metrics |
 //! | `stop` | signals and graceful shutdown |
@@ -118,7 +118,7 @@
     actix_rt::spawn(follow::config(node.clone()));
     actix_rt::spawn(follow::targets(node.clone()));
     actix_rt::spawn(follow::owners(node.clone()));
-    actix_rt::spawn(lead::join(node.clone()));
+    actix_rt::spawn(lead::seat::join(node.clone()));
     actix_rt::spawn(lead::run(node.clone()));
     actix_rt::spawn(link::listen(node.clone(), peers));
     actix_rt::spawn(link::report(node.clone()));
--- a/crates/catkin-edge/src/stop.rs
+++ b/crates/catkin-edge/src/stop.rs
@@ -1,10 +1,7 @@
 //! Signals and graceful shutdown.
 
 use {
-    crate::{
-        lead,
-        node::{Node, Stage, sleep},
-    },
+    crate::node::{Node, Stage, sleep},
     catkin::{Code, Error, types::Span},
     std::rc::Rc,
     tokio::signal::unix::{Signal, SignalKind, signal},
@@ -55,14 +52,14 @@
     let start = node.now();
     node.stage.send_replace(Stage::Leaving);
     log::info!(open = node.open.get(); "stopping");
-    actix_rt::spawn(lead::leave(node.clone()));
     let limit = node.bounds.grace.saturating_sub(GRACE_LEFT);
     loop {
         let passed = node.now().since(start);
         if passed >= SETTLE {
             node.stage.send_replace(Stage::Closing);
         }
-        if passed >= limit || passed >= SETTLE && node.open.get() == 0 {
+        let idle = node.open.get() == 0 && !node.leads.get();
+        if passed >= limit || passed >= SETTLE && idle {
             break;
         }
         sleep(Span::from_millis(20)).await;
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -5,6 +5,7 @@
     actix_http::{Method, ServiceConfig, header::HeaderName},
     bytes::Bytes,
     catkin_net::Conn,
+    catkin_route::owners::Owners,
     catkin_standin::users::{Ledger, Plan, Route, Server, Store, put_config},
     nix::{
         sys::signal::{Signal, kill},
@@ -186,6 +187,14 @@
         }
     }
 
+    /// Returns the number of the edge process that wrote the newest table of
+    /// owners.
+    pub(crate) fn leader(&self) -> usize {
+        let records = self.store.newest("keyed.owners");
+        let table = Owners::decode(&records["table"]).unwrap();
+        (0..self.edges.len()).find(|i| *table.leader.vm == *format!("edge-{i}")).unwrap()
+    }
+
     /// Returns an id that no other request has.
     pub(crate) fn id(&self) -> String {
         self.next.set(self.next.get() + 1);
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -193,6 +193,46 @@
     fleet.check();
 }
 
+/// A target that is lost while the store is down must not end the renewals of
+/// the others, although its keys can't move.
+#[actix_rt::test]
+async fn target_lost_in_outage_leaves_the_others() {
+    for mode in [StoreMode::Busy, StoreMode::LosesWrites] {
+        let fleet = Fleet::start(2).await;
+        fleet.store.set_mode(mode);
+        fleet.servers[0].end();
+        sleep(7_000).await;
+        let mut good = 0;
+        for key in KEYS {
+            good += u32::from(fleet.get(&fleet.edges[0], key).await.unwrap().status == 200);
+        }
+        assert!(good > 0, "{mode:?}: no key of the other targets is served");
+        fleet.store.set_mode(StoreMode::Up);
+        sleep(3_000).await;
+        let (_, bad) = lookups(&fleet, 500).await;
+        assert_eq!(bad, 0, "{mode:?}");
+        fleet.check();
+    }
+}
+
+/// A leader that is told to stop while the store is down goes on renewing for
+/// its grace, since no other process can follow it.
+#[actix_rt::test]
+async fn leader_that_stops_in_outage_renews() {
+    let fleet = Fleet::start(2).await;
+    let leader = fleet.leader();
+    fleet.store.set_mode(StoreMode::Busy);
+    sleep(500).await;
+    fleet.edges[leader].signal(Signal::SIGTERM);
+    sleep(7_000).await;
+    for key in KEYS {
+        let got = fleet.get(&fleet.edges[1 - leader], key).await;
+        assert_eq!(got.unwrap().status, 200, "key {key}");
+    }
+    fleet.store.set_mode(StoreMode::Up);
+    fleet.check();
+}
+
 /// History that the store forgets is read anew.
 #[actix_rt::test]
 async fn compacted_store_is_read_anew() {
--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -212,7 +212,7 @@
 pub fn plan(now: Time, service: &str, granter: &Granter, directory: &Directory, loads: &Loads) -> Vec<Move> {
     let open: Vec<&Target> = directory
         .of(service)
-        .filter(|t| t.is_open() && t.lapsed.is_none() && !granter.is_suspect(now, &t.entry.life))
+        .filter(|t| t.is_open() && t.lapsed.is_none() && !granter.is_suspect(&t.entry.life))
         .collect();
     let mut pots = Pots::new(service, &open, loads);
     let mut rows = granter.rows(service);
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -57,7 +57,7 @@
 /// Failed renewals in a row after which a target counts as lost.
 const FAILS_MAX: u32 = 2;
 
-/// Time for which a target that failed a command gets no further keys.
+/// Least time for which a target that failed a command gets no further keys.
 const SUSPECT_FOR: Span = Span::from_secs(3);
 
 /// Time for which the directory must not change before keys get their first
@@ -269,9 +269,10 @@
         slots.iter().map(|s| Held { row: s.row.clone(), free: free(s), moved: s.moved }).collect()
     }
 
-    /// Returns whether a process failed a command a short time ago.
-    pub fn is_suspect(&self, now: Time, life: &Life) -> bool {
-        self.suspects.get(life).is_some_and(|at| now.since(*at) < SUSPECT_FOR)
+    /// Returns whether a process failed a command a short time ago, or has not
+    /// written its entry since.
+    pub fn is_suspect(&self, life: &Life) -> bool {
+        self.suspects.contains_key(life)
     }
 
     /// Advances all keys. `keyed` are the services whose keys have owners.
@@ -305,7 +306,8 @@
         if self.changes.0 != directory.changes() {
             self.changes = (directory.changes(), now);
         }
-        self.suspects.retain(|_, at| now.since(*at) < SUSPECT_FOR);
+        let unheard = |life: &Life, at: Time| directory.living(life).is_some_and(|target| target.heard <= at);
+        self.suspects.retain(|life, at| now.since(*at) < SUSPECT_FOR || unheard(life, *at));
         if self.addrs.len() > 4 * directory.len() + 64 {
             self.addrs.retain(|life, _| directory.living(life).is_some());
         }
@@ -313,7 +315,7 @@
 
     fn advance(&mut self, now: Time, service: &Arc<str>, directory: &Directory, steps: &mut Vec<Step>) {
         let mut slots = self.services.remove(service).unwrap_or_default();
-        let refuge = directory.of(service).filter(|t| self.takes_keys(now, t)).count();
+        let refuge = directory.of(service).filter(|t| self.takes_keys(t)).count();
         for slot in &mut slots {
             self.judge(now, slot, directory, refuge);
             if let Some(command) = self.command(now, slot, directory) {
@@ -323,8 +325,8 @@
         self.services.insert(service.clone(), slots);
     }
 
-    fn takes_keys(&self, now: Time, target: &Target) -> bool {
-        target.is_open() && target.lapsed.is_none() && !self.is_suspect(now, &target.entry.life)
+    fn takes_keys(&self, target: &Target) -> bool {
+        target.is_open() && target.lapsed.is_none() && !self.is_suspect(&target.entry.life)
     }
 
     /// Changes the phase of a slot by what the directory says of its owner.
@@ -447,7 +449,7 @@
         let names: Vec<Arc<str>> = self.services.keys().cloned().collect();
         for service in names {
             let mut slots = self.services.remove(&service).unwrap_or_default();
-            let mut open: Vec<&Target> = directory.of(&service).filter(|t| self.takes_keys(now, t)).collect();
+            let mut open: Vec<&Target> = directory.of(&service).filter(|t| self.takes_keys(t)).collect();
             let is_first = slots.iter().all(|s| s.row.target.is_empty());
             if is_first && now.since(self.changes.1) < CALM {
                 open.clear();
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -75,6 +75,23 @@
     assert!(moved(&lead));
 }
 
+/// While the store is away the directory goes on naming a target that is lost.
+/// It must not get its keys back, which would be away for another hold.
+#[test]
+fn lost_target_gets_no_keys_before_it_is_heard() {
+    let mut lead = settled(&["a", "b"]);
+    let lost = |c: &Command| match &*c.life.id {
+        "a" => Some(Outcome::Unsent),
+        _ => Some(Outcome::Done(None)),
+    };
+    lead.run(2_000, lost);
+    lead.pass(6_000);
+    let commands = lead.run(500, lost);
+    assert_eq!(grants(&commands, "a").count(), 0);
+    let rows = &lead.table.as_ref().unwrap().services["s"];
+    assert!(rows.iter().all(|row| &*row.target == "b"));
+}
+
 /// An unanswered grant may be carried out late, so it lengthens the wait.
 #[test]
 fn unanswered_grant_counts_as_held() {
