edge: a claim names all earlier leaders, and leaders tell that they end

Leaders changed three times within 2 s: a process that learned of a new leader from the store counted that leader's silence from the old one's last word and claimed in its turn. And the third leader waited only for the second one to stop, while the first, which was gone, could still have been renewing grants.

Change: the table names all earlier leaders that have not stopped; a new leader asks all of them and waits for all. A new leader's claim counts as its first word. A report names the process it is meant for; if that one does not lead any more the answer says so, and nobody waits for its silence. The link follows a new leader at once.

Ruled out: the group names one next leader only; it moves its partitions with each change of members, which is no fault.

Tests: leader_that_stops_is_followed_soon was seen failing before; claim_names_all_earlier_leaders with the guard taken out; records_name_earlier_leaders_until_they_stop was not seen failing.

--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -25,6 +25,7 @@
     },
     claim::Claim,
     command::{GRANT_MAX, Lanes},
+    futures_util::future::join_all,
     std::{cell::RefCell, rc::Rc, sync::Arc},
     tokio::{
         sync::mpsc::{self, UnboundedSender},
@@ -105,7 +106,7 @@
     /// The store has taken a table after the record before an offset, or has
     /// another record there.
     Written(u64, Owners, bool),
-    /// The earlier leader has stopped.
+    /// All earlier leaders have stopped.
     Stopped,
 }
 
@@ -152,18 +153,19 @@
 
 impl Reign {
     fn new(node: Rc<Node>, claim: Claim, events: UnboundedSender<Event>) -> Self {
-        let Claim { table, offset, hold, earlier } = claim;
+        let Claim { table, offset, hold } = claim;
         let now = node.now();
         // An earlier leader that is cut off from the store, but not from a
         // target, goes on renewing there until it gives up by itself.
-        let fenced = if earlier.is_some() { now.after(ALONE_MAX) } else { now };
+        let earlier = table.earlier.clone();
+        let fenced = if earlier.is_empty() { now } else { now.after(ALONE_MAX) };
         let granter = Granter::new(rules(&node), now, fenced, hold, &table, offset);
         node.adopt(offset, table);
         let mut tasks = JoinSet::new();
-        if let Some(leader) = earlier {
+        if !earlier.is_empty() {
             let events = events.clone();
             tasks.spawn_local(async move {
-                link::stop(&leader).await;
+                join_all(earlier.iter().map(link::stop)).await;
                 let _ = events.send(Event::Stopped);
             });
         }
@@ -249,7 +251,7 @@
                 self.written = Some((end, table));
             }
             Event::Stopped => {
-                log::info!("the earlier leader has stopped");
+                log::info!("all earlier leaders have stopped");
                 self.granter.settle(self.node.now().after(Span::from(GRANT_MAX)));
             }
         }
--- a/crates/catkin-edge/src/lead/claim.rs
+++ b/crates/catkin-edge/src/lead/claim.rs
@@ -4,10 +4,7 @@
     super::{record, rules, seat::SEAT_TTL},
     crate::node::Node,
     catkin::types::Span,
-    catkin_route::{
-        granter,
-        owners::{Leader, Owners},
-    },
+    catkin_route::{granter, owners::Owners},
 };
 
 /// Time since the leader last reached the store after which the next process
@@ -20,10 +17,8 @@
     pub(super) table: Owners,
     /// Offset of its record.
     pub(super) offset: u64,
-    /// How long the earlier leader's grants hold.
+    /// How long the grants of earlier leaders hold.
     pub(super) hold: Span,
-    /// The leader before, if it was another process.
-    pub(super) earlier: Option<Leader>,
 }
 
 /// Returns whether this process should claim leadership. The group moves its
@@ -65,6 +60,5 @@
     }
     let table = granter::claim(&node.me, rules(node).hold, last.as_ref(), end);
     let hold = last.as_ref().map_or(Span::ZERO, |l| l.hold);
-    let earlier = last.map(|l| l.leader).filter(|l| *l != node.me);
-    record::write_once(node, &table, end).await.then_some(Claim { table, offset: end, hold, earlier })
+    record::write_once(node, &table, end).await.then_some(Claim { table, offset: end, hold })
 }
--- a/crates/catkin-edge/src/link.rs
+++ b/crates/catkin-edge/src/link.rs
@@ -19,7 +19,6 @@
         cell::RefCell,
         collections::{BTreeMap, HashMap},
         io,
-        net::SocketAddr,
         rc::Rc,
         sync::Arc,
     },
@@ -63,6 +62,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Report {
     vm: Arc<str>,
+    /// Incarnation of the leader that it is meant for.
+    leader: u64,
     /// Version of the newest known table.
     version: Option<u64>,
     /// Offsets of the next records of the configuration and the directory.
@@ -81,7 +82,16 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Stopped;
 
-/// What the leader answers.
+/// What a process answers to a report.
+#[derive(Debug, Serialize, Deserialize)]
+enum Answer {
+    /// What the leader says.
+    Notice(Box<Notice>),
+    /// The process that the report is meant for does not lead any more.
+    Ended,
+}
+
+/// What the leader says.
 #[derive(Debug, Serialize, Deserialize)]
 struct Notice {
     /// Number of processes that report.
@@ -246,6 +256,7 @@
     let mut standby = false;
     let mut sent = None;
     let mut next: [Option<u64>; 2] = [None, None];
+    let mut meant = node.me.incarnation;
     loop {
         let message = tokio::select! {
             message = tokio::time::timeout(SILENCE_MAX.as_duration(), messages.next()) => Some(message??),
@@ -261,6 +272,7 @@
                     standby = stands_by(node, peers, &report.vm);
                     sent = report.version;
                     next = report.next;
+                    meant = report.leader;
                 }
                 Message::Stop(incarnation) => {
                     if incarnation == node.me.incarnation {
@@ -271,9 +283,8 @@
                 }
             }
         }
-        // Only the leader's word counts; others end the link.
-        if !node.leads.get() {
-            return Ok(());
+        if !node.leads.get() || meant != node.me.incarnation {
+            return write(&mut writer, &Answer::Ended).await;
         }
         let newer = node.owned().filter(|o| sent.is_none_or(|sent| sent < o.version));
         let table = newer.map(|Owned { version, table }| (version, (*table).clone()));
@@ -288,16 +299,14 @@
         let news = changes.iter().flatten().any(|c| !c.records.is_empty());
         // Nothing new waits for the next report, which tells of the age.
         if asked || table.is_some() || news {
-            write(
-                &mut writer,
-                &Notice { peers: count, standby, alone, full: full(node, peers), table, changes },
-            )
-            .await?;
+            let full = full(node, peers);
+            let notice = Notice { peers: count, standby, alone, full, table, changes };
+            write(&mut writer, &Answer::Notice(Box::new(notice))).await?;
         }
     }
 }
 
-fn report_now(node: &Node) -> Report {
+fn report_now(node: &Node, leader: &Leader) -> Report {
     let mut keys: HashMap<Arc<str>, KeyCounts> = HashMap::new();
     for ((service, key), count) in node.keys.take() {
         keys.entry(service).or_default().push((key, count));
@@ -307,26 +316,39 @@
     let version = node.owned().map(|o| o.version);
     let next = [node.configs.next(), node.targets.next()];
     let strong = node.is_strong();
-    Report { vm: node.me.vm.clone(), version, next, strong, own, keys: keys.into_iter().collect(), times }
+    let keys = keys.into_iter().collect();
+    Report { vm: node.me.vm.clone(), leader: leader.incarnation, version, next, strong, own, keys, times }
 }
 
 /// Reports to the leader and takes its tables.
 pub(crate) async fn report(node: Rc<Node>) {
+    let mut owned = node.owned.subscribe();
     loop {
-        let leader = node.owned().map(|o| o.table.leader.addr);
-        if let Some(addr) = leader
-            && let Err(error) = link(&node, addr).await
-        {
-            log::debug!(leader:display = addr, error:display; "link to the leader ended");
-            if error.kind() == io::ErrorKind::ConnectionRefused {
-                // Nothing runs there, so the next leader need not wait.
-                node.alive.set(Time::default());
+        let leader = owned.borrow_and_update().as_ref().map(|o| o.table.leader.clone());
+        if let Some(leader) = leader {
+            let next = |owned: &Option<Owned>| owned.as_ref().is_some_and(|o| o.table.leader != leader);
+            tokio::select! {
+                ended = link(&node, &leader) => note_end(&node, &leader, ended),
+                _ = owned.wait_for(next) => continue,
             }
         }
         sleep(REPORT_PAUSE).await;
     }
 }
 
+/// Notes the end of the link to the leader. Where nothing runs or another
+/// process answers, the next leader need not wait.
+fn note_end(node: &Node, leader: &Leader, ended: io::Result<()>) {
+    let refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    let is_over = ended.as_ref().map_or_else(refused, |()| true);
+    if let Err(error) = ended {
+        log::debug!(leader = &*leader.vm, error:display; "link to the leader ended");
+    }
+    if is_over {
+        node.alive.set(Time::default());
+    }
+}
+
 /// Takes what the leader says.
 fn hear(node: &Node, notice: Notice, now: Time) {
     node.linked.set(now);
@@ -355,8 +377,9 @@
     }
 }
 
-async fn link(node: &Rc<Node>, addr: SocketAddr) -> io::Result<()> {
-    let connect = TcpStream::connect(addr);
+/// Reports to a leader. Returns once that process does not lead any more.
+async fn link(node: &Rc<Node>, leader: &Leader) -> io::Result<()> {
+    let connect = TcpStream::connect(leader.addr);
     let stream = tokio::time::timeout(SILENCE_MAX.as_duration(), connect).await??;
     tune(&stream);
     let (reader, mut writer) = stream.into_split();
@@ -367,16 +390,18 @@
     loop {
         tokio::select! {
             message = messages.next() => {
-                let notice: Notice = postcard::from_bytes(&message?).map_err(io::Error::other)?;
+                let answer: Answer = postcard::from_bytes(&message?).map_err(io::Error::other)?;
                 heard = node.now();
-                hear(node, notice, heard);
+                match answer {
+                    Answer::Notice(notice) => hear(node, *notice, heard),
+                    Answer::Ended => return Ok(()),
+                }
             }
             _ = pause.tick() => {
-                let moved = node.owned().is_some_and(|o| o.table.leader.addr != addr);
-                if moved || node.now().since(heard) > SILENCE_MAX {
-                    return Ok(());
+                if node.now().since(heard) > SILENCE_MAX {
+                    return Err(io::ErrorKind::TimedOut.into());
                 }
-                write(&mut writer, &Message::Report(report_now(node))).await?;
+                write(&mut writer, &Message::Report(report_now(node, leader))).await?;
             }
         }
     }
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -186,6 +186,11 @@
         if !newer {
             return;
         }
+        let known = self.owned.borrow().as_ref().map(|o| o.table.leader.clone());
+        if known.is_some_and(|known| known != table.leader) {
+            // A new leader reached the store with its claim.
+            self.alive.set(self.now());
+        }
         log::info!(version, leader = &*table.leader.vm; "owners changed");
         self.owned.send_replace(Some(Owned { version, table: Rc::new(table) }));
         self.room.notify_waiters();
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -233,6 +233,17 @@
     fleet.check();
 }
 
+/// A leader that is told to stop says so; nobody waits for its silence.
+#[actix_rt::test]
+async fn leader_that_stops_is_followed_soon() {
+    let fleet = Fleet::start(3).await;
+    let leader = fleet.leader();
+    fleet.edges[leader].signal(Signal::SIGTERM);
+    sleep(1_200).await;
+    assert_ne!(fleet.leader(), leader);
+    fleet.check();
+}
+
 /// History that the store forgets is read anew.
 #[actix_rt::test]
 async fn compacted_store_is_read_anew() {
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -191,8 +191,11 @@
 #[derive(Clone, Debug)]
 pub struct Granter {
     rules: Rules,
-    earlier: Rules,
     me: Leader,
+    /// Earlier leaders that may still renew grants, until the given time.
+    unsettled: (Vec<Leader>, Time),
+    /// Times of their grants.
+    earlier: Rules,
     end: u64,
     services: BTreeMap<Arc<str>, Vec<Slot>>,
     addrs: BTreeMap<Life, SocketAddr>,
@@ -207,16 +210,25 @@
 /// Returns the table that claims leadership at an offset: the same owners with
 /// a higher fence.
 pub fn claim(me: &Leader, hold: Span, last: Option<&Owners>, end: u64) -> Owners {
-    let mut services = last.map(|t| t.services.clone()).unwrap_or_default();
+    let Some(last) = last else {
+        let (earlier, services) = (Vec::new(), BTreeMap::new());
+        return Owners { leader: me.clone(), earlier, hold, services };
+    };
+    let mut services = last.services.clone();
     for row in services.values_mut().flatten() {
         row.fence = end + 1;
     }
-    Owners { leader: me.clone(), hold, services }
+    // A VM runs one process at a time; the one before it has ended.
+    let others = last.earlier.iter().filter(|other| other.vm != last.leader.vm);
+    let earlier: Vec<Leader> =
+        others.chain([&last.leader]).filter(|other| other.vm != me.vm).cloned().collect();
+    let hold = if earlier.is_empty() { hold } else { hold.max(last.hold) };
+    Owners { leader: me.clone(), earlier, hold, services }
 }
 
 impl Granter {
-    /// Starts from the claim that the store accepted at an offset. The earlier
-    /// leader may have sent grants for `hold` until `fence_time`.
+    /// Starts from the claim that the store accepted at an offset. Earlier
+    /// leaders may have sent grants for `hold` until `fence_time`.
     pub fn new(rules: Rules, now: Time, fence_time: Time, hold: Span, claim: &Owners, offset: u64) -> Self {
         let earlier = Rules { hold: hold.max(rules.hold), ..rules };
         let until = earlier.end(fence_time.max(now));
@@ -235,8 +247,9 @@
             .collect();
         Self {
             rules,
-            earlier,
             me: claim.leader.clone(),
+            unsettled: (claim.earlier.clone(), fence_time),
+            earlier,
             end: offset + 1,
             services,
             addrs: BTreeMap::new(),
@@ -248,9 +261,10 @@
         }
     }
 
-    /// Lowers the bound on what an earlier leader may have sent, once that
-    /// leader is known to have stopped.
+    /// Lowers the bound on what earlier leaders may have sent, once all of
+    /// them are known to have stopped.
     pub fn settle(&mut self, now: Time) {
+        self.unsettled = (Vec::new(), now);
         let until = self.earlier.end(now);
         for slot in self.services.values_mut().flatten().filter(|s| !s.granted) {
             slot.until = slot.until.min(until);
@@ -481,10 +495,13 @@
             slots.iter().map(|s| s.row.clone()).filter(|r| !r.target.is_empty()).collect()
         };
         let services = self.services.iter().map(|(name, slots)| (name.clone(), rows(slots))).collect();
-        steps.push(Step::Write {
-            table: Owners { leader: self.me.clone(), hold: self.rules.hold, services },
-            end: self.end,
-        });
+        if self.unsettled.1 <= now {
+            self.unsettled.0.clear();
+        }
+        let earlier = self.unsettled.0.clone();
+        let hold = if earlier.is_empty() { self.rules.hold } else { self.earlier.hold };
+        let table = Owners { leader: self.me.clone(), earlier, hold, services };
+        steps.push(Step::Write { table, end: self.end });
     }
 
     /// Notes that the store accepted the table of the last write.
--- a/crates/catkin-route/src/owners.rs
+++ b/crates/catkin-route/src/owners.rs
@@ -48,7 +48,9 @@
 pub struct Owners {
     /// The process that wrote the table.
     pub leader: Leader,
-    /// How long its grants hold.
+    /// Processes that led before and may still renew their grants.
+    pub earlier: Vec<Leader>,
+    /// How long its grants and theirs hold.
     pub hold: Span,
     /// Rows of each service in the order of their keys, without gaps.
     pub services: BTreeMap<Arc<str>, Vec<Row>>,
--- a/crates/catkin-route/tests/explore.rs
+++ b/crates/catkin-route/tests/explore.rs
@@ -122,8 +122,8 @@
 impl World {
     fn new() -> Self {
         let row = Row { from: 0, to: 0, target: "a".into(), born: 1, fence: 1, handover: None };
-        let table =
-            Owners { leader: leader("x"), hold: RULES.hold, services: [(SERVICE.into(), vec![row])].into() };
+        let services = [(SERVICE.into(), vec![row])].into();
+        let table = Owners { leader: leader("x"), earlier: Vec::new(), hold: RULES.hold, services };
         let claim = granter::claim(&leader("x"), RULES.hold, Some(&table), 1);
         let server = Server { born: 1, conns: [Some(1), Some(1)], ..Server::default() };
         Self {
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -6,6 +6,7 @@
     catkin_route::{
         directory::Entry,
         granter::{self, Ask, Command, Granter, Held, Outcome, Step},
+        owners::Leader,
     },
     common::{Lead, RULES, at, done, entry, leader, life},
 };
@@ -124,6 +125,45 @@
     assert!(RULES.stretch(3_000).renew > RULES.renew.scale(2.0));
 }
 
+/// A leader may be followed twice before it gives up. The last one must wait for
+/// all that may still renew grants, not only for the one before it.
+#[test]
+fn claim_names_all_earlier_leaders() {
+    let x = granter::claim(&leader("x"), RULES.hold, None, 0);
+    let y = granter::claim(&leader("y"), RULES.hold, Some(&x), 1);
+    let z = granter::claim(&leader("z"), RULES.hold, Some(&y), 2);
+    assert_eq!(y.earlier, [leader("x")]);
+    assert_eq!(z.earlier, [leader("x"), leader("y")]);
+    // A VM runs one process at a time, so the earlier one has ended.
+    let again = granter::claim(&Leader { incarnation: 2, ..leader("x") }, RULES.hold, Some(&z), 3);
+    assert_eq!(again.earlier, [leader("y"), leader("z")]);
+}
+
+/// The records of a leader go on naming earlier leaders until those have
+/// stopped or given up.
+#[test]
+fn records_name_earlier_leaders_until_they_stop() {
+    let claim = granter::claim(&leader("x"), RULES.hold, None, 0);
+    let claim = granter::claim(&leader("y"), RULES.hold, Some(&claim), 1);
+    for stops in [false, true] {
+        let mut lead = Lead::new(&["a"]);
+        lead.granter = Granter::new(RULES, at(0), at(10_000), RULES.hold, &claim, 1);
+        lead.end = 2;
+        if stops {
+            lead.granter.settle(at(0));
+        }
+        lead.run(5_000, done);
+        let expected = if stops { Vec::new() } else { vec![leader("x")] };
+        assert_eq!(lead.table.as_ref().unwrap().earlier, expected);
+        lead.run(6_000, done);
+        lead.directory.put(at(lead.now), entry("b", 1));
+        let row = lead.granter.rows("s").remove(0).row;
+        assert!(lead.granter.begin_move("s", row.from, row.to, life("b", 1)));
+        lead.run(500, done);
+        assert!(lead.table.unwrap().earlier.is_empty());
+    }
+}
+
 /// An unanswered grant may be carried out late, so it lengthens the wait.
 #[test]
 fn unanswered_grant_counts_as_held() {
