edge: pass tables on as changes, and balance keys four times a second

Cause: each record of owners went to every process as a whole table, 6 to 16 KB to 78 processes, so with many processes keys were balanced only once a second and at most eight ranges a round.

Change: a process that has the last table gets the rows that differ.

--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -235,7 +235,9 @@
     loop {
         if node.now().since(node.linked.get()) > RELAY_MAX && !node.leads.get() {
             match record::read(&node).await {
-                Ok(record::Newest { table: Some(table), end }) => node.adopt(end.saturating_sub(1), table),
+                Ok(record::Newest { table: Some(table), end }) => {
+                    node.adopt(end.saturating_sub(1), Rc::new(table))
+                }
                 Ok(_) => {}
                 Err(refusal) => log::debug!(refusal:display; "owners not read"),
             }
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -60,12 +60,8 @@
 /// leader asks it every 300 ms.
 const STORE_FRESH: Span = Span::from_millis(800);
 
-/// Pause between two rounds of balancing in a small fleet.
-const BALANCE: Span = Span::from_millis(200);
-
-/// Processes for which the pause above holds. A new table goes to all of them,
-/// so more processes get one less often.
-const BALANCE_PEERS: f64 = 16.0;
+/// Pause between two rounds of balancing.
+const BALANCE: Span = Span::from_millis(250);
 
 thread_local! {
     /// Loads that edge processes reported to this one.
@@ -160,7 +156,7 @@
         let earlier = table.earlier.clone();
         let fenced = if earlier.is_empty() { now } else { now.after(ALONE_MAX) };
         let granter = Granter::new(rules(&node), now, fenced, hold, &table, offset);
-        node.adopt(offset, table);
+        node.adopt(offset, Rc::new(table));
         let mut tasks = JoinSet::new();
         if !earlier.is_empty() {
             let events = events.clone();
@@ -193,11 +189,10 @@
         if let Some((end, table)) = self.written.take() {
             self.publish(end, table);
         }
-        let pause = BALANCE.scale((f64::from(self.node.peers.get()) / BALANCE_PEERS).max(1.0));
         // Keys that are released while the store is away have no owner until
         // it is back.
         let reaches_store = self.node.seat.get().is_some_and(|at| now.since(at) < STORE_FRESH);
-        if now.since(self.balanced) >= pause && reaches_store {
+        if now.since(self.balanced) >= BALANCE && reaches_store {
             self.balanced = now;
             rebalance(&self.node, &mut self.granter, &keyed, now);
         }
@@ -237,7 +232,7 @@
         let node = self.node.clone();
         self.tasks.spawn_local(async move {
             sleep(GRANT_LEAD).await;
-            node.adopt(end, table);
+            node.adopt(end, Rc::new(table));
         });
     }
 
--- a/crates/catkin-edge/src/lead/claim.rs
+++ b/crates/catkin-edge/src/lead/claim.rs
@@ -5,6 +5,7 @@
     crate::node::Node,
     catkin::types::Span,
     catkin_route::{granter, owners::Owners},
+    std::rc::Rc,
 };
 
 /// Time since the leader last reached the store after which the next process
@@ -55,7 +56,7 @@
     {
         // Another process leads since; whether it lives is to be seen.
         node.alive.set(node.now());
-        node.adopt(end.saturating_sub(1), last.clone());
+        node.adopt(end.saturating_sub(1), Rc::new(last.clone()));
         return None;
     }
     let table = granter::claim(&node.me, rules(node).hold, last.as_ref(), end);
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -181,7 +181,7 @@
     }
 
     /// Takes a table of owners unless a newer one is known.
-    pub(crate) fn adopt(&self, version: u64, table: Owners) {
+    pub(crate) fn adopt(&self, version: u64, table: Rc<Owners>) {
         let newer = self.owned.borrow().as_ref().is_none_or(|o| o.version < version);
         if !newer {
             return;
@@ -192,7 +192,7 @@
             self.alive.set(self.now());
         }
         log::info!(version, leader = &*table.leader.vm; "owners changed");
-        self.owned.send_replace(Some(Owned { version, table: Rc::new(table) }));
+        self.owned.send_replace(Some(Owned { version, table }));
         self.room.notify_waiters();
     }
 
--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -65,8 +65,11 @@
 /// Ranges of one target at that time.
 const STRIPES_MAX: usize = 8;
 
-/// Moves that one round starts.
-const MOVES_MAX: usize = 8;
+/// Moves that one round starts in a small fleet.
+const MOVES_MIN: usize = 8;
+
+/// Targets for one move in a round of a larger fleet.
+const MOVE_TARGETS: usize = 8;
 
 /// Slow start that is left when a new target gets its first keys.
 const COLD_LEFT_MAX: Span = Span::from_millis(1_500);
@@ -226,7 +229,8 @@
         pot.warm = target.cold.since(now) <= COLD_LEFT_MAX;
     }
     let mut moves = Vec::new();
-    while moves.len() < MOVES_MAX {
+    let most = MOVES_MIN.max(open.len() / MOVE_TARGETS);
+    while moves.len() < most {
         let Some(next) = best(now, &mut pots, &mut rows) else { break };
         moves.push(next);
     }
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod granter;
 pub mod load;
 pub mod owners;
+pub mod patch;
 pub mod split;
 pub mod tries;
--- /dev/null
+++ b/crates/catkin-route/tests/patch.rs
@@ -0,0 +1,86 @@
+//! Changes between tables of owners.
+
+mod common;
+
+use {
+    catkin_route::{
+        owners::{Owners, Row},
+        patch::Patch,
+    },
+    common::{RULES, SERVICE, leader},
+    proptest::prelude::*,
+};
+
+fn row(from: u16, to: u16, target: &str, fence: u64) -> Row {
+    Row { from, to, target: target.into(), born: 1, fence, handover: None }
+}
+
+fn table(rows: Vec<Row>) -> Owners {
+    Owners {
+        leader: leader("x"),
+        earlier: Vec::new(),
+        hold: RULES.hold,
+        services: [(SERVICE.into(), rows)].into(),
+    }
+}
+
+/// Makes adjoining rows from bounds and owners; a missing owner leaves a gap.
+fn rows(bounds: Vec<u16>, owners: &[Option<u8>]) -> Vec<Row> {
+    let mut bounds = bounds;
+    bounds.extend([0, u16::MAX]);
+    bounds.sort_unstable();
+    bounds.dedup();
+    let ranges = bounds.windows(2).map(|w| (w[0], if w[1] == u16::MAX { w[1] } else { w[1] - 1 }));
+    let owned = ranges.zip(owners.iter().cycle());
+    owned.filter_map(|((from, to), owner)| Some(row(from, to, &format!("t{}", (*owner)?), 1))).collect()
+}
+
+fn any_table() -> impl Strategy<Value = Owners> {
+    let bounds = prop::collection::vec(any::<u16>(), 0..12);
+    let owners = prop::collection::vec(prop::option::weighted(0.9, 0_u8..4), 1..12);
+    (bounds, owners).prop_map(|(bounds, owners)| table(rows(bounds, &owners)))
+}
+
+proptest! {
+    /// A process that applies changes must have the very table of the leader.
+    #[test]
+    fn patch_gives_the_newer_table(old in any_table(), new in any_table()) {
+        if let Some(patch) = Patch::new(&old, &new) {
+            prop_assert_eq!(patch.apply(&old), new);
+        }
+    }
+
+    /// A table without gaps can always be told by changes.
+    #[test]
+    fn whole_tables_are_told_by_changes(old in any_table(), bounds in prop::collection::vec(any::<u16>(), 0..12)) {
+        let new = table(rows(bounds, &[Some(7), Some(8)]));
+        prop_assert!(Patch::new(&old, &new).is_some());
+    }
+}
+
+/// A moved range costs some rows, not the whole table.
+#[test]
+fn moved_range_is_told_by_its_row() {
+    let bounds: Vec<u16> = (0..200).map(|i| i * 300).collect();
+    let owners: Vec<_> = (0..100).map(Some).collect();
+    let old = table(rows(bounds, &owners));
+    let mut new = old.clone();
+    let list = new.services.get_mut(SERVICE).unwrap();
+    let first = list[9].clone();
+    list.splice(
+        9..10,
+        [Row { to: first.from + 9, ..first.clone() }, row(first.from + 10, first.to, "t200", 2)],
+    );
+    let patch = Patch::new(&old, &new).unwrap();
+    assert_eq!(patch.apply(&old), new);
+    let size = postcard::to_stdvec(&patch).unwrap().len();
+    assert!(size < 150, "{size} bytes for one move");
+}
+
+/// Keys without an owner can't be told by rows, so the whole table is sent.
+#[test]
+fn lost_owner_needs_the_whole_table() {
+    let old = table(vec![row(0, 9, "a", 1), row(10, 19, "b", 1)]);
+    let new = table(vec![row(0, 9, "a", 1)]);
+    assert_eq!(Patch::new(&old, &new), None);
+}
