route: the leader shares out the room of busy targets

Cause: with 79 processes and 15 places at a target, each process judged by itself whether there was room. Requests that had no chance were held for half of their objective.

A process sends there only with a turn, asks at once when a request waits, and may take the place of a request that ended. The next owner of a busy key starts by turns. A request that can't get a turn in time is refused at once.

Ruled out: fewer requests for each process; one each are still 79.

--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -4,7 +4,11 @@
     crate::feed::{self, Feed},
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
-    catkin_route::{owners::Owners, patch::Patch},
+    catkin_route::{
+        owners::Owners,
+        patch::Patch,
+        turns::{Counts, Turn},
+    },
     serde::{Deserialize, Serialize},
     std::{io, rc::Rc, sync::Arc},
     tokio::{
@@ -46,7 +50,9 @@
     /// Whether the process can do the work of a leader well.
     pub(super) strong: bool,
     /// Requests of this process at each target.
-    pub(super) own: Vec<(Arc<str>, u32)>,
+    pub(super) own: Counts,
+    /// Requests of this process that wait for a turn at each target.
+    pub(super) waiting: Counts,
     /// Mean time of a request at each target that was measured, in seconds.
     pub(super) times: Vec<(Arc<str>, f32)>,
 }
@@ -74,7 +80,10 @@
     /// Microseconds since the leader last reached the store.
     pub(super) alone: u64,
     /// Full targets and the requests of all processes at them.
-    pub(super) full: Vec<(Arc<str>, u32)>,
+    pub(super) full: Counts,
+    /// In an answer to a report: targets that get requests by turns only, and
+    /// the turns of the process.
+    pub(super) turns: Option<Vec<Turn>>,
     /// A newer table.
     pub(super) table: Option<News>,
     /// Changes of the configuration and of the directory.
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -21,6 +21,9 @@
 /// The same pause in a fleet of many processes.
 const REPORT_PAUSE_MANY: Span = Span::from_millis(500);
 
+/// Least pause before a report that asks for turns.
+const ASK_PAUSE: Span = Span::from_millis(60);
+
 /// Processes from which on the longer pause holds.
 const MANY: u32 = 17;
 
@@ -31,11 +34,22 @@
     }
     let times = node.loads.borrow_mut().take_times();
     let own = node.loads.borrow().own();
+    let waiting = node.loads.borrow().waiting();
     let version = node.owned().map(|o| o.version);
     let next = [node.configs.next(), node.targets.next()];
     let strong = node.is_strong();
     let keys = keys.into_iter().collect();
-    Report { vm: node.me.vm.clone(), leader: leader.incarnation, version, next, strong, own, keys, times }
+    Report {
+        vm: node.me.vm.clone(),
+        leader: leader.incarnation,
+        version,
+        next,
+        strong,
+        own,
+        waiting,
+        keys,
+        times,
+    }
 }
 
 /// Reports to the leader and takes its tables.
@@ -75,6 +89,10 @@
     for (id, total) in &notice.full {
         node.loads.borrow_mut().share(now, id, *total, notice.peers);
     }
+    if let Some(turns) = notice.turns {
+        node.loads.borrow_mut().take_turns(now, &turns);
+        node.room.notify_waiters();
+    }
     match notice.table {
         Some(News::Whole(version, table)) => node.adopt(version, table),
         Some(News::Changes { from, to, patch }) => {
@@ -101,6 +119,14 @@
     }
 }
 
+/// Waits until a request needs a turn and the last report is old enough.
+async fn asked(node: &Node, sent: Time) {
+    while !node.asks.get() {
+        node.asked.notified().await;
+    }
+    sleep(ASK_PAUSE.saturating_sub(node.now().since(sent))).await;
+}
+
 /// Reports to a leader. Returns once that process does not lead any more.
 async fn link(node: &Rc<Node>, leader: &Leader) -> io::Result<()> {
     let connect = TcpStream::connect(leader.addr);
@@ -111,8 +137,9 @@
     let pause = if node.peers.get() < MANY { REPORT_PAUSE } else { REPORT_PAUSE_MANY };
     let mut pause = tokio::time::interval(pause.as_duration());
     let mut heard = node.now();
+    let mut sent = heard;
     loop {
-        tokio::select! {
+        let due = tokio::select! {
             message = messages.next() => {
                 let answer: Answer = postcard::from_bytes(&message?).map_err(io::Error::other)?;
                 heard = node.now();
@@ -120,14 +147,20 @@
                     Answer::Notice(notice) => hear(node, *notice, heard),
                     Answer::Ended => return Ok(()),
                 }
+                false
             }
-            _ = pause.tick() => {
-                if node.now().since(heard) > SILENCE_MAX {
-                    return Err(io::ErrorKind::TimedOut.into());
-                }
-                write(&mut writer, &Message::Report(report_now(node, leader))).await?;
-            }
+            _ = pause.tick() => true,
+            () = asked(node, sent) => true,
+        };
+        if !due {
+            continue;
+        }
+        sent = node.now();
+        if sent.since(heard) > SILENCE_MAX {
+            return Err(io::ErrorKind::TimedOut.into());
         }
+        node.asks.set(false);
+        write(&mut writer, &Message::Report(report_now(node, leader))).await?;
     }
 }
 
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -9,14 +9,11 @@
     },
     catkin::types::{Span, Time},
     catkin_net::tune,
-    catkin_route::patch::Patch,
-    std::{
-        cell::RefCell,
-        collections::{BTreeMap, HashMap},
-        io,
-        rc::Rc,
-        sync::Arc,
+    catkin_route::{
+        patch::Patch,
+        turns::{Counts, Turn, Turns},
     },
+    std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
     tokio::net::{TcpListener, TcpStream},
 };
 
@@ -28,7 +25,6 @@
 struct Peer {
     at: Time,
     strong: bool,
-    own: Vec<(Arc<str>, u32)>,
 }
 
 /// The last changes of the table and the versions that they lead from and to.
@@ -39,39 +35,30 @@
 struct Peers {
     /// The processes that report, by VM.
     reports: RefCell<BTreeMap<Arc<str>, Peer>>,
-    /// Requests of all processes at each target.
-    totals: RefCell<HashMap<Arc<str>, u32>>,
+    turns: RefCell<Turns>,
     step: RefCell<Option<Step>>,
 }
 
 impl Peers {
-    /// Takes a process's report in place of its last one, and forgets processes
-    /// that report no more. Returns the number of processes.
-    fn take(&self, now: Time, vm: &Arc<str>, peer: Peer) -> usize {
-        let mut reports = self.reports.borrow_mut();
-        let mut totals = self.totals.borrow_mut();
-        for (id, own) in &peer.own {
-            *totals.entry(id.clone()).or_default() += own;
-        }
-        let old = reports.insert(vm.clone(), peer);
-        let gone = reports.extract_if(.., |_, peer| now.since(peer.at) >= PEER_MAX).map(|(_, peer)| peer);
-        for (id, own) in old.into_iter().chain(gone).flat_map(|peer| peer.own) {
-            if let Some(total) = totals.get_mut(&id) {
-                *total = total.saturating_sub(own);
-            }
-        }
-        totals.retain(|_, total| *total > 0);
-        reports.len()
-    }
-
     /// Returns the targets whose slots are full, and the requests of all
-    /// processes at them. A process alone does not see the others fill a target.
-    fn full(&self, node: &Node) -> Vec<(Arc<str>, u32)> {
+    /// processes at them.
+    fn full(&self, node: &Node) -> Counts {
         let directory = node.directory.borrow();
-        let is_full = |id: &str, total: u32| directory.get(id).is_some_and(|t| total >= t.entry.slots);
-        let totals = self.totals.borrow();
-        let full = totals.iter().filter(|(id, total)| is_full(id, **total));
-        full.map(|(id, total)| (id.clone(), *total)).collect()
+        self.turns.borrow().full(|id| directory.get(id).map(|t| t.entry.slots))
+    }
+
+    /// Gives turns at targets with keys to a process. Requests without a key
+    /// go to another target instead of waiting for a turn.
+    fn give(&self, node: &Node, vm: &str) -> Vec<Turn> {
+        let (directory, config) = (node.directory.borrow(), node.config.borrow());
+        let keyed = |service: &str| {
+            config.as_ref().and_then(|c| c.services.get(service)).is_some_and(|service| service.keyed)
+        };
+        let slots = |id: &str| {
+            let entry = &directory.get(id)?.entry;
+            keyed(&entry.service).then_some(entry.slots)
+        };
+        self.turns.borrow_mut().give(vm, slots)
     }
 
     /// Returns what differs between two tables. Most links ask for the same.
@@ -124,8 +111,11 @@
 
 fn take(node: &Node, peers: &Peers, report: &Report) -> u32 {
     let now = node.now();
-    let peer = Peer { at: now, strong: report.strong, own: report.own.clone() };
-    let count = peers.take(now, &report.vm, peer);
+    let mut reports = peers.reports.borrow_mut();
+    reports.insert(report.vm.clone(), Peer { at: now, strong: report.strong });
+    reports.retain(|_, peer| now.since(peer.at) < PEER_MAX);
+    let (own, waiting) = (report.own.clone(), report.waiting.clone());
+    let count = peers.turns.borrow_mut().take(now, &report.vm, own, waiting);
     lead::with_loads(|loads| {
         for (service, keys) in &report.keys {
             for (key, count) in keys {
@@ -198,10 +188,11 @@
             changed = configs.changed() => changed.map(|()| None).map_err(io::Error::other)?,
             changed = targets.changed() => changed.map(|()| None).map_err(io::Error::other)?,
         };
-        let asked = message.is_some();
+        let mut turns = None;
         match message.map(|m| postcard::from_bytes(&m)).transpose().map_err(io::Error::other)? {
             Some(Message::Report(report)) => {
                 known.take(node, peers, &report);
+                turns = Some(peers.give(node, &report.vm));
                 meant = report.leader;
             }
             Some(Message::Stop(incarnation)) => {
@@ -220,11 +211,11 @@
         let changes = known.changes(node);
         let fresh = changes.iter().flatten().any(|c| !c.records.is_empty());
         // Nothing new waits for the next report, which tells of the age.
-        if asked || table.is_some() || fresh {
+        if turns.is_some() || table.is_some() || fresh {
             let alone = node.seat.get().map_or(u64::MAX, |at| node.now().since(at).as_micros());
             let full = peers.full(node);
             let Known { count, standby, .. } = known;
-            let notice = Notice { peers: count, standby, alone, full, table, changes };
+            let notice = Notice { peers: count, standby, alone, full, turns, table, changes };
             write(&mut writer, &Answer::Notice(Box::new(notice))).await?;
         }
     }
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -82,6 +82,10 @@
     pub(crate) keys: RefCell<HashMap<(Arc<str>, u16), u16>>,
     /// Wakes requests that wait for room or for an owner.
     pub(crate) room: Notify,
+    /// Whether a request waits for a turn that the leader was not asked for.
+    pub(crate) asks: Cell<bool>,
+    /// Wakes the report that asks.
+    pub(crate) asked: Notify,
     /// How far the end of the process has come.
     pub(crate) stage: watch::Sender<Stage>,
     /// Requests in progress.
@@ -150,6 +154,8 @@
             pool: Pool::default(),
             keys: RefCell::default(),
             room: Notify::new(),
+            asks: Cell::new(false),
+            asked: Notify::new(),
             stage: watch::Sender::new(Stage::Serving),
             open: Cell::new(0),
             peers: Cell::new(PEERS_UNKNOWN),
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -243,7 +243,7 @@
     fn code(self) -> Code {
         match self {
             Self::NoOwner => Code::NoOwner,
-            Self::Full => Code::QueueFull,
+            Self::Full | Self::Crowded => Code::QueueFull,
             Self::NoTime => Code::DeadlineTooShort,
         }
     }
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -9,9 +9,11 @@
 //! | [`split`] | which part of a split route gets the next request |
 //! | [`directory`] | which targets exist and which may get new requests |
 //! | [`owners`] | which target owns a key |
+//! | [`patch`] | what differs between two tables of owners |
 //! | [`granter`] | which command to targets and which record follows |
 //! | [`balance`] | which keys move to another target |
 //! | [`load`] | which target gets a request |
+//! | [`turns`] | which process may send to a busy target |
 //! | [`budget`] | whether the service has a repeated send left |
 //! | [`tries`] | whether a request may be sent once more, and what its caller is told |
 
@@ -25,3 +27,4 @@
 pub mod patch;
 pub mod split;
 pub mod tries;
+pub mod turns;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -1,7 +1,10 @@
 //! Which target gets a request, from what this process sees of them.
 
 use {
-    crate::directory::{Directory, Life, Target},
+    crate::{
+        directory::{Directory, Life, Target},
+        turns::Turn,
+    },
     catkin::types::{Span, Time},
     std::{collections::HashMap, sync::Arc},
 };
@@ -35,7 +38,7 @@
 
 /// Slots of a target that all edge processes together may fill, as a multiple:
 /// the queue of a target is short, and some never answer once it is full.
-const FILL_MAX: f64 = 2.5;
+pub const FILL_MAX: f64 = 2.5;
 
 /// Slots of a target that one process may fill, as a multiple of its even
 /// share: callers are shared out unevenly, and reports bound the sum.
@@ -44,6 +47,10 @@
 /// Requests that one process may always have at one target.
 const OWN_MIN: u32 = 2;
 
+/// Time for which a target gets requests by turns only after the leader's last
+/// word. It covers two reports.
+const TURNS_FOR: Span = Span::from_millis(1_200);
+
 /// What one process knows of one target.
 #[derive(Clone, Debug)]
 struct Seen {
@@ -60,6 +67,17 @@
     fails: f64,
     pause: Span,
     paused: Time,
+    /// Requests that wait for a turn.
+    waiting: u32,
+}
+
+/// A target that gets requests by turns only.
+#[derive(Clone, Copy, Debug)]
+struct Busy {
+    until: Time,
+    turns: u32,
+    /// Requests of all processes that wait for a turn.
+    waiting: u32,
 }
 
 impl Seen {
@@ -76,6 +94,7 @@
             fails: 0.0,
             pause: Span::ZERO,
             paused: zero,
+            waiting: 0,
         }
     }
 
@@ -108,19 +127,20 @@
 pub struct Table {
     zone: Arc<str>,
     seen: HashMap<Arc<str>, Seen>,
+    busy: HashMap<Arc<str>, Busy>,
 }
 
 impl Table {
     /// Makes an empty table for a process in a zone.
     pub fn new(zone: Arc<str>) -> Self {
-        Self { zone, seen: HashMap::new() }
+        Self { zone, seen: HashMap::new(), busy: HashMap::new() }
     }
 
     fn of(&mut self, life: &Life) -> &mut Seen {
         let seen = self.seen.entry(life.id.clone()).or_insert_with(|| Seen::new(life.clone()));
         if seen.life != *life {
-            let own = seen.own;
-            *seen = Seen { own, ..Seen::new(life.clone()) };
+            let Seen { own, waiting, .. } = *seen;
+            *seen = Seen { own, waiting, ..Seen::new(life.clone()) };
         }
         seen
     }
@@ -129,7 +149,11 @@
     pub fn has_room(&mut self, now: Time, target: &Target, peers: u32) -> bool {
         let slots = target.entry.slots;
         let share = (OWN_SHARE * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
+        let busy = self.busy(now, &target.entry.life);
         let seen = self.of(&target.entry.life);
+        if let Some(busy) = busy {
+            return seen.paused <= now && busy.turns > 0;
+        }
         let total = f64::from(seen.own) + seen.others(now, peers);
         seen.paused <= now && seen.own < share.max(OWN_MIN) && total < FILL_MAX * f64::from(slots)
     }
@@ -174,9 +198,60 @@
         best.map(|(_, target)| target)
     }
 
+    fn busy(&self, now: Time, life: &Life) -> Option<Busy> {
+        self.busy.get(&life.id).copied().filter(|busy| busy.until > now)
+    }
+
     /// Counts a request that goes to a target.
     pub fn begin(&mut self, life: &Life) {
         self.of(life).own += 1;
+        if let Some(busy) = self.busy.get_mut(&life.id) {
+            busy.turns = busy.turns.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether a target gets requests by turns only.
+    pub fn is_by_turns(&self, now: Time, life: &Life) -> bool {
+        self.busy(now, life).is_some()
+    }
+
+    /// Lets a target get requests by turns only: it takes over the keys of one
+    /// that did, and with them the requests that wait.
+    pub fn begin_turns(&mut self, now: Time, life: &Life) {
+        if self.busy(now, life).is_none() {
+            let busy = Busy { until: now.after(TURNS_FOR), turns: 0, waiting: 0 };
+            self.busy.insert(life.id.clone(), busy);
+        }
+    }
+
+    /// Takes the leader's word on which targets get requests by turns only, and
+    /// this process's turns.
+    pub fn take_turns(&mut self, now: Time, turns: &[Turn]) {
+        let until = now.after(TURNS_FOR);
+        let busy = |turn: &Turn| Busy { until, turns: turn.turns, waiting: turn.waiting };
+        self.busy = turns.iter().map(|turn| (turn.target.clone(), busy(turn))).collect();
+    }
+
+    /// Returns whether a request that waits for a turn at a target would hardly
+    /// get one in time: so many wait there already.
+    pub fn is_crowded(&mut self, now: Time, target: &Target, patience: Span) -> bool {
+        let slots = f64::from(target.entry.slots.max(1));
+        let life = &target.entry.life;
+        let Some(busy) = self.busy(now, life) else { return false };
+        let wait = f64::from(busy.waiting) * self.of(life).time / slots;
+        busy.turns == 0 && wait > patience.as_secs_f64()
+    }
+
+    /// Counts a request that waits for a turn at a target, or no longer does.
+    pub fn wait(&mut self, life: &Life, waits: bool) {
+        let seen = self.of(life);
+        seen.waiting = if waits { seen.waiting + 1 } else { seen.waiting.saturating_sub(1) };
+    }
+
+    /// Returns this process's requests that wait for a turn at each target.
+    pub fn waiting(&self) -> Vec<(Arc<str>, u32)> {
+        let some = self.seen.iter().filter(|(_, seen)| seen.waiting > 0);
+        some.map(|(id, seen)| (id.clone(), seen.waiting)).collect()
     }
 
     /// Counts the end of a request at a target and the time that it took.
@@ -201,6 +276,10 @@
                 seen.time += (time - seen.time) * TIME_WEIGHT;
                 seen.measured = true;
                 seen.pause = Span::ZERO;
+                // The place that it leaves may be taken again at once.
+                if let Some(busy) = self.busy.get_mut(&life.id) {
+                    busy.turns += 1;
+                }
             }
             End::Dropped => {}
             End::Unreached => {
@@ -249,6 +328,6 @@
 
     /// Forgets targets that are gone and have no request.
     pub fn retain(&mut self, directory: &Directory) {
-        self.seen.retain(|id, seen| seen.own > 0 || directory.get(id).is_some());
+        self.seen.retain(|id, seen| seen.own + seen.waiting > 0 || directory.get(id).is_some());
     }
 }
--- /dev/null
+++ b/crates/catkin-route/tests/load.rs
@@ -0,0 +1,77 @@
+//! Room at targets as one process sees it.
+
+mod common;
+
+use {
+    catkin::types::Span,
+    catkin_route::{
+        directory::{Directory, Target},
+        load::{End, Table},
+        turns::Turn,
+    },
+    common::{at, entry, life},
+};
+
+const PEERS: u32 = 79;
+
+fn target(directory: &Directory) -> &Target {
+    directory.get("a").unwrap()
+}
+
+fn setup() -> (Table, Directory) {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    (Table::new("z".into()), directory)
+}
+
+fn turn(turns: u32, waiting: u32) -> [Turn; 1] {
+    [Turn { target: "a".into(), turns, waiting }]
+}
+
+/// At a busy target a process must not send without a turn, and the place of a
+/// request that ended may be taken again without asking.
+#[test]
+fn busy_target_takes_requests_by_turns() {
+    let (mut table, directory) = setup();
+    let a = life("a", 1);
+    assert!(table.has_room(at(0), target(&directory), PEERS));
+    table.take_turns(at(0), &turn(1, 0));
+    assert!(table.has_room(at(1), target(&directory), PEERS));
+    table.begin(&a);
+    assert!(!table.has_room(at(2), target(&directory), PEERS));
+    table.end(at(500), &a, End::Good, Span::from_millis(498), 6);
+    assert!(table.has_room(at(500), target(&directory), PEERS));
+}
+
+/// Without a word of the leader for a while, processes go by what they see.
+#[test]
+fn turns_end_without_the_leader() {
+    let (mut table, directory) = setup();
+    table.take_turns(at(0), &turn(0, 9));
+    assert!(!table.has_room(at(1_000), target(&directory), PEERS));
+    assert!(table.has_room(at(1_500), target(&directory), PEERS));
+}
+
+/// The next owner of a busy key must not get the requests that wait in all
+/// processes at once.
+#[test]
+fn next_owner_of_a_busy_key_takes_requests_by_turns() {
+    let (mut table, directory) = setup();
+    table.begin_turns(at(0), &life("a", 1));
+    assert!(!table.has_room(at(1), target(&directory), PEERS));
+}
+
+/// A request that can't get a turn in time is refused at once, so that its
+/// caller can go elsewhere or come back.
+#[test]
+fn long_queue_for_turns_refuses_at_once() {
+    let (mut table, directory) = setup();
+    let second = Span::from_secs(1);
+    // 6 slots and 100 ms a request: 60 requests wait for a second.
+    table.take_turns(at(0), &turn(0, 50));
+    assert!(!table.is_crowded(at(1), target(&directory), second));
+    table.take_turns(at(0), &turn(0, 70));
+    assert!(table.is_crowded(at(1), target(&directory), second));
+    table.take_turns(at(0), &turn(1, 70));
+    assert!(!table.is_crowded(at(1), target(&directory), second));
+}
