edge: read the store seldom while it refuses, and wait for new owners there

Cause: without the leader's fresh word every process read configuration, directory and owners by itself, and repeated a refused read every 200 ms.

Change: while the store is away one read of a process after the other tries it, with a pause that doubles up to 1.4 s. A process without a leader waits at the store for a new table instead of asking every 700 ms; it learns of a new leader at once.

Ruled out: trusting the leader's old word for longer; a leader alone may be cut off from the store.

Test, seen failing first (179 reads for 18): store_that_refuses_is_read_seldom.

--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -21,8 +21,12 @@
 /// Longest time for an answer of the store, beyond what a call waits.
 pub(crate) const ANSWER_MAX: Span = Span::from_millis(1_200);
 
-/// Pause after a call that failed.
-const RETRY: Span = Span::from_millis(200);
+/// Pause after a call that failed; it doubles with each further one.
+const RETRY_MIN: Span = Span::from_millis(200);
+
+/// Longest such pause. After the store's return it leaves time to catch up
+/// before bounds hold again, 3 s later.
+const RETRY_MAX: Span = Span::from_millis(1_400);
 
 /// How long the leader's read of the configuration waits for a new version. A
 /// connection that went silent is noticed after this and the time for an
@@ -41,8 +45,39 @@
 /// Pause between two looks at the age of the leader's word.
 const RELAY_LOOK: Span = Span::from_millis(100);
 
-/// Pause between two reads of the owners while the leader sends none.
-const OWNERS_PAUSE: Span = Span::from_millis(700);
+/// How long a read of the owners waits for a new table while the leader sends
+/// none.
+const OWNERS_WAIT: Span = Span::from_secs(2);
+
+/// While the store is away one read after the other tries it, for all topics:
+/// each call is priced, also one that is refused.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Away {
+    /// When the next read may try.
+    until: Time,
+    /// Pause after it, should it fail.
+    pause: Span,
+}
+
+/// Waits until a read may try the store.
+async fn admit(node: &Node) {
+    while let Some(away) = node.away.get() {
+        let now = node.now();
+        if now >= away.until {
+            let until = now.after(ANSWER_MAX).after(RELAY_LOOK);
+            node.away.set(Some(Away { until, ..away }));
+            return;
+        }
+        sleep(away.until.since(now).min(RELAY_LOOK)).await;
+    }
+}
+
+/// Notes whether the store answered a read.
+fn note(node: &Node, answered: bool) {
+    let pause = node.away.get().map_or(RETRY_MIN, |away| away.pause);
+    let away = Away { until: node.now().after(pause), pause: pause.scale(2.0).min(RETRY_MAX) };
+    node.away.set((!answered).then_some(away));
+}
 
 /// Applies one record. Returns whether it changed anything.
 type Apply = fn(&Node, Time, &[u8], &[u8]) -> bool;
@@ -162,7 +197,10 @@
     /// Reads until the store answers, or the leader's word is fresh again.
     async fn next(&mut self, wait: Span) -> Option<HashSet<Bytes>> {
         loop {
-            match self.read(wait).await {
+            admit(self.node).await;
+            let read = self.read(wait).await;
+            note(self.node, !matches!(read, Err(refusal) if !matches!(refusal, Refusal::Gone(_))));
+            match read {
                 Ok(keys) => {
                     if std::mem::take(&mut self.failing) {
                         log::info!(topic = self.feed.topic; "store regained");
@@ -174,7 +212,6 @@
                     if !std::mem::replace(&mut self.failing, true) {
                         log::warn!(topic = self.feed.topic, code:display = refusal.code(), refusal:display; "store lost");
                     }
-                    sleep(RETRY).await;
                 }
             }
         }
@@ -232,16 +269,31 @@
 
 /// Reads the owners from the store while the leader sends none.
 pub(crate) async fn owners(node: Rc<Node>) {
+    let mut next = None;
     loop {
-        if node.now().since(node.linked.get()) > RELAY_MAX && !node.leads.get() {
-            match record::read(&node).await {
-                Ok(record::Newest { table: Some(table), end }) => {
-                    node.adopt(end.saturating_sub(1), Rc::new(table))
+        if node.now().since(node.linked.get()) <= RELAY_MAX || node.leads.get() {
+            next = None;
+            sleep(RELAY_LOOK).await;
+            continue;
+        }
+        admit(&node).await;
+        let read = match next {
+            // A read that waits would keep the others from the store.
+            Some(end) if node.away.get().is_none() => record::wait(&node, end, OWNERS_WAIT).await,
+            _ => record::read(&node).await,
+        };
+        note(&node, read.is_ok());
+        match read {
+            Ok(record::Newest { table, end }) => {
+                next = Some(end);
+                if let Some(table) = table {
+                    node.adopt(end.saturating_sub(1), Rc::new(table));
                 }
-                Ok(_) => {}
-                Err(refusal) => log::debug!(refusal:display; "owners not read"),
+            }
+            Err(refusal) => {
+                next = None;
+                log::debug!(refusal:display; "owners not read");
             }
         }
-        sleep(OWNERS_PAUSE).await;
     }
 }
--- a/crates/catkin-edge/src/lead/record.rs
+++ b/crates/catkin-edge/src/lead/record.rs
@@ -6,7 +6,10 @@
         node::{Node, sleep},
     },
     catkin::types::Span,
-    catkin_platform::store::Refusal,
+    catkin_platform::{
+        frame::{self, Keyed},
+        store::Refusal,
+    },
     catkin_route::owners::Owners,
 };
 
@@ -36,15 +39,30 @@
 /// As any call of the store.
 pub(crate) async fn read(node: &Node) -> Result<Newest, Refusal> {
     let newest = node.store.newest(TOPIC, ANSWER_MAX.as_duration()).await?;
-    let record = newest.items.iter().find(|record| *record.key == *KEY);
-    let table = match record.map(|record| Owners::decode(&record.value)).transpose() {
-        Ok(table) => table,
+    Ok(Newest { table: decode(&newest.items), end: newest.end })
+}
+
+/// Waits for a record from an offset on and returns the newest one.
+///
+/// # Errors
+///
+/// As any call of the store.
+pub(crate) async fn wait(node: &Node, from: u64, wait: Span) -> Result<Newest, Refusal> {
+    let batch = node.store.read(TOPIC, from, wait, ANSWER_MAX.as_duration()).await?;
+    let end = from + batch.records.len() as u64;
+    let records: Vec<Keyed> = batch.records.into_iter().filter_map(|r| frame::decode_keyed(r).ok()).collect();
+    Ok(Newest { table: decode(&records), end })
+}
+
+fn decode(records: &[Keyed]) -> Option<Owners> {
+    let record = records.iter().rfind(|record| *record.key == *KEY)?;
+    match Owners::decode(&record.value) {
+        Ok(table) => Some(table),
         Err(error) => {
             log::error!(error:display; "table of owners can't be read");
             None
         }
-    };
-    Ok(Newest { table, end: newest.end })
+    }
 }
 
 async fn append(node: &Node, bytes: &[u8], end: u64) -> Result<(), Refusal> {
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -1,7 +1,7 @@
 //! What one process knows.
 
 use {
-    crate::{feed::Feed, lines::Lines, metrics::Metrics, pool::Pool, settings::Settings},
+    crate::{feed::Feed, follow::Away, lines::Lines, metrics::Metrics, pool::Pool, settings::Settings},
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
     catkin::types::{Span, Time},
     catkin_net::Boot,
@@ -62,6 +62,8 @@
     pub(crate) configs: Feed,
     /// Place in the topic of the directory.
     pub(crate) targets: Feed,
+    /// Whether the store is away, and when a read tries it again.
+    pub(crate) away: Cell<Option<Away>>,
     /// Newest configuration.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// Shares of split routes.
@@ -146,6 +148,7 @@
             me,
             configs: Feed::new(name::OPERATOR_TOPIC),
             targets: Feed::new(name::TARGETS_TOPIC),
+            away: Cell::new(None),
             config: RefCell::default(),
             split: RefCell::default(),
             directory: RefCell::default(),
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -233,6 +233,29 @@
     fleet.check();
 }
 
+/// While the store refuses calls, a process tries it about once a second: all
+/// calls are priced, and refused ones delay the store's return.
+#[actix_rt::test]
+async fn store_that_refuses_is_read_seldom() {
+    let fleet = Fleet::start(3).await;
+    fleet.store.set_mode(StoreMode::Busy);
+    // The leader's word suffices for the first 1.4 s.
+    sleep(2_000).await;
+    let reads = || fleet.store.calls("/v1/log-read") + fleet.store.calls("/v1/log-newest");
+    let before = reads();
+    sleep(6_000).await;
+    let count = reads() - before;
+    assert!(count <= 3 * 6, "{count} reads of three processes in 6 s");
+    fleet.store.set_mode(StoreMode::Up);
+    sleep(1_500).await;
+    put_config(&fleet.store, &Plan { routes: Vec::new(), ..plan(2) });
+    sleep(1_900).await;
+    for edge in &fleet.edges {
+        assert_eq!(fleet.get(edge, 1).await.unwrap().status, 404);
+    }
+    fleet.check();
+}
+
 /// A leader that is told to stop says so; nobody waits for its silence.
 #[actix_rt::test]
 async fn leader_that_stops_is_followed_soon() {
--- a/crates/catkin-standin/src/users/store.rs
+++ b/crates/catkin-standin/src/users/store.rs
@@ -60,7 +60,7 @@
     topics: RefCell<HashMap<String, Topic>>,
     group: RefCell<Group>,
     mode: Cell<StoreMode>,
-    calls: Cell<u64>,
+    calls: RefCell<HashMap<String, u64>>,
     grown: Notify,
 }
 
@@ -118,9 +118,9 @@
         self.inner.mode.set(mode);
     }
 
-    /// Returns the number of calls.
-    pub fn calls(&self) -> u64 {
-        self.inner.calls.get()
+    /// Returns the number of calls of a path.
+    pub fn calls(&self, path: &str) -> u64 {
+        self.inner.calls.borrow().get(path).copied().unwrap_or(0)
     }
 
     /// Writes a record as the operator or a server does.
@@ -150,7 +150,7 @@
     }
 
     async fn answer(&self, request: Request) -> Response<BoxBody> {
-        self.inner.calls.set(self.inner.calls.get() + 1);
+        *self.inner.calls.borrow_mut().entry(request.path().to_owned()).or_default() += 1;
         let mode = self.inner.mode.get();
         match mode {
             StoreMode::Busy => return reply_text(503, ""),
