route: large bodies stay in their availability zone

Cause: uploads of 60 KB went to targets of any zone, since a target of another zone only counted as 15% slower; they are most of the bytes between zones.

Change: for bodies of 16 KiB and more it counts as twice as slow.

Test, seen failing first: large_bodies_stay_in_their_zone.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{node::Node, serve::Job},
+    bytes::Bytes,
     catkin::types::{Span, Time},
     catkin_route::{
         directory::{Entry, Life},
@@ -97,9 +98,10 @@
     let peers = node.peers.get();
     let Some(key) = job.key else {
         let mut loads = node.loads.borrow_mut();
+        let size = job.incoming.body.iter().map(Bytes::len).sum();
         let chosen = loads
-            .choose(now, &directory, &job.service, peers, tries.targets())
-            .or_else(|| loads.choose(now, &directory, &job.service, peers, &[]));
+            .choose(now, &directory, &job.service, peers, tries.targets(), size)
+            .or_else(|| loads.choose(now, &directory, &job.service, peers, &[], size));
         let any = directory.of(&job.service).next().is_some();
         let reason = if any { Denied::Full } else { Denied::NoOwner };
         return chosen.map(|t| Admitted::new(&t.entry)).ok_or(reason);
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -33,6 +33,12 @@
 /// Factor for a target of another zone, whose bytes cost money.
 const FAR_FACTOR: f64 = 1.15;
 
+/// The same factor for a request with a large body.
+const FAR_FACTOR_LARGE: f64 = 2.0;
+
+/// Size of a body from which on it counts as large.
+const LARGE_BYTES: usize = 16 << 10;
+
 /// Factor for a target that is still slow after its start.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -158,8 +164,9 @@
         seen.paused <= now && seen.own < share.max(OWN_MIN) && total < FILL_MAX * f64::from(slots)
     }
 
-    /// Returns the expected time for one more request, in seconds.
-    pub fn expected(&mut self, now: Time, target: &Target, peers: u32) -> f64 {
+    /// Returns the expected time for one more request with a body of a size, in
+    /// seconds.
+    pub fn expected(&mut self, now: Time, target: &Target, peers: u32, size: usize) -> f64 {
         let far = target.entry.zone != self.zone;
         let slots = f64::from(target.entry.slots.max(1));
         let cold = target.cold > now;
@@ -170,12 +177,13 @@
         // the term spreads requests over equal targets.
         let time = seen.time * (1.0 + 0.3 * (ahead / slots).min(1.0) + waiting / slots);
         let time = if cold { time * COLD_FACTOR } else { time };
-        let time = if far { time * FAR_FACTOR } else { time };
+        let distance = if size < LARGE_BYTES { FAR_FACTOR } else { FAR_FACTOR_LARGE };
+        let time = if far { time * distance } else { time };
         time / (1.0 - seen.fails).max(0.05)
     }
 
-    /// Chooses a target of a service that takes another request; `avoid` are
-    /// targets that had it before.
+    /// Chooses a target of a service that takes another request with a body of a
+    /// size; `avoid` are targets that had it before.
     pub fn choose<'a>(
         &mut self,
         now: Time,
@@ -183,6 +191,7 @@
         service: &str,
         peers: u32,
         avoid: &[Life],
+        size: usize,
     ) -> Option<&'a Target> {
         let mut best: Option<(f64, &Target)> = None;
         for target in directory.of(service) {
@@ -190,7 +199,7 @@
             if !target.is_open() || avoid.contains(life) || !self.has_room(now, target, peers) {
                 continue;
             }
-            let expected = self.expected(now, target, peers);
+            let expected = self.expected(now, target, peers, size);
             if best.is_none_or(|(least, _)| expected < least) {
                 best = Some((expected, target));
             }
--- a/crates/catkin-route/tests/load.rs
+++ b/crates/catkin-route/tests/load.rs
@@ -5,7 +5,7 @@
 use {
     catkin::types::Span,
     catkin_route::{
-        directory::{Directory, Target},
+        directory::{Directory, Entry, Target},
         load::{End, Table},
         turns::Turn,
     },
@@ -75,3 +75,26 @@
     table.take_turns(at(0), &turn(1, 70));
     assert!(!table.is_crowded(at(1), target(&directory), second));
 }
+
+/// Bytes between zones cost money: a large body leaves its zone only for a
+/// target that is much faster, a small request also for a slightly faster one.
+#[test]
+fn large_bodies_stay_in_their_zone() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("near", 1));
+    directory.put(at(0), Entry { zone: "far".into(), ..entry("far", 1) });
+    let mut table = Table::new("z".into());
+    let mut choose = |slow: u64, size: usize| {
+        for (id, millis) in [("near", slow), ("far", 100)] {
+            for _ in 0..60 {
+                table.begin(&life(id, 1));
+                table.end(at(0), &life(id, 1), End::Good, Span::from_millis(millis), 6);
+            }
+        }
+        let chosen = table.choose(at(0), &directory, common::SERVICE, PEERS, &[], size);
+        chosen.unwrap().entry.life.id.clone()
+    };
+    assert_eq!(&*choose(150, 60_000), "near");
+    assert_eq!(&*choose(150, 300), "far");
+    assert_eq!(&*choose(250, 60_000), "far");
+}
