edge: pass on the newest record of a key only, compressed if large

During a storm of configurations with hundreds of routes the leader sent every version as text to 71 processes, and reports that ask for turns came on top of that; its link of 200 Mbit/s was full, and some processes got a version 5 s late.

Change: only the newest record of a key is kept and passed on, and values of 2 KiB and more are compressed once. This also bounds the memory of a storm.

Ruled out: the store was not slow; processes that read it themselves had the version in time.

Tests: backlog.rs; it does not compile on the code before, whose backlog had no place of its own.

--- a/crates/catkin-edge/src/feed.rs
+++ b/crates/catkin-edge/src/feed.rs
@@ -6,21 +6,12 @@
 //! the store: a process that misses a record reads the store itself.
 
 use {
-    bytes::Bytes,
     catkin::types::Time,
-    std::{
-        cell::{Cell, RefCell},
-        collections::VecDeque,
-    },
+    catkin_route::backlog::{Backlog, Change},
+    std::cell::{Cell, RefCell},
     tokio::sync::watch,
 };
 
-/// Records that are kept to be passed on.
-const BACKLOG_MAX: usize = 2_048;
-
-/// A change that is passed on: its offset, key and value.
-pub(crate) type Change = (u64, Bytes, Bytes);
-
 /// State of one topic.
 #[derive(Debug)]
 pub(crate) struct Feed {
@@ -28,9 +19,7 @@
     pub(crate) topic: &'static str,
     next: Cell<Option<u64>>,
     fresh: Cell<Time>,
-    /// First offset of which the backlog has every change.
-    first: Cell<u64>,
-    backlog: RefCell<VecDeque<Change>>,
+    backlog: RefCell<Backlog>,
     read: watch::Sender<u64>,
 }
 
@@ -52,7 +41,6 @@
             topic,
             next: Cell::new(None),
             fresh: Cell::default(),
-            first: Cell::new(u64::MAX),
             backlog: RefCell::default(),
             read: watch::Sender::new(0),
         }
@@ -82,31 +70,19 @@
 
     /// Starts again from a complete listing.
     pub(crate) fn restart(&self, to: u64, at: Time) {
-        self.backlog.borrow_mut().clear();
-        self.first.set(to);
+        self.backlog.borrow_mut().restart(to);
         self.advance(to, at);
     }
 
     /// Keeps a change to be passed on.
     pub(crate) fn keep(&self, change: Change) {
-        let mut backlog = self.backlog.borrow_mut();
-        self.first.set(self.first.get().min(change.0));
-        backlog.push_back(change);
-        if backlog.len() > BACKLOG_MAX
-            && let Some(dropped) = backlog.pop_front()
-        {
-            self.first.set(dropped.0 + 1);
-        }
+        self.backlog.borrow_mut().keep(change);
     }
 
     /// Returns the changes from an offset on, unless some are not known.
     pub(crate) fn since(&self, from: u64) -> Option<Batch> {
-        let to = self.next.get()?;
-        if from < self.first.get() || from > to {
-            return None;
-        }
-        let backlog = self.backlog.borrow();
-        let changes = backlog.iter().filter(|c| c.0 >= from).cloned().collect();
+        let to = self.next.get().filter(|to| from <= *to)?;
+        let changes = self.backlog.borrow().since(from)?;
         Some(Batch { from, to, changes })
     }
 
--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -15,6 +15,7 @@
         name,
         store::Refusal,
     },
+    catkin_route::backlog::{Change, Packed},
     std::{collections::HashSet, rc::Rc},
 };
 
@@ -117,7 +118,7 @@
 
 /// Applies changes that the leader passed on.
 pub(crate) fn relay_targets(node: &Node, batch: &Batch, at: Time) {
-    note_lapse(node, batch.changes.iter().filter(|c| c.2.is_empty()).count());
+    note_lapse(node, batch.changes.iter().filter(|c| c.value.size() == 0).count());
     relay(node, &node.targets, batch, at, apply_target);
     node.room.notify_waiters();
 }
@@ -128,9 +129,11 @@
     if known.is_none_or(|next| next < batch.from || next > batch.to) {
         return;
     }
-    for (offset, key, value) in batch.changes.iter().filter(|c| known.is_some_and(|next| c.0 >= next)) {
-        if apply(node, node.now(), key, value) {
-            feed.keep((*offset, key.clone(), value.clone()));
+    for change in batch.changes.iter().filter(|c| known.is_some_and(|next| c.offset >= next)) {
+        match change.value.unpack() {
+            Ok(value) if apply(node, node.now(), &change.key, &value) => feed.keep(change.clone()),
+            Ok(_) => {}
+            Err(error) => log::warn!(topic = feed.topic, error:display; "change ignored"),
         }
     }
     feed.advance(batch.to, at);
@@ -184,7 +187,11 @@
         for (offset, record) in (from..).zip(records) {
             let Some(Keyed { key, value }) = record else { continue };
             if (self.apply)(node, node.now(), &key, &value) {
-                feed.keep((offset, key, value));
+                match Packed::new(&value) {
+                    Ok(value) => feed.keep(Change { offset, key, value }),
+                    // Other processes read the record from the store.
+                    Err(error) => log::error!(topic = feed.topic, error:display; "change not kept"),
+                }
             }
         }
         // The store answers at once if it has a record, and otherwise after
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -5,6 +5,7 @@
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
     catkin_route::{
+        backlog::Change,
         owners::Owners,
         patch::Patch,
         turns::{Counts, Turn},
@@ -113,7 +114,7 @@
     pub(super) to: u64,
     /// Microseconds since the leader read the store.
     pub(super) age: u64,
-    pub(super) records: Vec<(u64, Bytes, Bytes)>,
+    pub(super) records: Vec<Change>,
 }
 
 impl Changes {
--- /dev/null
+++ b/crates/catkin-route/tests/backlog.rs
@@ -0,0 +1,97 @@
+//! Records that are passed on to other processes.
+
+use {
+    bytes::Bytes,
+    catkin_route::backlog::{Backlog, Change, Packed},
+    proptest::prelude::*,
+    std::fmt::Write,
+};
+
+fn change(offset: u64, key: &str, value: &Bytes) -> Change {
+    Change { offset, key: Bytes::copy_from_slice(key.as_bytes()), value: Packed::new(value).unwrap() }
+}
+
+/// A configuration of 350 routes, as text.
+fn config(version: u64) -> Bytes {
+    let mut text = format!("{{\"configVersion\":\"{version:08x}\",\"listeners\":[");
+    for i in 0..350 {
+        write!(
+            text,
+            "{{\"hostname\":\"h{}.example\",\"match\":{{\"pathPrefix\":\"/p{i}/\"}},\"action\":{{\"service\":\"s{}\",\"timeoutMs\":3000,\"maxAttempts\":2}}}},",
+            i % 7,
+            i % 4
+        )
+        .unwrap();
+    }
+    text.into()
+}
+
+/// Configurations that come in quick succession must not fill the leader's
+/// link: a process gets the newest one only, and in few bytes.
+#[test]
+fn burst_of_configurations_is_passed_on_as_one() {
+    let mut backlog = Backlog::default();
+    backlog.restart(10);
+    for version in 10..27 {
+        backlog.keep(change(version, "config", &config(version)));
+    }
+    let changes = backlog.since(12).unwrap();
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].value.unpack().unwrap(), config(26));
+    assert!(changes[0].value.size() * 5 < config(26).len(), "{} bytes", changes[0].value.size());
+}
+
+/// A process whose place is before the kept records must read the store.
+#[test]
+fn unknown_changes_are_not_passed_on() {
+    let mut backlog = Backlog::default();
+    assert!(backlog.since(0).is_none());
+    backlog.restart(5);
+    assert!(backlog.since(4).is_none());
+    assert_eq!(backlog.since(5), Some(Vec::new()));
+    for offset in 5..2_100 {
+        backlog.keep(change(offset, &format!("k{offset}"), &Bytes::from_static(b"v")));
+    }
+    assert!(backlog.since(5).is_none());
+    assert_eq!(backlog.since(2_099).unwrap().len(), 1);
+}
+
+/// Bytes of a faulty process must not end this one.
+#[test]
+fn spoiled_values_are_refused() {
+    assert!(Packed::Deflated(Bytes::from_static(b"\xff\x00\x13")).unpack().is_err());
+    let large = Packed::new(&vec![0; 6 << 20].into()).unwrap();
+    assert!(large.unpack().is_err());
+}
+
+proptest! {
+    /// Values come out as they went in.
+    #[test]
+    fn values_survive_packing(value in prop::collection::vec(any::<u8>(), 0..9_000)) {
+        let value = Bytes::from(value);
+        prop_assert_eq!(Packed::new(&value).unwrap().unpack().unwrap(), value);
+    }
+
+    /// Applying the changes since any offset gives the newest value of each key
+    /// that was written since.
+    #[test]
+    fn changes_since_an_offset_give_the_newest_values(
+        keys in prop::collection::vec(0_u8..5, 1..60),
+        from in 0_u64..60,
+    ) {
+        let mut backlog = Backlog::default();
+        backlog.restart(0);
+        let mut newest = std::collections::BTreeMap::new();
+        for (offset, key) in (0..).zip(&keys) {
+            let value = Bytes::from(offset.to_string());
+            backlog.keep(change(offset, &key.to_string(), &value));
+            newest.insert(key.to_string(), (offset, value));
+        }
+        let expected: Vec<_> = newest.into_iter().filter(|(_, (offset, _))| *offset >= from).collect();
+        let mut got: Vec<_> = backlog.since(from).unwrap().into_iter().map(|c| {
+            (String::from_utf8(c.key.to_vec()).unwrap(), (c.offset, c.value.unpack().unwrap()))
+        }).collect();
+        got.sort();
+        prop_assert_eq!(got, expected);
+    }
+}
