route: a weak process asks the store before it follows a leader

Change: who follows a leader is decided in catkin-route/succession. A process without much processor time or bandwidth first asks the store whether the leader is still a member of the group; if so it waits.

Ruled out: longer silence before a claim; a choked link lasts longer than any hold.

--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -84,7 +84,7 @@
 /// Leads from time to time.
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
-        if claim::is_due(&node)
+        if claim::is_due(&node).await
             && let Some(claim) = claim::claim(&node).await
         {
             node.leads.set(true);
--- a/crates/catkin-edge/src/lead/claim.rs
+++ b/crates/catkin-edge/src/lead/claim.rs
@@ -1,17 +1,20 @@
 //! The claim of leadership.
 
 use {
-    super::{record, rules, seat::SEAT_TTL},
+    super::{
+        record, rules,
+        seat::{self, SEAT_TTL},
+    },
     crate::node::Node,
     catkin::types::Span,
-    catkin_route::{granter, owners::Owners},
+    catkin_route::{
+        granter,
+        owners::Owners,
+        succession::{self, Verdict, View},
+    },
     std::rc::Rc,
 };
 
-/// Time since the leader last reached the store after which the next process
-/// claims. Holds bridge it: they are renewed four times as often as they end.
-const SUCCEED: Span = Span::from_millis(1_600);
-
 /// A claim that the store accepted.
 pub(super) struct Claim {
     /// The claimed table.
@@ -22,23 +25,44 @@
     pub(super) hold: Span,
 }
 
-/// Returns whether this process should claim leadership. The group moves its
-/// partitions with every change of members; a leader that reaches the store
-/// stays all the same, since each change costs renewals of all keys.
-pub(super) fn is_due(node: &Node) -> bool {
-    let now = node.now();
+/// Returns whether this process should claim leadership.
+pub(super) async fn is_due(node: &Node) -> bool {
     let knows = node.config.borrow().is_some() && node.listed.get();
-    let member = node.seat.get().is_some_and(|at| now.since(at) < SEAT_TTL);
+    let member = node.seat.get().is_some_and(|at| node.now().since(at) < SEAT_TTL);
     if node.is_leaving() || !knows || !member {
         return false;
     }
-    match node.owned() {
-        Some(owned) if owned.table.leader == node.me => true,
-        // The process before this one on the same VM has ended.
-        Some(owned) if owned.table.leader.vm == node.me.vm => node.first.get(),
-        Some(_) => node.first.get() && now.since(node.alive.get()) > SUCCEED,
-        None => node.first.get(),
+    match judge(node, None) {
+        Verdict::Wait => false,
+        Verdict::Claim => true,
+        Verdict::Ask => ask(node).await,
+    }
+}
+
+fn judge(node: &Node, member: Option<bool>) -> Verdict {
+    let owned = node.owned();
+    let known = owned.as_ref().map(|owned| &owned.table.leader);
+    let silence = node.now().since(node.alive.get());
+    let (strong, first) = (node.is_strong(), node.first.get());
+    succession::judge(&View { me: &node.me, strong, first, known, silence, member })
+}
+
+/// Asks the store whether the leader is a member of the group. Returns whether
+/// this process should claim.
+async fn ask(node: &Node) -> bool {
+    let Some(leader) = node.owned().map(|owned| owned.table.leader.clone()) else { return false };
+    let member = match seat::is_member(node, &leader).await {
+        Ok(member) => member,
+        Err(refusal) => {
+            log::info!(refusal:display; "members not read");
+            return false;
+        }
+    };
+    if member {
+        log::info!(leader = &*leader.vm; "the leader is not heard, but reaches the store");
+        node.alive.set(node.now());
     }
+    judge(node, Some(member)) == Verdict::Claim
 }
 
 /// Claims leadership: writes the newest table once more with higher fences.
--- a/crates/catkin-edge/src/lead/seat.rs
+++ b/crates/catkin-edge/src/lead/seat.rs
@@ -7,6 +7,7 @@
     },
     catkin::types::Span,
     catkin_platform::store::{Member, Refusal},
+    catkin_route::owners::Leader,
     std::rc::Rc,
 };
 
@@ -28,9 +29,22 @@
 /// Pause between two joins; a member that misses two keeps its seat.
 const JOIN_PAUSE: Span = Span::from_millis(300);
 
+fn name(leader: &Leader) -> String {
+    format!("{}.{}", leader.vm, leader.incarnation)
+}
+
 fn member(node: &Node) -> Member {
-    let name = format!("{}.{}", node.me.vm, node.me.incarnation);
-    Member { group: GROUP, name: name.into(), topic: SEATS, ttl: SEAT_TTL }
+    Member { group: GROUP, name: name(&node.me).into(), topic: SEATS, ttl: SEAT_TTL }
+}
+
+/// Returns whether a process is a member, as the store says.
+///
+/// # Errors
+///
+/// As any call of the store.
+pub(super) async fn is_member(node: &Node, leader: &Leader) -> Result<bool, Refusal> {
+    let members = node.store.members(GROUP, ANSWER_MAX.as_duration()).await?;
+    Ok(members.contains(&name(leader)))
 }
 
 /// Returns whether this process should be a member: the leader, those that it
--- a/crates/catkin-standin/src/users/store.rs
+++ b/crates/catkin-standin/src/users/store.rs
@@ -169,6 +169,7 @@
             "/v1/log-newest" => self.list(&query),
             "/v1/log-join" => self.join(request).await,
             "/v1/log-leave" => self.leave(request).await,
+            "/v1/log-owners" => self.members(),
             _ => reply_text(404, ""),
         }
     }
@@ -245,6 +246,16 @@
         json_reply(200, &json!({ "generation": group.generation, "parts": parts }))
     }
 
+    fn members(&self) -> Response<BoxBody> {
+        let mut group = self.inner.group.borrow_mut();
+        let now = Instant::now();
+        group.members.retain(|_, until| *until > now);
+        let members: Vec<&String> = group.members.keys().collect();
+        let row = |part: usize| json!(["edge.seats", part, members[part % members.len()], 0]);
+        let rows: Vec<Value> = if members.is_empty() { Vec::new() } else { (0..PARTS).map(row).collect() };
+        json_reply(200, &json!({ "parts": rows }))
+    }
+
     async fn leave(&self, mut request: Request) -> Response<BoxBody> {
         let Ok(body) = body::read(request.take_payload()).await else { return reply_text(400, "") };
         let leave: Value = serde_json::from_slice(&body).unwrap_or_default();
