net: an idle connection keeps no buffer

Cause: each connection to a target kept the 16 KiB that its last answer was read into.

Change: an empty buffer is freed with the answer.

Ruled out: the program's size.

--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -168,6 +168,10 @@
         self.busy = true;
         let result = self.run(codec, &mut out, is_own).await;
         self.busy = result.is_err() || !out.is_done();
+        if self.buffer.is_empty() {
+            // An idle connection keeps no buffer; there may be hundreds.
+            self.buffer = BytesMut::new();
+        }
         match result {
             Ok((head, body, reusable)) => Ok(Reply { head, body, reusable: reusable && out.is_done() }),
             Err((error, answered)) => Err(Broken { error, sent: out.written > 0, answered }),
