--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -108,7 +108,7 @@
 }
 
 /// One time of leadership. Its tasks end with it.
-struct Reign {
+struct Term {
     node: Rc<Node>,
     granter: Granter,
     lanes: Lanes,
@@ -126,20 +126,20 @@
 async fn lead(node: &Rc<Node>, claim: Claim) {
     let offset = claim.offset;
     let (sender, mut events) = mpsc::unbounded_channel();
-    let mut reign = Reign::new(node.clone(), claim, sender);
+    let mut term = Term::new(node.clone(), claim, sender);
     let mut now = node.now();
     log::info!(offset; "leading");
     loop {
         let last = std::mem::replace(&mut now, node.now());
-        if let Some(reason) = ends(node, &reign.granter, last, now) {
+        if let Some(reason) = ends(node, &term.granter, last, now) {
             log::info!(reason; "leading ended");
             return;
         }
-        reign.round(now);
+        term.round(now);
         let event = tokio::time::timeout(ROUND.as_duration(), events.recv()).await;
         let mut event = event.ok().flatten();
         while let Some(next) = event {
-            if !reign.take(next) {
+            if !term.take(next) {
                 log::info!(reason = "another process has written the owners"; "leading ended");
                 return;
             }
@@ -148,7 +148,7 @@
     }
 }
 
-impl Reign {
+impl Term {
     fn new(node: Rc<Node>, claim: Claim, events: UnboundedSender<Event>) -> Self {
         let Claim { table, offset, hold } = claim;
         let now = node.now();
--- a/crates/catkin-edge/src/lead/seat.rs
+++ b/crates/catkin-edge/src/lead/seat.rs
@@ -99,7 +99,7 @@
     true
 }
 
-/// Leaves the group for good. A leader keeps its office until the store has
+/// Leaves the group for good. A leader goes on leading until the store has
 /// heard of it, since without the store no other process can follow.
 async fn resign(node: &Node) {
     while !leave(node).await {
--- a/crates/catkin-route/src/succession.rs
+++ b/crates/catkin-route/src/succession.rs
@@ -54,7 +54,7 @@
     if view.silence <= SUCCEED {
         return Verdict::Wait;
     }
-    // A process on a choked link hears late of everything.
+    // A process on a congested link hears late of everything.
     match view.member {
         _ if view.strong => Verdict::Claim,
         None => Verdict::Ask,
--- a/crates/catkin-route/tests/succession.rs
+++ b/crates/catkin-route/tests/succession.rs
@@ -16,7 +16,7 @@
     View { me, strong: true, first: true, known: Some(known), silence, member: None }
 }
 
-/// A weak process whose link is choked must not take the office from a leader
+/// A weak process whose link is congested must not take leadership from a leader
 /// that all others hear.
 #[test]
 fn weak_process_asks_before_it_claims() {
@@ -39,7 +39,7 @@
 
 /// Nobody waits for a leader that runs here, or that ran here.
 #[test]
-fn own_office_is_claimed_at_once() {
+fn own_leadership_is_claimed_at_once() {
     let me = leader("x");
     let silence = Span::ZERO;
     assert_eq!(judge(&View { first: false, silence, ..view(&me, &me) }), Verdict::Claim);
