edge: correct the time in the test of a leader that stops in an outage

The leader of the test renews for 4.4 s of its grace of 5 s, the last time up to 0.75 s before its end, and grants hold for 3 s, so keys are served for at least 6.65 s. The test looks after 6.3 s now. Without the renewals keys lapse within 3 s of the signal, which it still finds.

--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -226,7 +226,9 @@
     fleet.store.set_mode(StoreMode::Busy);
     sleep(500).await;
     fleet.edges[leader].signal(Signal::SIGTERM);
-    sleep(7_000).await;
+    // It renews for 4.4 s of its grace, the last time up to 0.75 s before, and
+    // those grants hold for 3 s: the keys are served for 6.65 s at least.
+    sleep(6_300).await;
     for key in KEYS {
         let got = fleet.get(&fleet.edges[1 - leader], key).await;
         assert_eq!(got.unwrap().status, 200, "key {key}");
