edge: note records of owners that can't be read

A read that waits for new owners dropped an undecodable record without a line. It now uses the decoder of the other topics, which notes it. The test for a store that answered says so without two negations. Nothing else changes.

--- a/crates/catkin-edge/src/follow.rs
+++ b/crates/catkin-edge/src/follow.rs
@@ -149,7 +149,8 @@
     failing: bool,
 }
 
-fn keyed(record: Bytes, topic: &str) -> Option<Keyed> {
+/// Decodes a record of a keyed topic, and notes one that can't be read.
+pub(crate) fn keyed(record: Bytes, topic: &str) -> Option<Keyed> {
     match frame::decode_keyed(record) {
         Ok(keyed) => Some(keyed),
         Err(error) => {
@@ -206,7 +207,7 @@
         loop {
             admit(self.node).await;
             let read = self.read(wait).await;
-            note(self.node, !matches!(read, Err(refusal) if !matches!(refusal, Refusal::Gone(_))));
+            note(self.node, matches!(read, Ok(_) | Err(Refusal::Gone(_))));
             match read {
                 Ok(keys) => {
                     if std::mem::take(&mut self.failing) {
--- a/crates/catkin-edge/src/lead/record.rs
+++ b/crates/catkin-edge/src/lead/record.rs
@@ -2,14 +2,11 @@
 
 use {
     crate::{
-        follow::ANSWER_MAX,
+        follow::{self, ANSWER_MAX},
         node::{Node, sleep},
     },
     catkin::types::Span,
-    catkin_platform::{
-        frame::{self, Keyed},
-        store::Refusal,
-    },
+    catkin_platform::{frame::Keyed, store::Refusal},
     catkin_route::owners::Owners,
 };
 
@@ -50,7 +47,7 @@
 pub(crate) async fn wait(node: &Node, from: u64, wait: Span) -> Result<Newest, Refusal> {
     let batch = node.store.read(TOPIC, from, wait, ANSWER_MAX.as_duration()).await?;
     let end = from + batch.records.len() as u64;
-    let records: Vec<Keyed> = batch.records.into_iter().filter_map(|r| frame::decode_keyed(r).ok()).collect();
+    let records: Vec<Keyed> = batch.records.into_iter().filter_map(|r| follow::keyed(r, TOPIC)).collect();
     Ok(Newest { table: decode(&records), end })
 }
 
