edge: publish a table once its new owners have answered

On a busy machine a request reached the new owner before its grant, and then waited for a still newer table until it was refused.

Change: a table is published when the grants of keys that nobody else may hold are answered, at the latest 60 ms after the store accepted it. A misdirected request goes to the same target again after 100 ms if the table still names it.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -32,6 +32,10 @@
 /// Least time that must be left for an attempt.
 const TIME_LEFT_MIN: Span = Span::from_millis(20);
 
+/// Time after which a request goes to a target again that did not own its key,
+/// if no newer table names another one: its grant may have been on its way.
+const MISDIRECTED_DELAY: Span = Span::from_millis(100);
+
 /// Interval between checks when no notification wakes a waiting request.
 const RECHECK_INTERVAL: Span = Span::from_millis(40);
 
@@ -93,7 +97,7 @@
     node: &Node,
     routed: &RoutedRequest<'_>,
     attempts: &Attempts,
-    now: Time,
+    (started, now): (Time, Time),
     place: &mut QueuePlace<'_>,
 ) -> Result<Admitted, AdmitError> {
     let directory = node.directory.borrow();
@@ -112,7 +116,7 @@
     let row = owners.table.find(&routed.service, key).ok_or(AdmitError::NoTarget)?;
     let target =
         directory.current(&row.incarnation()).filter(|t| t.serves_keys(now)).ok_or(AdmitError::NoTarget)?;
-    if attempts.misdirected() == Some(&row.incarnation()) {
+    if attempts.misdirected() == Some(&row.incarnation()) && now.since(started) < MISDIRECTED_DELAY {
         return Err(AdmitError::NoTarget);
     }
     let incarnation = &target.entry.incarnation;
@@ -143,7 +147,8 @@
     attempts: &Attempts,
 ) -> Result<Admitted, AdmitError> {
     let wait_max = routed.route.latency_objective.scale(WAIT_FRACTION);
-    let wait_until = routed.incoming.arrived.after(wait_max).max(node.now().after(TIME_LEFT_MIN));
+    let started = node.now();
+    let wait_until = routed.incoming.arrived.after(wait_max).max(started.after(TIME_LEFT_MIN));
     let mut place = QueuePlace { node, incarnation: None };
     loop {
         let notified = node.capacity_changed.notified();
@@ -151,7 +156,7 @@
         if routed.deadline.since(now) < TIME_LEFT_MIN {
             return Err(AdmitError::TooLate);
         }
-        let error = match find_target(node, routed, attempts, now, &mut place) {
+        let error = match find_target(node, routed, attempts, (started, now), &mut place) {
             Ok(admitted) => return Ok(admitted),
             Err(error) => error,
         };
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -49,9 +49,10 @@
     skew: 1.025,
 };
 
-/// Delay between the grants and the table that names the new owners. A request
-/// that reaches a target before its grant is answered as misdirected.
-const PUBLISH_DELAY: Span = Span::from_millis(6);
+/// Longest time for which a table waits until its new owners have answered
+/// their grants. A request that reaches a target before its grant is answered as
+/// misdirected.
+const PUBLISH_DELAY_MAX: Span = Span::from_millis(60);
 
 /// Interval between rounds of the leader.
 const ROUND_INTERVAL: Span = Span::from_millis(60);
@@ -120,8 +121,16 @@
     events: UnboundedSender<Event>,
     last_decay: Time,
     last_balance: Time,
-    /// Table that the store has accepted and whose grants are still to be sent.
-    pending_publish: Option<(u64, Owners)>,
+    /// Newest table that the store has accepted, until it is published.
+    unpublished: Option<Unpublished>,
+}
+
+/// A table that waits for the grants of its new owners.
+struct Unpublished {
+    /// Since when a table waits.
+    since: Time,
+    offset: u64,
+    table: Owners,
 }
 
 /// Grants, renews and moves keys until another process may lead.
@@ -170,16 +179,7 @@
             });
         }
         let conns = CommandConns::default();
-        Self {
-            node,
-            granter,
-            conns,
-            tasks,
-            events,
-            last_decay: now,
-            last_balance: now,
-            pending_publish: None,
-        }
+        Self { node, granter, conns, tasks, events, last_decay: now, last_balance: now, unpublished: None }
     }
 
     /// Sends the commands and writes the tables that are due.
@@ -199,9 +199,7 @@
                 Step::Write { table, offset } => self.write(table, offset),
             }
         }
-        if let Some((offset, table)) = self.pending_publish.take() {
-            self.publish(offset, table);
-        }
+        self.publish(now);
         // Keys that are released while the store is unavailable have no owner
         // until it is available again.
         let reaches_store = self.node.last_join.get().is_some_and(|at| now.since(at) < STORE_AGE_MAX);
@@ -240,13 +238,14 @@
         });
     }
 
-    /// Publishes a table once its grants had time to arrive.
-    fn publish(&mut self, offset: u64, table: Owners) {
-        let node = self.node.clone();
-        self.tasks.spawn_local(async move {
-            sleep(PUBLISH_DELAY).await;
-            node.update_owners(offset, Rc::new(table));
-        });
+    /// Publishes the newest table once its new owners have answered.
+    fn publish(&mut self, now: Time) {
+        let is_due = |unpublished: &mut Unpublished| {
+            !self.granter.awaits_new_owner(now) || now.since(unpublished.since) >= PUBLISH_DELAY_MAX
+        };
+        if let Some(Unpublished { offset, table, .. }) = self.unpublished.take_if(is_due) {
+            self.node.update_owners(offset, Rc::new(table));
+        }
     }
 
     /// Handles an event. Returns whether this process still leads.
@@ -255,8 +254,10 @@
             Event::Command(command, outcome) => complete(&self.node, &mut self.granter, &command, outcome),
             Event::Owners(_, _, false) => return false,
             Event::Owners(offset, table, true) => {
-                self.granter.table_accepted(self.node.now());
-                self.pending_publish = Some((offset, table));
+                let now = self.node.now();
+                self.granter.table_accepted(now);
+                let since = self.unpublished.as_ref().map_or(now, |earlier| earlier.since);
+                self.unpublished = Some(Unpublished { since, offset, table });
             }
             Event::Stopped => {
                 log::info!("all earlier leaders have stopped");
