link: count a report only while no state is on its way

The leader's link was full (23.5 MB/s of 25), and answers took seconds. Quotas came after their requests had been refused: 780 of the 900 requests that the leader counted at targets were quotas that nobody could use.

Change: a report says how many states were received on the link; while one is on its way, the leader goes by what it has sent. A process asks for quotas once at a time.

Ruled out: leaked counts of requests in flight or queued, back-off of targets, the leader's processor time (0.2 of a core), lost notifications.

--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -8,6 +8,7 @@
         backlog::Change,
         delta::Delta,
         owners::Owners,
+        peer_view::NextOffsets,
         quotas::{Counts, TargetQuota},
     },
     serde::{Deserialize, Serialize},
@@ -42,10 +43,12 @@
     pub(super) vm: Arc<str>,
     /// Run id of the leader that the report is for.
     pub(super) leader: u64,
+    /// Number of states that were received on this link.
+    pub(super) received: u64,
     /// Offset of the newest known table of owners.
     pub(super) offset: Option<u64>,
     /// Offsets of the next records of the configuration and the directory.
-    pub(super) next_offsets: [Option<u64>; 2],
+    pub(super) next_offsets: NextOffsets,
     /// Requests by service and key since the last report.
     pub(super) key_counts: Vec<(Arc<str>, KeyCounts)>,
     /// Whether the process has the resources to lead, see
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -29,7 +29,7 @@
 /// Number of processes from which on a fleet is large.
 const LARGE_FLEET_MIN: u32 = 17;
 
-fn build_report(node: &Node, leader: &ProcessId) -> Report {
+fn build_report(node: &Node, leader: &ProcessId, received: u64) -> Report {
     let mut key_counts: HashMap<Arc<str>, KeyCounts> = HashMap::new();
     for ((service, key), count) in node.key_counts.take() {
         key_counts.entry(service).or_default().push((key, count));
@@ -44,6 +44,7 @@
     Report {
         vm: node.identity.vm.clone(),
         leader: leader.run_id,
+        received,
         offset,
         next_offsets,
         strong,
@@ -124,8 +125,13 @@
     }
 }
 
-/// Waits until a request needs a quota and the last report is old enough.
-async fn quota_due(node: &Node, last_report: Time) {
+/// Waits until a request needs a quota and the last report is old enough and
+/// answered: quotas that arrive late would be of no use, and those on their way
+/// are kept from other processes.
+async fn quota_due(node: &Node, last_report: Time, is_answered: bool) {
+    if !is_answered {
+        return std::future::pending().await;
+    }
     while !node.quota_wanted.get() {
         node.quota_requested.notified().await;
     }
@@ -144,19 +150,25 @@
     let mut interval = tokio::time::interval(interval.as_duration());
     let mut last_answer = node.now();
     let mut last_report = last_answer;
+    let mut received = 0;
+    let mut is_answered = true;
     loop {
         let due = tokio::select! {
             message = messages.next() => {
                 let answer: LeaderMessage = postcard::from_bytes(&message?).map_err(io::Error::other)?;
                 last_answer = node.now();
                 match answer {
-                    LeaderMessage::State(state) => apply_state(node, *state, last_answer),
+                    LeaderMessage::State(state) => {
+                        received += 1;
+                        is_answered |= state.quotas.is_some();
+                        apply_state(node, *state, last_answer);
+                    }
                     LeaderMessage::NotLeader => return Ok(()),
                 }
                 false
             }
             _ = interval.tick() => true,
-            () = quota_due(node, last_report) => true,
+            () = quota_due(node, last_report, is_answered) => true,
         };
         if !due {
             continue;
@@ -166,7 +178,8 @@
             return Err(io::ErrorKind::TimedOut.into());
         }
         node.quota_wanted.set(false);
-        write(&mut writer, &Message::Report(build_report(node, leader))).await?;
+        is_answered = false;
+        write(&mut writer, &Message::Report(build_report(node, leader, received))).await?;
     }
 }
 
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -13,6 +13,7 @@
     catkin_net::set_socket_options,
     catkin_route::{
         delta::Delta,
+        peer_view::PeerView,
         quotas::{Counts, Quotas, TargetQuota},
     },
     std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
@@ -133,15 +134,12 @@
     u32::try_from(count).unwrap_or(u32::MAX)
 }
 
-/// State that the process at the other end of a link knows.
+/// State of one link.
 #[derive(Default)]
 struct PeerState {
-    /// Newest table that was sent to it, if that is the one of its last report.
+    view: PeerView,
+    /// Newest table that was sent, if the process is known to have it.
     table: Option<VersionedOwners>,
-    /// Offset of its newest table of owners.
-    offset: Option<u64>,
-    /// Offsets of its next records of the configuration and the directory.
-    next_offsets: [Option<u64>; 2],
     standby: bool,
     /// Number of processes at the time of its last report.
     count: u32,
@@ -151,31 +149,35 @@
     fn update(&mut self, node: &Node, peers: &Peers, report: &Report) {
         self.count = record_report(node, peers, report);
         self.standby = is_standby(node, peers, &report.vm);
-        self.next_offsets = report.next_offsets;
-        self.offset = report.offset;
-        self.table = self.table.take().filter(|owners| Some(owners.offset) == report.offset);
+        self.view.report(report.received, report.offset, report.next_offsets);
+        self.table = self.table.take().filter(|owners| Some(owners.offset) == self.view.table());
     }
 
     /// Returns the newest table if it is newer than the known one, as a delta
     /// if possible.
-    fn table_update(&mut self, node: &Node, peers: &Peers) -> Option<TableUpdate> {
-        let newer = node.owners().filter(|o| self.offset.is_none_or(|known| known < o.offset))?;
-        let update = self.table.as_ref().and_then(|old| peers.delta(old, &newer));
-        self.offset = Some(newer.offset);
-        self.table = Some(newer.clone());
-        Some(update.unwrap_or(TableUpdate::Full(newer.offset, newer.table)))
+    fn table_update(&self, newest: Option<&VersionedOwners>, peers: &Peers) -> Option<TableUpdate> {
+        let newer = newest.filter(|o| self.view.table().is_none_or(|known| known < o.offset))?;
+        let update = self.table.as_ref().and_then(|old| peers.delta(old, newer));
+        Some(update.unwrap_or(TableUpdate::Full(newer.offset, newer.table.clone())))
     }
 
     /// Returns the changes of the configuration and of the directory.
-    fn changes(&mut self, node: &Node) -> [Option<TopicChanges>; 2] {
+    fn changes(&self, node: &Node) -> [Option<TopicChanges>; 2] {
         let now = node.now();
         let feeds = [&node.config_feed, &node.directory_feed];
-        let changes =
-            [0, 1].map(|i| self.next_offsets[i].and_then(|from| TopicChanges::new(feeds[i], from, now)));
-        for (next, changes) in self.next_offsets.iter_mut().zip(&changes) {
-            *next = changes.as_ref().map(|c| c.to).or(*next);
+        let next_offsets = self.view.next_offsets();
+        [0, 1].map(|i| next_offsets[i].and_then(|from| TopicChanges::new(feeds[i], from, now)))
+    }
+
+    /// Records what the process will know once it has received a state.
+    fn note_sent(&mut self, state: &LeaderState, newest: Option<VersionedOwners>) {
+        if state.table.is_some() {
+            self.table = newest;
         }
-        changes
+        let sent = self.table.as_ref().filter(|_| state.table.is_some()).map(|owners| owners.offset);
+        let known = self.view.next_offsets();
+        let next_offsets = [0, 1].map(|i| state.changes[i].as_ref().map(|c| c.to).or(known[i]));
+        self.view.note_sent(sent.or(self.view.table()), next_offsets);
     }
 }
 
@@ -214,7 +216,8 @@
         if !node.is_leader.get() || leader != node.identity.run_id {
             return write(&mut writer, &LeaderMessage::NotLeader).await;
         }
-        let table = state.table_update(node, peers);
+        let newest = node.owners();
+        let table = state.table_update(newest.as_ref(), peers);
         let changes = state.changes(node);
         let has_records = changes.iter().flatten().any(|c| !c.records.is_empty());
         // Without a change nothing is sent; the answer to the next report has
@@ -225,6 +228,7 @@
             let PeerState { count, standby, .. } = state;
             let leader_state =
                 LeaderState { peer_count: count, standby, store_age, full_targets, quotas, table, changes };
+            state.note_sent(&leader_state, newest);
             write(&mut writer, &LeaderMessage::State(Box::new(leader_state))).await?;
         }
     }
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`succession`] | which process takes over from a leader |
 //! | [`balance`] | which keys move to another target |
 //! | [`load`] | which target gets a request |
+//! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
 //! | [`budget`] | whether a service has a retry left |
 //! | [`attempts`] | whether a request may get another attempt, and what its caller is told |
@@ -29,6 +30,7 @@
 pub mod granter;
 pub mod load;
 pub mod owners;
+pub mod peer_view;
 pub mod quotas;
 pub mod split;
 pub mod succession;
