link: pack the loads of all targets, and send quotas for queued ones only

Cause: each answer to a report named every busy target with its queue and every full one with its requests, by id. At a crest on the large site that is 12 KB in an answer, to 295 processes up to 16 times a second: more than the leader's link carries. Quotas, configurations and tables came seconds late, and processes read the store themselves.

Change: the load of a target takes half a byte, in the order of the ids, with a checksum of them; loads go to a process at most five times a second, after the changes of the directory that they refer to. Quotas name only targets for which the process has queued requests, and in between a target stays as busy as it was. quotas.rs: `full` and the zero quotas of `allot` are now `load`; the same facts are asserted.

--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -5,11 +5,7 @@
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
     catkin_route::{
-        backlog::Change,
-        delta::Delta,
-        owners::Owners,
-        peer_view::NextOffsets,
-        quotas::{Counts, TargetQuota},
+        backlog::Change, delta::Delta, level::Levels, owners::Owners, peer_view::NextOffsets, quotas::Counts,
     },
     serde::{Deserialize, Serialize},
     std::{io, rc::Rc, sync::Arc},
@@ -85,11 +81,12 @@
     pub(super) standby: bool,
     /// Time since the leader last reached the store, in microseconds.
     pub(super) store_age: u64,
-    /// Targets without free slots, and the requests of all processes at each.
-    pub(super) full_targets: Counts,
-    /// Quotas of the process at the targets that accept requests within a quota
-    /// only; present in an answer to a report.
-    pub(super) quotas: Option<Vec<TargetQuota>>,
+    /// Quotas of the process at targets; present in an answer to a report.
+    pub(super) quotas: Option<Counts>,
+    /// Loads of all targets by service, if they are due.
+    pub(super) levels: Option<Rc<Vec<Levels>>>,
+    /// Whether busy targets with keys accept requests within quotas only.
+    pub(super) use_quotas: bool,
     /// Newer table of owners.
     pub(super) table: Option<TableUpdate>,
     /// Changes of the configuration and of the directory.
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -12,7 +12,12 @@
     },
     catkin::types::{Span, Time},
     catkin_net::set_socket_options,
-    catkin_route::owners::ProcessId,
+    catkin_route::{
+        directory::Target,
+        level::Levels,
+        owners::ProcessId,
+        quotas::{Counts, TargetQuota},
+    },
     std::{collections::HashMap, io, rc::Rc, sync::Arc},
     tokio::net::TcpStream,
 };
@@ -91,13 +96,6 @@
     node.last_leader_answer.set(now);
     node.peer_count.set(state.peer_count.max(1));
     node.is_standby.set(state.standby);
-    for (id, total) in &state.full_targets {
-        node.loads.borrow_mut().record_total(now, id, *total, state.peer_count);
-    }
-    if let Some(quotas) = state.quotas {
-        node.loads.borrow_mut().set_quotas(now, &quotas);
-        node.capacity_changed.notify_waiters();
-    }
     match state.table {
         Some(TableUpdate::Full(offset, table)) => node.update_owners(offset, table),
         Some(TableUpdate::Delta { from, to, delta }) => {
@@ -107,14 +105,24 @@
         }
         None => {}
     }
+    apply_changes(node, state.changes, state.store_age, now);
+    // Loads refer to the targets of the newest directory.
+    if let Some(allotted) = state.quotas {
+        apply_loads(node, now, state.levels.as_deref(), state.use_quotas, &allotted);
+        node.capacity_changed.notify_waiters();
+    }
+}
+
+/// Applies changes of the configuration and of the directory.
+fn apply_changes(node: &Node, changes: [Option<TopicChanges>; 2], store_age: u64, now: Time) {
     // The leader reports to itself as well; it already has its own changes.
     if node.is_leader.get() {
         return;
     }
     node.leader_store_contact
-        .set(node.leader_store_contact.get().max(now.before(Span::from_micros(state.store_age))));
+        .set(node.leader_store_contact.get().max(now.before(Span::from_micros(store_age))));
     let at = |c: &TopicChanges| now.before(Span::from_micros(c.age));
-    let [configs, targets] = state.changes;
+    let [configs, targets] = changes;
     if let Some(changes) = configs {
         let at = at(&changes);
         sync::apply_forwarded_configs(node, &changes.into_batch(), at);
@@ -125,6 +133,36 @@
     }
 }
 
+/// Applies quotas and the loads of targets. Loads of other targets than the
+/// known ones are ignored; a message for the same directory follows.
+fn apply_loads(node: &Node, now: Time, levels: Option<&Vec<Levels>>, use_quotas: bool, allotted: &Counts) {
+    let (directory, config) = (node.directory.borrow(), node.config.borrow());
+    let mut loads = node.loads.borrow_mut();
+    let peers = node.peer_count.get();
+    let mut quotas = Vec::new();
+    let mut is_complete = levels.is_some();
+    for levels in levels.into_iter().flatten() {
+        let targets: Vec<&Target> = directory.of_service(&levels.service).collect();
+        let keyed = config.as_ref().and_then(|c| c.services.get(&levels.service)).is_some_and(|s| s.keyed);
+        let Some(unpacked) = levels.unpack(&targets) else {
+            is_complete &= !keyed;
+            continue;
+        };
+        for (incarnation, load) in unpacked {
+            loads.record_total(now, &incarnation.id, load.total, peers);
+            let slots = directory.current(&incarnation).map_or(1, |t| t.entry.slots);
+            if keyed && use_quotas && load.is_busy(slots) {
+                let queue_length = load.queue_length;
+                quotas.push(TargetQuota { target: incarnation.id, quota: 0, queue_length });
+            }
+        }
+    }
+    if is_complete {
+        loads.set_quotas(now, &quotas);
+    }
+    loads.renew_quotas(now, allotted);
+}
+
 /// Waits until a request needs a quota and the last report is old enough and
 /// answered: quotas that arrive late would be of no use, and those on their way
 /// are kept from other processes.
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -13,8 +13,10 @@
     catkin_net::set_socket_options,
     catkin_route::{
         delta::Delta,
+        directory::Target,
+        level::Levels,
         peer_view::PeerView,
-        quotas::{Counts, Quotas, TargetQuota},
+        quotas::{Counts, Quotas},
     },
     std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
     tokio::net::{TcpListener, TcpStream},
@@ -23,6 +25,12 @@
 /// Age of the last report from which on a process is not counted.
 const PEER_TIMEOUT: Span = Span::from_secs(3);
 
+/// Time for which all links share the loads of targets.
+const LEVELS_AGE_MAX: Span = Span::from_millis(50);
+
+/// Least time between two messages to a process with the loads of targets.
+const LEVELS_INTERVAL: Span = Span::from_millis(200);
+
 /// Last report of a process.
 #[derive(Debug)]
 struct Peer {
@@ -41,19 +49,43 @@
     reports: RefCell<BTreeMap<Arc<str>, Peer>>,
     quotas: RefCell<Quotas>,
     cached: RefCell<Option<CachedDelta>>,
+    levels: RefCell<Option<CachedLevels>>,
+}
+
+/// Levels that were made at a time.
+#[derive(Debug)]
+struct CachedLevels {
+    made_at: Time,
+    /// Counter of the directory's changes.
+    directory_changes: u64,
+    levels: Rc<Vec<Levels>>,
 }
 
 impl Peers {
-    /// Returns the targets without free slots, and the requests of all
-    /// processes at each.
-    fn full_targets(&self, node: &Node) -> Counts {
+    /// Returns the loads of all targets. All links share them for a while.
+    fn levels(&self, node: &Node, now: Time) -> Rc<Vec<Levels>> {
         let directory = node.directory.borrow();
-        self.quotas.borrow().full(|id| directory.get(id).map(|t| t.entry.slots))
+        let mut cached = self.levels.borrow_mut();
+        if let Some(known) = &*cached
+            && known.directory_changes == directory.changes()
+            && now.since(known.made_at) < LEVELS_AGE_MAX
+        {
+            return known.levels.clone();
+        }
+        let quotas = self.quotas.borrow();
+        let pack = |service: &Arc<str>| {
+            let targets: Vec<&Target> = directory.of_service(service).collect();
+            Levels::new(service.clone(), &targets, |id| quotas.load(id))
+        };
+        let levels = Rc::new(directory.services().map(pack).collect::<Vec<_>>());
+        let directory_changes = directory.changes();
+        *cached = Some(CachedLevels { made_at: now, directory_changes, levels: levels.clone() });
+        levels
     }
 
     /// Allots quotas at targets with keys to a process. Requests without a key
     /// go to another target instead of waiting for a quota.
-    fn allot(&self, node: &Node, vm: &str) -> Vec<TargetQuota> {
+    fn allot(&self, node: &Node, vm: &str) -> Counts {
         let (directory, config) = (node.directory.borrow(), node.config.borrow());
         let keyed = |service: &str| {
             config.as_ref().and_then(|c| c.services.get(service)).is_some_and(|service| service.keyed)
@@ -143,6 +175,8 @@
     standby: bool,
     /// Number of processes at the time of its last report.
     count: u32,
+    /// When loads of targets were last sent.
+    levels_sent_at: Time,
 }
 
 impl PeerState {
@@ -169,6 +203,16 @@
         [0, 1].map(|i| next_offsets[i].and_then(|from| TopicChanges::new(feeds[i], from, now)))
     }
 
+    /// Returns the loads of targets if they are due.
+    fn levels(&mut self, node: &Node, peers: &Peers) -> Option<Rc<Vec<Levels>>> {
+        let now = node.now();
+        if now.since(self.levels_sent_at) < LEVELS_INTERVAL {
+            return None;
+        }
+        self.levels_sent_at = now;
+        Some(peers.levels(node, now))
+    }
+
     /// Records what the process will know once it has received a state.
     fn note_sent(&mut self, state: &LeaderState, newest: Option<VersionedOwners>) {
         if state.table.is_some() {
@@ -224,10 +268,11 @@
         // the current age of the store's last answer.
         if quotas.is_some() || table.is_some() || has_records {
             let store_age = node.last_join.get().map_or(u64::MAX, |at| node.now().since(at).as_micros());
-            let full_targets = peers.full_targets(node);
-            let PeerState { count, standby, .. } = state;
+            let levels = quotas.as_ref().and_then(|_| state.levels(node, peers));
+            let use_quotas = peers.quotas.borrow().use_quotas();
+            let PeerState { count: peer_count, standby, .. } = state;
             let leader_state =
-                LeaderState { peer_count: count, standby, store_age, full_targets, quotas, table, changes };
+                LeaderState { peer_count, standby, store_age, quotas, levels, use_quotas, table, changes };
             state.note_sent(&leader_state, newest);
             write(&mut writer, &LeaderMessage::State(Box::new(leader_state))).await?;
         }
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -255,6 +255,11 @@
         list.iter().filter_map(|id| self.targets.get(id))
     }
 
+    /// Returns the names of the services that have targets.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.services.iter().filter(|(_, list)| !list.is_empty()).map(|(service, _)| service)
+    }
+
     /// Returns all targets, in no particular order.
     pub fn all(&self) -> impl Iterator<Item = &Target> {
         self.targets.values()
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`granter`] | which commands go to targets and which record is written next |
 //! | [`succession`] | which process takes over from a leader |
 //! | [`balance`] | which keys move to another target |
+//! | [`level`] | how the load of all targets is told to all processes |
 //! | [`load`] | which target gets a request |
 //! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
@@ -28,6 +29,7 @@
 pub mod delta;
 pub mod directory;
 pub mod granter;
+pub mod level;
 pub mod load;
 pub mod owners;
 pub mod peer_view;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         directory::{Directory, Incarnation, Target},
-        quotas::TargetQuota,
+        quotas::{Counts, TargetQuota},
     },
     catkin::types::{Span, Time},
     std::{collections::HashMap, sync::Arc},
@@ -260,6 +260,20 @@
         self.quotas = quotas.iter().map(|entry| (entry.target.clone(), quota(entry))).collect();
     }
 
+    /// Renews the quotas: the leader has allotted some since, and the load of
+    /// targets is as before as far as is known.
+    pub fn renew_quotas(&mut self, now: Time, allotted: &Counts) {
+        let expiry = now.after(QUOTA_TTL);
+        self.quotas.retain(|_, quota| quota.expiry > now);
+        for quota in self.quotas.values_mut() {
+            (quota.expiry, quota.left) = (expiry, 0);
+        }
+        for (id, left) in allotted {
+            let quota = self.quotas.entry(id.clone());
+            quota.or_insert(QuotaState { expiry, left: 0, queue_length: 0 }).left = *left;
+        }
+    }
+
     /// Returns whether a request queued for a target would hardly be sent
     /// within `wait_max`, since the queue is too long.
     pub fn is_queue_too_long(&mut self, now: Time, target: &Target, wait_max: Span) -> bool {
--- a/crates/catkin-route/src/quotas.rs
+++ b/crates/catkin-route/src/quotas.rs
@@ -7,9 +7,8 @@
 //! process sends a request there only within its quota.
 
 use {
-    crate::load::FILL_FACTOR_MAX,
+    crate::{level::TargetLoad, load::FILL_FACTOR_MAX},
     catkin::types::{Span, Time},
-    serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
@@ -19,16 +18,12 @@
 /// Age of its last report from which on a process is not counted.
 const REPORT_AGE_MAX: Span = Span::from_secs(3);
 
-/// Requests at a target, as a multiple of its slots, from which on it is busy.
-/// Below, processes send without a quota.
-const BUSY_FACTOR: f64 = 1.5;
-
 /// Number of processes from which on quotas are used: with fewer, each process
 /// may fill a part of a target's slots by itself.
 const QUOTA_PROCESSES_MIN: usize = 17;
 
 /// The quota of a process at a busy target.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetQuota {
     /// Id of the busy target.
     pub target: Arc<str>,
@@ -97,18 +92,16 @@
         self.reports.len()
     }
 
-    /// Returns the targets without free slots, and the requests of all
-    /// processes at them. `slots` returns the slots of known targets.
-    pub fn full(&self, slots: impl Fn(&str) -> Option<u32>) -> Counts {
-        let is_full = |id: &str, total: u32| slots(id).is_some_and(|slots| total >= slots);
-        let full = self.totals.iter().filter(|(id, total)| is_full(id, **total));
-        full.map(|(id, total)| (id.clone(), *total)).collect()
+    /// Returns the load of a target by the reports of all processes.
+    pub fn load(&self, id: &str) -> TargetLoad {
+        let total = self.totals.get(id).copied().unwrap_or(0);
+        TargetLoad { total, queue_length: self.queue_lengths.get(id).copied().unwrap_or(0) }
     }
 
-    /// Allots quotas to a process that has reported. Returns the busy targets
-    /// with the process's quota at each of them. `slots` returns the slots of
-    /// targets for which quotas may be used.
-    pub fn allot(&mut self, vm: &str, slots: impl Fn(&str) -> Option<u32>) -> Vec<TargetQuota> {
+    /// Allots quotas to a process that has reported: the requests that it may
+    /// send to targets for which it has queued some. `slots` returns the slots
+    /// of targets for which quotas may be used.
+    pub fn allot(&mut self, vm: &str, slots: impl Fn(&str) -> Option<u32>) -> Counts {
         if !self.use_quotas() {
             return Vec::new();
         }
@@ -123,21 +116,12 @@
                 report.allotted.push((id.clone(), quota));
             }
         }
-        let allotted: HashMap<&str, u32> =
-            report.allotted.iter().map(|(id, quota)| (&**id, *quota)).collect();
-        let target_quota = |(id, total): (&Arc<str>, &u32)| {
-            let slots = f64::from(slots(id)?);
-            let queue_length = self.queue_lengths.get(id).copied().unwrap_or(0);
-            let is_busy = queue_length > 0 || f64::from(*total) >= BUSY_FACTOR * slots;
-            let quota = allotted.get(&**id).copied().unwrap_or(0);
-            is_busy.then(|| TargetQuota { target: id.clone(), quota, queue_length })
-        };
-        self.totals.iter().filter_map(target_quota).collect()
+        report.allotted.clone()
     }
 
     /// Returns whether there are so many processes that each could overfill a
     /// target by itself.
-    fn use_quotas(&self) -> bool {
+    pub fn use_quotas(&self) -> bool {
         self.reports.len() >= QUOTA_PROCESSES_MIN
     }
 }
--- a/crates/catkin-route/tests/load.rs
+++ b/crates/catkin-route/tests/load.rs
@@ -53,6 +53,18 @@
     assert!(loads.has_capacity(at(1_500), target(&directory), PEERS));
 }
 
+/// Between two messages about the load of all targets, a target that was busy
+/// stays so, and gets requests only within newer quotas.
+#[test]
+fn renewed_quotas_keep_a_target_busy() {
+    let (mut loads, directory) = setup();
+    loads.set_quotas(at(0), &quotas(1, 9));
+    loads.renew_quotas(at(1_000), &Vec::new());
+    assert!(!loads.has_capacity(at(1_900), target(&directory), PEERS));
+    loads.renew_quotas(at(1_950), &vec![("a".into(), 1)]);
+    assert!(loads.has_capacity(at(1_960), target(&directory), PEERS));
+}
+
 /// The next owner of a busy key must not get all requests that are queued in
 /// all processes at once.
 #[test]
--- a/crates/catkin-route/tests/quotas.rs
+++ b/crates/catkin-route/tests/quotas.rs
@@ -2,7 +2,7 @@
 
 use {
     catkin::types::Time,
-    catkin_route::quotas::{Quotas, TargetQuota},
+    catkin_route::quotas::Quotas,
     std::{collections::VecDeque, sync::Arc},
 };
 
@@ -54,7 +54,7 @@
         let Process { in_flight, queued } = processes[i].clone();
         quotas.report(now, &vm(i), vec![("t".into(), in_flight)], vec![("t".into(), queued)]);
         let allotted = quotas.allot(&vm(i), slots);
-        let count = allotted.iter().find(|entry| *entry.target == *"t").map_or(0, |entry| entry.quota);
+        let count = allotted.iter().find(|(target, _)| **target == *"t").map_or(0, |(_, quota)| *quota);
         assert!(count <= queued);
         processes[i].in_flight += count;
         at_target.extend((0..count).map(|_| i));
@@ -71,8 +71,12 @@
         quotas.report(at(0), &vm(i), vec![("t".into(), u32::from(i < 8))], Vec::new());
     }
     assert!(quotas.allot(&vm(0), slots).is_empty());
+    assert!(!quotas.load("t").is_busy(SLOTS));
     quotas.report(at(1), &vm(9), vec![("t".into(), 2)], Vec::new());
-    assert_eq!(quotas.allot(&vm(0), slots), [TargetQuota { target: "t".into(), quota: 0, queue_length: 0 }]);
+    assert!(quotas.allot(&vm(0), slots).is_empty());
+    assert!(quotas.load("t").is_busy(SLOTS));
+    quotas.report(at(2), &vm(9), Vec::new(), vec![("t".into(), 1)]);
+    assert!(quotas.load("t").is_busy(SLOTS));
 }
 
 /// A process that has ended must not occupy slots for ever.
@@ -82,9 +86,9 @@
     for i in 0..40 {
         quotas.report(at(0), &vm(i), vec![("t".into(), 1)], Vec::new());
     }
-    assert_eq!(quotas.full(slots), [("t".into(), 40)]);
+    assert_eq!(quotas.load("t").total, 40);
     assert_eq!(quotas.report(at(3_000), &vm(0), vec![("t".into(), 1)], Vec::new()), 1);
-    assert!(quotas.full(slots).is_empty());
+    assert_eq!(quotas.load("t").total, 1);
 }
 
 /// In a small fleet a report takes longer than a request, so processes share
@@ -96,4 +100,5 @@
         quotas.report(at(0), &vm(i), vec![("t".into(), 3)], vec![("t".into(), 1)]);
     }
     assert!(quotas.allot(&vm(0), slots).is_empty());
+    assert!(!quotas.use_quotas());
 }
