load: consider targets without keys in an order of the process

Targets whose queue is full never answer.

Change: catkin-route/subset orders the targets by weighted rendezvous hashing of the VM and the target, with a preference for the own zone. The fastest of the first few gets the request: about 12 processes for each target, 4 targets at least; the next few follow if none of these may get it.

--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -162,7 +162,7 @@
         };
         Self {
             store: Store::new(settings.store, http.clone()),
-            loads: RefCell::new(LocalLoads::new(settings.zone.as_str().into())),
+            loads: RefCell::new(LocalLoads::new(settings.zone.as_str().into()).with_vm(identity.vm.clone())),
             budget: RefCell::new(Budget::new(limits)),
             bounds,
             http,
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`owners`] | which target owns a key |
 //! | [`delta`] | the delta between two tables of owners |
 //! | [`granter`] | which commands go to targets and which record is written next |
+//! | [`subset`] | in which order a process considers targets |
 //! | [`succession`] | which process takes over from a leader |
 //! | [`balance`] | which keys move to another target |
 //! | [`level`] | how the load of all targets is told to all processes |
@@ -35,4 +36,5 @@
 pub mod peer_view;
 pub mod quotas;
 pub mod split;
+pub mod subset;
 pub mod succession;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -5,6 +5,7 @@
     crate::{
         directory::{Directory, Incarnation, Target},
         quotas::{Counts, TargetQuota},
+        subset::{self, Subsets},
     },
     catkin::types::{Span, Time},
     std::{collections::HashMap, sync::Arc},
@@ -144,12 +145,22 @@
     zone: Arc<str>,
     targets: HashMap<Arc<str>, TargetState>,
     quotas: HashMap<Arc<str>, QuotaState>,
+    subsets: Subsets,
 }
 
 impl LocalLoads {
     /// Creates the loads of a process in a zone, without known targets.
     pub fn new(zone: Arc<str>) -> Self {
-        Self { zone, targets: HashMap::new(), quotas: HashMap::new() }
+        let subsets = Subsets::new("".into(), zone.clone());
+        Self { zone, targets: HashMap::new(), quotas: HashMap::new(), subsets }
+    }
+
+    /// Sets the VM of the process, from which the order follows in which it
+    /// considers targets.
+    #[must_use]
+    pub fn with_vm(self, vm: Arc<str>) -> Self {
+        let subsets = Subsets::new(vm, self.zone.clone());
+        Self { subsets, ..self }
     }
 
     fn state(&mut self, incarnation: &Incarnation) -> &mut TargetState {
@@ -198,9 +209,10 @@
         time / (1.0 - state.failure_rate).max(0.05)
     }
 
-    /// Returns the target of a service with the least expected time among those
-    /// that may get one more request with a body of `size` bytes. Targets in
-    /// `avoid`, which the request has reached before, are left out.
+    /// Returns a target of a service that may get one more request with a body
+    /// of `size` bytes: the one with the least expected time among the first few
+    /// in the order of this process, or among the next few if none of these may.
+    /// Targets in `avoid`, which the request has reached before, are left out.
     pub fn choose<'a>(
         &mut self,
         now: Time,
@@ -209,11 +221,26 @@
         peers: u32,
         avoid: &[Incarnation],
         size: usize,
+    ) -> Option<&'a Target> {
+        let ranked = self.subsets.ranked(directory, service);
+        let mut groups = ranked.chunks(subset::width(ranked.len(), peers));
+        groups.find_map(|ids| {
+            let targets = ids.iter().filter_map(|id| directory.get(id));
+            let candidates = targets.filter(|t| t.is_open() && !avoid.contains(&t.entry.incarnation));
+            self.choose_among(now, candidates, peers, size)
+        })
+    }
+
+    fn choose_among<'a>(
+        &mut self,
+        now: Time,
+        candidates: impl Iterator<Item = &'a Target>,
+        peers: u32,
+        size: usize,
     ) -> Option<&'a Target> {
         let mut best: Option<(f64, &Target)> = None;
-        for target in directory.of_service(service) {
-            let incarnation = &target.entry.incarnation;
-            if !target.is_open() || avoid.contains(incarnation) || !self.has_capacity(now, target, peers) {
+        for target in candidates {
+            if !self.has_capacity(now, target, peers) {
                 continue;
             }
             let expected_time = self.expected_time(now, target, peers, size);
--- /dev/null
+++ b/crates/catkin-route/src/subset.rs
@@ -0,0 +1,88 @@
+//! Subsets: in which order a process considers the targets of a service without
+//! keys.
+//!
+//! Load pattern: hundreds of processes that each send a few requests a second to
+//! the same targets, as at the start of traffic or at a crest. If all considered
+//! the same targets first, these would get the requests of all processes before
+//! any report shows it, and a target whose queue is full may never answer. In
+//! its own order each process uses a few targets, so that a target has few
+//! senders, and connections are used again.
+
+use {
+    crate::directory::{Directory, Target},
+    std::{
+        collections::HashMap,
+        hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
+    },
+};
+
+/// Number of processes that should use a target.
+const SENDERS: f64 = 12.0;
+
+/// Least number of targets that a process considers at once.
+const WIDTH_MIN: usize = 4;
+
+/// Weight of targets in the zone of the process: bytes between zones cost money.
+const OWN_ZONE_WEIGHT: f64 = 4.0;
+
+/// The targets of a service in the order of a process.
+#[derive(Clone, Debug)]
+struct Ranking {
+    /// Counter of the directory's changes for which the order holds.
+    directory_changes: u64,
+    targets: Arc<[Arc<str>]>,
+}
+
+/// The orders of one process.
+#[derive(Debug)]
+pub struct Subsets {
+    vm: Arc<str>,
+    zone: Arc<str>,
+    rankings: HashMap<Arc<str>, Ranking>,
+}
+
+impl Subsets {
+    /// Creates the orders of a process on a VM in a zone.
+    pub fn new(vm: Arc<str>, zone: Arc<str>) -> Self {
+        Self { vm, zone, rankings: HashMap::new() }
+    }
+
+    /// Returns the ids of the targets of a service in the order of this process.
+    pub fn ranked(&mut self, directory: &Directory, service: &str) -> Arc<[Arc<str>]> {
+        let directory_changes = directory.changes();
+        match self.rankings.get(service) {
+            Some(known) if known.directory_changes == directory_changes => known.targets.clone(),
+            _ => {
+                let targets = self.rank(directory, service);
+                let ranking = Ranking { directory_changes, targets: targets.clone() };
+                self.rankings.insert(service.into(), ranking);
+                targets
+            }
+        }
+    }
+
+    fn rank(&self, directory: &Directory, service: &str) -> Arc<[Arc<str>]> {
+        let scored = |target: &Target| (self.score(target), target.entry.incarnation.id.clone());
+        let mut scored: Vec<(f64, Arc<str>)> = directory.of_service(service).map(scored).collect();
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+        scored.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Returns the score of a target by weighted rendezvous hashing; the lowest
+    /// comes first.
+    fn score(&self, target: &Target) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (&self.vm, &target.entry.incarnation.id).hash(&mut hasher);
+        let uniform = (hasher.finish() as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        let weight = if target.entry.zone == self.zone { OWN_ZONE_WEIGHT } else { 1.0 };
+        -uniform.ln() / weight
+    }
+}
+
+/// Returns how many of `targets` a process considers at once, if `peers`
+/// processes use them.
+pub fn width(targets: usize, peers: u32) -> usize {
+    let wanted = (SENDERS * targets as f64 / f64::from(peers.max(1))).round() as usize;
+    wanted.max(WIDTH_MIN)
+}
