link: forward the first state to processes that can't lead

Change: a process without the resources to lead reads only the table of owners and gets the newest configuration and a compressed listing of the directory on its link. A state older than 1.4 s, as from a leader that was paused, is not taken as the first one.

Seen failing with the wait taken out: weak_processes_get_their_state_from_the_leader (54 reads of ten processes).

--- a/crates/catkin-edge/src/feed.rs
+++ b/crates/catkin-edge/src/feed.rs
@@ -19,6 +19,8 @@
     /// Name of the topic in the store.
     pub(crate) topic: &'static str,
     next_offset: Cell<Option<u64>>,
+    /// Since when the position is unknown.
+    lost_at: Cell<Time>,
     checked_at: Cell<Time>,
     backlog: RefCell<Backlog>,
     position: watch::Sender<u64>,
@@ -37,10 +39,11 @@
 
 impl Feed {
     /// Creates a feed with an unknown position.
-    pub(crate) fn new(topic: &'static str) -> Self {
+    pub(crate) fn new(topic: &'static str, now: Time) -> Self {
         Self {
             topic,
             next_offset: Cell::new(None),
+            lost_at: Cell::new(now),
             checked_at: Cell::default(),
             backlog: RefCell::default(),
             position: watch::Sender::new(0),
@@ -59,8 +62,19 @@
     }
 
     /// Clears the position, so that the newest records are listed again.
-    pub(crate) fn reset(&self) {
+    pub(crate) fn reset(&self, now: Time) {
         self.next_offset.set(None);
+        self.lost_at.set(now);
+    }
+
+    /// Returns since when the position is unknown, if it is.
+    pub(crate) fn lost_since(&self) -> Option<Time> {
+        self.next_offset.get().is_none().then(|| self.lost_at.get())
+    }
+
+    /// Returns whether a position was ever known.
+    pub(crate) fn was_read(&self) -> bool {
+        self.checked_at.get() > Time::default()
     }
 
     /// Records that everything before offset `to` was read at time `at`.
@@ -89,6 +103,13 @@
         Some(Batch { from, to, changes })
     }
 
+    /// Returns the newest records that are stored, for a process without a
+    /// position in a topic all of whose keys are stored.
+    pub(crate) fn newest(&self) -> Option<Batch> {
+        let to = self.next_offset.get()?;
+        Some(Batch { from: 0, to, changes: self.backlog.borrow().newest() })
+    }
+
     /// Returns a receiver that is notified after each read.
     pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
         self.position.subscribe()
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -5,7 +5,13 @@
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
     catkin_route::{
-        backlog::Change, delta::Delta, level::Levels, owners::Owners, peer_view::NextOffsets, quotas::Counts,
+        backlog::{Change, Payload},
+        delta::Delta,
+        directory::Entry,
+        level::Levels,
+        owners::Owners,
+        peer_view::NextOffsets,
+        quotas::Counts,
     },
     serde::{Deserialize, Serialize},
     std::{io, rc::Rc, sync::Arc},
@@ -91,6 +97,32 @@
     pub(super) table: Option<TableUpdate>,
     /// Changes of the configuration and of the directory.
     pub(super) changes: [Option<TopicChanges>; 2],
+    /// Complete listing of the directory, for a process without a position.
+    pub(super) listing: Option<Rc<Listing>>,
+}
+
+/// Complete listing of the directory.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Listing {
+    /// Offset at which a reader continues.
+    pub(super) to: u64,
+    /// Greatest time since the leader read the store, in microseconds.
+    pub(super) age: u64,
+    /// Entries, encoded and compressed.
+    entries: Payload,
+}
+
+impl Listing {
+    pub(super) fn new(to: u64, age: u64, entries: &Vec<Entry>) -> io::Result<Self> {
+        let bytes = postcard::to_stdvec(entries).map_err(io::Error::other)?;
+        let entries = Payload::new(&bytes.into()).map_err(io::Error::other)?;
+        Ok(Self { to, age, entries })
+    }
+
+    pub(super) fn entries(&self) -> io::Result<Vec<Entry>> {
+        let bytes = self.entries.decode().map_err(io::Error::other)?;
+        postcard::from_bytes(&bytes).map_err(io::Error::other)
+    }
 }
 
 /// Update of the table of owners.
@@ -126,6 +158,13 @@
         Some(Self { from, to, age, records: changes })
     }
 
+    /// Returns the newest records of a topic, for a process without a position.
+    pub(super) fn newest(feed: &Feed, now: Time) -> Option<Self> {
+        let feed::Batch { from, to, changes } = feed.newest()?;
+        let age = now.since(feed.checked_at()).as_micros();
+        Some(Self { from, to, age, records: changes })
+    }
+
     pub(super) fn into_batch(self) -> feed::Batch {
         feed::Batch { from: self.from, to: self.to, changes: self.records }
     }
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -106,6 +106,15 @@
         None => {}
     }
     apply_changes(node, state.changes, state.store_age, now);
+    if let Some(listing) = state.listing
+        && !node.is_leader.get()
+    {
+        let at = now.before(Span::from_micros(listing.age));
+        match listing.entries() {
+            Ok(entries) => sync::apply_listing(node, entries, listing.to, at),
+            Err(error) => log::warn!(error:display; "invalid listing of the directory ignored"),
+        }
+    }
     // Loads refer to the targets of the newest directory.
     if let Some(allotted) = state.quotas {
         apply_loads(node, now, state.levels.as_deref(), state.use_quotas, &allotted);
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -2,8 +2,8 @@
 
 use {
     super::message::{
-        LINK_TIMEOUT, LeaderMessage, LeaderState, Message, MessageReader, Report, Stopped, TableUpdate,
-        TopicChanges, write,
+        LINK_TIMEOUT, LeaderMessage, LeaderState, Listing, Message, MessageReader, Report, Stopped,
+        TableUpdate, TopicChanges, write,
     },
     crate::{
         lead,
@@ -28,6 +28,9 @@
 /// Time for which all links share the loads of targets.
 const LEVELS_AGE_MAX: Span = Span::from_millis(50);
 
+/// Time for which a listing of the directory is sent to further processes.
+const LISTING_AGE_MAX: Span = Span::from_millis(300);
+
 /// Least time between two messages to a process with the loads of targets.
 const LEVELS_INTERVAL: Span = Span::from_millis(200);
 
@@ -50,6 +53,8 @@
     quotas: RefCell<Quotas>,
     cached: RefCell<Option<CachedDelta>>,
     levels: RefCell<Option<CachedLevels>>,
+    /// Last listing of the directory and when it was made.
+    listing: RefCell<Option<(Time, Rc<Listing>)>>,
 }
 
 /// Levels that were made at a time.
@@ -83,6 +88,24 @@
         levels
     }
 
+    /// Returns a listing of the directory. It is made once for all processes
+    /// that ask within a while, and the changes since are forwarded.
+    fn listing(&self, node: &Node) -> io::Result<Option<Rc<Listing>>> {
+        let Some(to) = node.directory_feed.next_offset() else { return Ok(None) };
+        let now = node.now();
+        let mut cached = self.listing.borrow_mut();
+        if let Some((made_at, listing)) = &*cached
+            && now.since(*made_at) < LISTING_AGE_MAX
+            && node.directory_feed.since(listing.to).is_some()
+        {
+            return Ok(Some(listing.clone()));
+        }
+        let age = (now.since(node.directory_feed.checked_at()) + LISTING_AGE_MAX).as_micros();
+        let listing = Rc::new(Listing::new(to, age, &node.directory.borrow().listing(now))?);
+        *cached = Some((now, listing.clone()));
+        Ok(Some(listing))
+    }
+
     /// Allots quotas at targets with keys to a process. Requests without a key
     /// go to another target instead of waiting for a quota.
     fn allot(&self, node: &Node, vm: &str) -> Counts {
@@ -198,9 +221,20 @@
     /// Returns the changes of the configuration and of the directory.
     fn changes(&self, node: &Node) -> [Option<TopicChanges>; 2] {
         let now = node.now();
-        let feeds = [&node.config_feed, &node.directory_feed];
-        let next_offsets = self.view.next_offsets();
-        [0, 1].map(|i| next_offsets[i].and_then(|from| TopicChanges::new(feeds[i], from, now)))
+        let [config, directory] = self.view.next_offsets();
+        let configs = match config {
+            Some(from) => TopicChanges::new(&node.config_feed, from, now),
+            None => TopicChanges::newest(&node.config_feed, now),
+        };
+        [configs, directory.and_then(|from| TopicChanges::new(&node.directory_feed, from, now))]
+    }
+
+    /// Returns a listing of the directory if the process has no position in it.
+    fn listing(&self, node: &Node, peers: &Peers) -> io::Result<Option<Rc<Listing>>> {
+        match self.view.next_offsets()[1] {
+            None => peers.listing(node),
+            Some(_) => Ok(None),
+        }
     }
 
     /// Returns the loads of targets if they are due.
@@ -220,7 +254,10 @@
         }
         let sent = self.table.as_ref().filter(|_| state.table.is_some()).map(|owners| owners.offset);
         let known = self.view.next_offsets();
-        let next_offsets = [0, 1].map(|i| state.changes[i].as_ref().map(|c| c.to).or(known[i]));
+        let mut next_offsets = [0, 1].map(|i| state.changes[i].as_ref().map(|c| c.to).or(known[i]));
+        if let Some(listing) = &state.listing {
+            next_offsets[1] = Some(listing.to);
+        }
         self.view.note_sent(sent.or(self.view.table()), next_offsets);
     }
 }
@@ -268,11 +305,21 @@
         // the current age of the store's last answer.
         if quotas.is_some() || table.is_some() || has_records {
             let store_age = node.last_join.get().map_or(u64::MAX, |at| node.now().since(at).as_micros());
+            let listing = state.listing(node, peers)?;
             let levels = quotas.as_ref().and_then(|_| state.levels(node, peers));
             let use_quotas = peers.quotas.borrow().use_quotas();
             let PeerState { count: peer_count, standby, .. } = state;
-            let leader_state =
-                LeaderState { peer_count, standby, store_age, quotas, levels, use_quotas, table, changes };
+            let leader_state = LeaderState {
+                peer_count,
+                standby,
+                store_age,
+                quotas,
+                levels,
+                use_quotas,
+                table,
+                changes,
+                listing,
+            };
             state.note_sent(&leader_state, newest);
             write(&mut writer, &LeaderMessage::State(Box::new(leader_state))).await?;
         }
--- a/crates/catkin-edge/src/settings.rs
+++ b/crates/catkin-edge/src/settings.rs
@@ -37,6 +37,9 @@
     /// Bandwidth of the VM's link, in Mbit/s.
     #[serde(default = "default_bandwidth")]
     pub(crate) bandwidth: f64,
+    /// Whether the whole fleet starts for the first time, before its callers.
+    #[serde(default)]
+    pub(crate) bootstrap: Option<bool>,
     /// Interval at which targets write their directory entries, in milliseconds;
     /// 1,000 if absent.
     #[serde(default)]
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -15,7 +15,10 @@
         name,
         store::StoreError,
     },
-    catkin_route::backlog::{Change, Payload},
+    catkin_route::{
+        backlog::{Change, Payload},
+        directory::{Entry, Target},
+    },
     std::{collections::HashSet, rc::Rc},
 };
 
@@ -45,6 +48,15 @@
 /// targets.
 const FORWARD_AGE_MAX: Span = Span::from_millis(1_400);
 
+/// Time for which a process without a position waits for the state that the
+/// leader forwards. Reads by hundreds of processes that start together would
+/// cost more calls than the rest of a day.
+const LEADER_WAIT: Span = Span::from_millis(600);
+
+/// The same in a fleet that starts for the first time: it elects its first
+/// leader meanwhile, and has no callers yet.
+const LEADER_WAIT_BOOTSTRAP: Span = Span::from_secs(5);
+
 /// Interval between checks of the age of the leader's last message.
 const RECHECK_INTERVAL: Span = Span::from_millis(100);
 
@@ -126,14 +138,49 @@
     node.capacity_changed.notify_waiters();
 }
 
+/// Returns whether a state from the leader may be the first one of a topic. A
+/// leader that was paused sends an old one.
+fn is_recent(node: &Node, at: Time) -> bool {
+    node.now().since(at) < FORWARD_AGE_MAX
+}
+
+/// Applies a complete listing of the directory that the leader forwarded, if
+/// this process has no position.
+pub(crate) fn apply_listing(node: &Node, entries: Vec<Entry>, to: u64, at: Time) {
+    if node.directory_feed.next_offset().is_some() || !is_recent(node, at) {
+        return;
+    }
+    let listed: HashSet<&str> = entries.iter().map(|entry| &*entry.incarnation.id).collect();
+    let is_missing = |t: &&Target| !listed.contains(&*t.entry.incarnation.id);
+    let missing = node.directory.borrow().all().filter(is_missing).count();
+    start_grace(node, missing);
+    node.directory.borrow_mut().replace(node.now(), entries);
+    node.directory_feed.restart(to, at);
+    node.directory.borrow_mut().note_read(at);
+    node.directory_read.set(true);
+    node.capacity_changed.notify_waiters();
+}
+
+/// Returns whether a topic without a position should wait for the leader.
+fn awaits_leader(node: &Node, feed: &Feed) -> bool {
+    let bootstraps = node.settings.bootstrap == Some(true) && !feed.was_read();
+    let wait = if bootstraps { LEADER_WAIT_BOOTSTRAP } else { LEADER_WAIT };
+    let waits = |since: Time| node.now().since(since) < wait;
+    !node.is_strong() && feed.lost_since().is_some_and(waits)
+}
+
 /// Applies forwarded changes that continue at the known position. After a gap,
 /// the records are read from the store.
 fn apply_forwarded(node: &Node, feed: &Feed, batch: &Batch, at: Time, apply: Apply) {
-    let known = feed.next_offset();
-    if known.is_none_or(|next| next < batch.from || next > batch.to) {
-        return;
-    }
-    for change in batch.changes.iter().filter(|c| known.is_some_and(|next| c.offset >= next)) {
+    let known = match feed.next_offset() {
+        None if batch.from == 0 && is_recent(node, at) => {
+            feed.restart(batch.to, at);
+            0
+        }
+        Some(next) if batch.from <= next && next <= batch.to => next,
+        _ => return,
+    };
+    for change in batch.changes.iter().filter(|c| c.offset >= known) {
         match change.value.decode() {
             Ok(value) if apply(node, node.now(), &change.key, &value) => feed.add(change.clone()),
             Ok(_) => {}
@@ -150,6 +197,8 @@
     /// Called before records are applied, with the number of removed keys.
     on_removed: fn(&Node, usize),
     apply: Apply,
+    /// Whether a listed record is kept for processes without a position.
+    is_kept: fn(&[u8]) -> bool,
     failing: bool,
 }
 
@@ -179,6 +228,9 @@
                 (self.apply)(node, node.now(), &record.key, &record.value);
             }
             feed.restart(newest.end, sent_at);
+            for KeyedRecord { key, value } in newest.items.into_iter().filter(|r| (self.is_kept)(&r.key)) {
+                self.keep(newest.end.saturating_sub(1), key, &value);
+            }
             return Ok(Some(keys));
         };
         let batch = node.store.read(feed.topic, from, wait, timeout).await?;
@@ -193,11 +245,7 @@
         for (offset, record) in (from..).zip(records) {
             let Some(KeyedRecord { key, value }) = record else { continue };
             if (self.apply)(node, node.now(), &key, &value) {
-                match Payload::new(&value) {
-                    Ok(value) => feed.add(Change { offset, key, value }),
-                    // Other processes read the record from the store instead.
-                    Err(error) => log::error!(topic = feed.topic, error:display; "change not forwarded"),
-                }
+                self.keep(offset, key, &value);
             }
         }
         // The store answers at once if it has a record, and otherwise after the
@@ -207,6 +255,15 @@
         Ok(None)
     }
 
+    /// Keeps a record for other processes.
+    fn keep(&self, offset: u64, key: Bytes, value: &Bytes) {
+        match Payload::new(value) {
+            Ok(value) => self.feed.add(Change { offset, key, value }),
+            // Other processes read the record from the store instead.
+            Err(error) => log::error!(topic = self.feed.topic, error:display; "change not forwarded"),
+        }
+    }
+
     /// Reads until the store answers.
     async fn next(&mut self, wait: Span) -> Option<HashSet<Bytes>> {
         loop {
@@ -220,7 +277,7 @@
                     }
                     return keys;
                 }
-                Err(StoreError::Deleted(_)) => self.feed.reset(),
+                Err(StoreError::Deleted(_)) => self.feed.reset(self.node.now()),
                 Err(error) => {
                     if !std::mem::replace(&mut self.failing, true) {
                         log::warn!(topic = self.feed.topic, code:display = error.code(), error:display; "store unavailable");
@@ -245,10 +302,11 @@
         feed: &node.config_feed,
         on_removed: |_, _| (),
         apply: apply_config,
+        is_kept: |key| key == name::CONFIG_KEY,
         failing: false,
     };
     loop {
-        if is_forwarded(&node, &node.config_feed) {
+        if is_forwarded(&node, &node.config_feed) || awaits_leader(&node, &node.config_feed) {
             sleep(RECHECK_INTERVAL).await;
             continue;
         }
@@ -272,10 +330,12 @@
         feed: &node.directory_feed,
         on_removed: start_grace,
         apply: apply_target,
+        // The leader lists the directory itself.
+        is_kept: |_| false,
         failing: false,
     };
     loop {
-        if is_forwarded(&node, &node.directory_feed) {
+        if is_forwarded(&node, &node.directory_feed) || awaits_leader(&node, &node.directory_feed) {
             sleep(RECHECK_INTERVAL).await;
             continue;
         }
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -55,12 +55,17 @@
 impl Edge {
     /// Writes the settings file and starts a process.
     pub(crate) fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_with(name, store, "")
+    }
+
+    /// Starts a process with further lines in its settings file.
+    pub(crate) fn start_with(name: &str, store: SocketAddr, settings: &str) -> Self {
         let addr = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let (callers, admin, peers) = (addr(port()), addr(port()), addr(port()));
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let file = dir.join(format!("{name}-{}.yaml", callers.port()));
         let text = format!(
-            "vm: {name}\nzone: z\ncallers: {callers}\nadmin: {admin}\npeers: {peers}\nstore: {store}\nbounds: [\"graceS=5\"]\n"
+            "vm: {name}\nzone: z\ncallers: {callers}\nadmin: {admin}\npeers: {peers}\nstore: {store}\nbounds: [\"graceS=5\"]\n{settings}"
         );
         fs::write(&file, text).unwrap();
         let edge = Self { callers, admin, file, child: RefCell::new(None) };
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -6,7 +6,7 @@
     actix_http::Method,
     bytes::Bytes,
     catkin_standin::users::{Config, Route, ServerFaults, StoreMode, put_config},
-    common::{Fleet, open, plan, send, send_on},
+    common::{Edge, Fleet, open, plan, send, send_on},
     nix::sys::signal::Signal,
     std::time::{Duration, Instant},
 };
@@ -279,6 +279,41 @@
     fleet.check();
 }
 
+/// Hundreds of processes that start, or lose their position, and each read the
+/// whole state from the store would cost most of a day's calls. A process without
+/// the resources to lead reads only who leads, and gets the rest from the leader.
+#[actix_rt::test]
+async fn weak_processes_get_their_state_from_the_leader() {
+    let mut fleet = Fleet::start(2).await;
+    let store = fleet.proxies[0].addr;
+    let calls = || {
+        let paths = ["/v1/log-read", "/v1/log-newest", "/v1/log-join", "/v1/log-owners"];
+        paths.map(|path| fleet.store.call_count(path))
+    };
+    let before = calls();
+    let weak: Vec<Edge> = (0..10)
+        .map(|i| Edge::start_with(&format!("weak-{i}"), store, "cores: 0.1\nbandwidth: 20.0\n"))
+        .collect();
+    sleep(3_000).await;
+    let after = calls();
+    // The leader reads the configuration and the directory, and both strong
+    // processes join the group, about three times a second.
+    let count: u64 = [0, 1].map(|i| after[i] - before[i]).iter().sum();
+    assert!(count <= 3 * 3 + 3 * 4 + 2 * 10, "{count} reads");
+    fleet.edges.extend(weak);
+    for edge in &fleet.edges {
+        for key in KEYS {
+            assert_eq!(fleet.get(edge, key).await.unwrap().status, 200);
+        }
+    }
+    put_config(&fleet.store, &Config { routes: Vec::new(), ..plan(3) });
+    sleep(1_900).await;
+    for edge in &fleet.edges {
+        assert_eq!(fleet.get(edge, 1).await.unwrap().status, 404);
+    }
+    fleet.check();
+}
+
 /// Topics whose history was compacted are listed again.
 #[actix_rt::test]
 async fn compacted_store_is_read_anew() {
--- a/crates/catkin-route/src/backlog.rs
+++ b/crates/catkin-route/src/backlog.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Returns the newest change of each key that has one here.
+    pub fn newest(&self) -> Vec<Change> {
+        self.changes.iter().cloned().collect()
+    }
+
     /// Returns the newest change of each key from an offset on, or `None` if
     /// changes from there on may be missing.
     pub fn since(&self, from: u64) -> Option<Vec<Change>> {
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -2,8 +2,9 @@
 
 use {
     catkin::types::{Span, Time},
+    serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
     },
@@ -38,7 +39,7 @@
 
 /// An incarnation: one run of a target's process. A restarted target has the
 /// same id and a later start.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Incarnation {
     /// Id of the target, which its incarnations share.
     pub id: Arc<str>,
@@ -47,7 +48,7 @@
 }
 
 /// An entry of the directory.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The incarnation that wrote the entry.
     pub incarnation: Incarnation,
@@ -255,6 +256,21 @@
         list.iter().filter_map(|id| self.targets.get(id))
     }
 
+    /// Returns a complete listing for a process that knows no target.
+    pub fn listing(&self, now: Time) -> Vec<Entry> {
+        let entry = |t: &Target| Entry { cold_left: t.cold_until.since(now), ..t.entry.clone() };
+        self.targets.values().filter(|t| t.grace_end.is_none()).map(entry).collect()
+    }
+
+    /// Replaces all entries by those of a complete listing.
+    pub fn replace(&mut self, now: Time, listing: Vec<Entry>) {
+        let listed: HashSet<Arc<str>> = listing.iter().map(|entry| entry.incarnation.id.clone()).collect();
+        self.retain(now, |id| listed.contains(id));
+        for entry in listing {
+            self.put(now, entry);
+        }
+    }
+
     /// Returns the names of the services that have targets.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
         self.services.iter().filter(|(_, list)| !list.is_empty()).map(|(service, _)| service)
--- a/crates/catkin-route/tests/directory.rs
+++ b/crates/catkin-route/tests/directory.rs
@@ -120,3 +120,50 @@
     assert!(directory.put(at(1_800), Entry { draining: true, ..entry("a", 1) }));
     assert!(directory.put(at(2_700), entry("a", 2)));
 }
+
+/// A process whose entry is still listed long after a moment has run since: the
+/// entry of one that had ended would be gone. Without this, a doubt about a
+/// process would end only when its entry changes.
+#[test]
+fn listed_processes_are_confirmed_with_time() {
+    let mut directory = Directory::default().with_entry_ttl(Span::from_secs(4));
+    directory.put(at(0), entry("a", 1));
+    let doubt = at(10_000);
+    for millis in (0..14_000).step_by(300) {
+        directory.note_read(at(millis));
+        assert!(!directory.is_confirmed(&incarnation("a", 1), doubt), "after {millis} ms");
+    }
+    directory.note_read(at(14_100));
+    assert!(directory.is_confirmed(&incarnation("a", 1), doubt));
+    assert!(!directory.is_confirmed(&incarnation("a", 2), doubt));
+}
+
+/// While the directory is not read, entries of ended processes stay: a process
+/// is confirmed only after a time of reads without a gap.
+#[test]
+fn unread_directory_confirms_nothing() {
+    let mut directory = Directory::default().with_entry_ttl(Span::from_secs(4));
+    directory.put(at(0), entry("a", 1));
+    for millis in (0..10_000).step_by(300).chain((16_000..19_900).step_by(300)) {
+        directory.note_read(at(millis));
+    }
+    assert!(!directory.is_confirmed(&incarnation("a", 1), at(9_000)));
+    directory.note_read(at(20_100));
+    assert!(directory.is_confirmed(&incarnation("a", 1), at(9_000)));
+}
+
+/// A forwarded listing leaves a process with the targets of the sender only:
+/// one that has left must not be in use again.
+#[test]
+fn listing_replaces_all_targets() {
+    let (mut sender, mut receiver) = (Directory::default(), Directory::default());
+    sender.put(at(0), entry("a", 1));
+    sender.put(at(0), Entry { cold_left: Span::from_secs(3), ..entry("b", 1) });
+    receiver.put(at(0), entry("a", 2));
+    receiver.put(at(0), entry("gone", 1));
+    receiver.replace(at(1_000), sender.listing(at(1_000)));
+    let ids: Vec<&str> = receiver.of_service("s").map(|t| &*t.entry.incarnation.id).collect();
+    assert_eq!(ids, ["a", "b"]);
+    assert!(receiver.current(&incarnation("a", 1)).is_some());
+    assert_eq!(receiver.get("b").unwrap().cold_until, at(3_000));
+}
