choose: start the warm-up of a target once

A new target was not told from the others.

Change: an open target stays as it is when it is added again.

Seen failing before: a_listed_target_warms_up_once.

--- a/crates/catkin-gateway/src/control.rs
+++ b/crates/catkin-gateway/src/control.rs
@@ -218,7 +218,7 @@
         for vm in listed {
             let Ok(target) = TargetId::new(vm.id.clone()) else { continue };
             // Targets found when the load table of the service is created get no
-            // warm-up. Later calls start the warm-up of all listed targets anew.
+            // warm-up.
             service_loads.add(now, &target, !is_new);
             if vm.state == VmState::Leaving {
                 service_loads.close(&target);
--- a/crates/catkin/src/choose.rs
+++ b/crates/catkin/src/choose.rs
@@ -80,9 +80,12 @@
         Self::default()
     }
 
-    /// Adds a target or reopens it. A target is cold when it has just started; it gets
-    /// fewer requests at first.
+    /// Adds a target or reopens it; an open one stays as it is. A target is cold when
+    /// it has just started; it gets fewer requests at first.
     pub fn add(&mut self, now: Time, target: &TargetId, cold: bool) {
+        if self.rows.get(target).is_some_and(|row| !row.closed) {
+            return;
+        }
         let row = self.rows.entry(target.clone()).or_default();
         row.cold_since = cold.then_some(now);
         row.closed = false;
--- a/crates/catkin/tests/choose.rs
+++ b/crates/catkin/tests/choose.rs
@@ -130,3 +130,14 @@
         assert_eq!(chosen, Some(target(1)));
     }
 }
+
+/// Guards against a warm-up that starts anew whenever a target is listed again: it
+/// would never end, and no new target could be told from the others.
+#[test]
+fn a_listed_target_warms_up_once() {
+    let mut loads = loads(2);
+    let later = now().after(Span::from_secs(2));
+    (0..3).for_each(|number| loads.add(later, &target(number), true));
+    (0..3).for_each(|number| loads.begin(&target(number)));
+    assert_eq!(times_chosen(&loads, later, 2), 0);
+}
