--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -15,6 +15,7 @@
         delta::Delta,
         directory::Target,
         level::Levels,
+        load,
         peer_view::PeerView,
         quotas::{Counts, Quotas},
     },
@@ -110,14 +111,16 @@
     /// go to another target instead of waiting for a quota.
     fn allot(&self, node: &Node, vm: &str) -> Counts {
         let (directory, config) = (node.directory.borrow(), node.config.borrow());
-        let keyed = |service: &str| {
-            config.as_ref().and_then(|c| c.services.get(service)).is_some_and(|service| service.keyed)
-        };
-        let slots = |id: &str| {
+        let Some(config) = &*config else { return Counts::new() };
+        let objectives = node.objectives.borrow();
+        let requests_max = |id: &str| {
             let entry = &directory.get(id)?.entry;
-            keyed(&entry.service).then_some(entry.slots)
+            let is_keyed = config.services.get(&entry.service).is_some_and(|service| service.keyed);
+            let objective = load::objective(&objectives, &entry.service);
+            let service_time = lead::with_loads(|loads| loads.service_time(id));
+            is_keyed.then(|| load::requests_max(entry.slots, objective, f64::from(service_time)))
         };
-        self.quotas.borrow_mut().allot(vm, slots)
+        self.quotas.borrow_mut().allot(vm, requests_max)
     }
 
     /// Returns the delta between two tables. Most links need the same one,
