--- a/crates/catkin-edge/src/link.rs
+++ b/crates/catkin-edge/src/link.rs
@@ -7,10 +7,12 @@
 //! | module | responsibility |
 //! |---|---|
 //! | `message` | messages and their framing |
+//! | `peers` | state that all links of the leader share |
 //! | `report` | side of the reporting process |
 //! | `serve` | side of the leader |
 
 mod message;
+mod peers;
 mod report;
 mod serve;
 
--- /dev/null
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -0,0 +1,170 @@
+//! State that all links of the leader share: reports of processes, quotas, and
+//! messages that are made once for many processes.
+
+use {
+    super::message::{Listing, Report, TableUpdate},
+    crate::{
+        lead,
+        node::{Node, VersionedOwners},
+    },
+    catkin::types::{Span, Time},
+    catkin_route::{
+        delta::Delta,
+        directory::Target,
+        level::Levels,
+        load,
+        quotas::{Counts, Quotas},
+    },
+    std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
+};
+
+/// Age of the last report from which on a process is not counted.
+const PEER_TIMEOUT: Span = Span::from_secs(3);
+
+/// Time for which all links share the loads of targets.
+const LEVELS_AGE_MAX: Span = Span::from_millis(50);
+
+/// Time for which a listing of the directory is sent to further processes.
+const LISTING_AGE_MAX: Span = Span::from_millis(300);
+
+/// Number of standbys of the leader.
+const STANDBY_COUNT: usize = 3;
+
+/// Last report of a process.
+#[derive(Debug)]
+struct Peer {
+    reported_at: Time,
+    strong: bool,
+}
+
+/// Offset of the older table, offset of the newer table, and their delta
+/// if there is one.
+type CachedDelta = (u64, u64, Option<Rc<Delta>>);
+
+/// State that is shared by all links of the leader.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    /// Last reports by VM.
+    reports: RefCell<BTreeMap<Arc<str>, Peer>>,
+    quotas: RefCell<Quotas>,
+    cached: RefCell<Option<CachedDelta>>,
+    levels: RefCell<Option<CachedLevels>>,
+    /// Last listing of the directory and when it was made.
+    listing: RefCell<Option<(Time, Rc<Listing>)>>,
+}
+
+/// Levels that were made at a time.
+#[derive(Debug)]
+struct CachedLevels {
+    made_at: Time,
+    /// Counter of the directory's changes.
+    directory_changes: u64,
+    levels: Rc<Vec<Levels>>,
+}
+
+impl Peers {
+    /// Returns the loads of all targets. All links share them for a while.
+    pub(super) fn levels(&self, node: &Node, now: Time) -> Rc<Vec<Levels>> {
+        let directory = node.directory.borrow();
+        let mut cached = self.levels.borrow_mut();
+        if let Some(known) = &*cached
+            && known.directory_changes == directory.changes()
+            && now.since(known.made_at) < LEVELS_AGE_MAX
+        {
+            return known.levels.clone();
+        }
+        let quotas = self.quotas.borrow();
+        let pack = |service: &Arc<str>| {
+            let targets: Vec<&Target> = directory.of_service(service).collect();
+            Levels::new(service.clone(), &targets, |id| quotas.load(id))
+        };
+        let levels = Rc::new(directory.services().map(pack).collect::<Vec<_>>());
+        let directory_changes = directory.changes();
+        *cached = Some(CachedLevels { made_at: now, directory_changes, levels: levels.clone() });
+        levels
+    }
+
+    /// Returns a listing of the directory. It is made once for all processes
+    /// that ask within a while, and the changes since are forwarded.
+    pub(super) fn listing(&self, node: &Node) -> io::Result<Option<Rc<Listing>>> {
+        let Some(to) = node.directory_feed.next_offset() else { return Ok(None) };
+        let now = node.now();
+        let mut cached = self.listing.borrow_mut();
+        if let Some((made_at, listing)) = &*cached
+            && now.since(*made_at) < LISTING_AGE_MAX
+            && node.directory_feed.since(listing.to).is_some()
+        {
+            return Ok(Some(listing.clone()));
+        }
+        let age = (now.since(node.directory_feed.checked_at()) + LISTING_AGE_MAX).as_micros();
+        let listing = Rc::new(Listing::new(to, age, &node.directory.borrow().listing(now))?);
+        *cached = Some((now, listing.clone()));
+        Ok(Some(listing))
+    }
+
+    /// Allots quotas at targets with keys to a process. Requests without a key
+    /// go to another target instead of waiting for a quota.
+    pub(super) fn allot(&self, node: &Node, vm: &str) -> Counts {
+        let (directory, config) = (node.directory.borrow(), node.config.borrow());
+        let Some(config) = &*config else { return Counts::new() };
+        let objectives = node.objectives.borrow();
+        let requests_max = |id: &str| {
+            let entry = &directory.get(id)?.entry;
+            let is_keyed = config.services.get(&entry.service).is_some_and(|service| service.keyed);
+            let objective = load::objective(&objectives, &entry.service);
+            let service_time = lead::with_loads(|loads| loads.service_time(id));
+            is_keyed.then(|| load::requests_max(entry.slots, objective, f64::from(service_time)))
+        };
+        self.quotas.borrow_mut().allot(vm, requests_max)
+    }
+
+    /// Returns whether there are so many processes that quotas are used.
+    pub(super) fn use_quotas(&self) -> bool {
+        self.quotas.borrow().use_quotas()
+    }
+
+    /// Returns the delta between two tables. Most links need the same one,
+    /// so the last one is cached.
+    pub(super) fn delta(&self, old: &VersionedOwners, new: &VersionedOwners) -> Option<TableUpdate> {
+        let mut cached = self.cached.borrow_mut();
+        let (from, to) = (old.offset, new.offset);
+        let matching = cached.as_ref().filter(|cached| (cached.0, cached.1) == (from, to));
+        let delta = match matching {
+            Some(cached) => cached.2.clone(),
+            None => Delta::new(&old.table, &new.table).map(Rc::new),
+        };
+        *cached = Some((from, to, delta.clone()));
+        Some(TableUpdate::Delta { from, to, delta: delta? })
+    }
+
+    /// Returns whether a process is a standby: one of the first strong processes,
+    /// or of the first weak ones if too few are strong.
+    pub(super) fn is_standby(&self, node: &Node, vm: &str) -> bool {
+        let peers = self.reports.borrow();
+        let others = || peers.iter().filter(|(other, _)| **other != node.identity.vm);
+        let strong = others().filter(|(_, peer)| peer.strong);
+        let weak = others().filter(|(_, peer)| !peer.strong);
+        strong.chain(weak).take(STANDBY_COUNT).any(|(other, _)| **other == *vm)
+    }
+
+    /// Records the report of a process. Returns the number of processes.
+    pub(super) fn record(&self, node: &Node, report: &Report) -> u32 {
+        let now = node.now();
+        let mut reports = self.reports.borrow_mut();
+        reports.insert(report.vm.clone(), Peer { reported_at: now, strong: report.strong });
+        reports.retain(|_, peer| now.since(peer.reported_at) < PEER_TIMEOUT);
+        let (in_flight, queued) = (report.in_flight.clone(), report.queued.clone());
+        let count = self.quotas.borrow_mut().report(now, &report.vm, in_flight, queued);
+        lead::with_loads(|loads| {
+            for (service, keys) in &report.key_counts {
+                for (key, count) in keys {
+                    loads.add_requests(service, *key, f32::from(*count));
+                }
+            }
+            for (target, seconds) in &report.service_times {
+                loads.record_service_time(target, *seconds);
+            }
+        });
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -1,156 +1,24 @@
 //! Side of the leader: records reports, and sends tables and changes.
 
 use {
-    super::message::{
-        LINK_TIMEOUT, LeaderMessage, LeaderState, Listing, Message, MessageReader, Report, Stopped,
-        TableUpdate, TopicChanges, write,
-    },
-    crate::{
-        lead,
-        node::{Node, VersionedOwners, sleep},
+    super::{
+        message::{
+            LINK_TIMEOUT, LeaderMessage, LeaderState, Listing, Message, MessageReader, Report, Stopped,
+            TableUpdate, TopicChanges, write,
+        },
+        peers::Peers,
     },
+    crate::node::{Node, VersionedOwners, sleep},
     catkin::types::{Span, Time},
     catkin_net::set_socket_options,
-    catkin_route::{
-        delta::Delta,
-        directory::Target,
-        level::Levels,
-        load,
-        peer_view::PeerView,
-        quotas::{Counts, Quotas},
-    },
-    std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
+    catkin_route::{level::Levels, peer_view::PeerView},
+    std::{io, rc::Rc},
     tokio::net::{TcpListener, TcpStream},
 };
 
-/// Age of the last report from which on a process is not counted.
-const PEER_TIMEOUT: Span = Span::from_secs(3);
-
-/// Time for which all links share the loads of targets.
-const LEVELS_AGE_MAX: Span = Span::from_millis(50);
-
-/// Time for which a listing of the directory is sent to further processes.
-const LISTING_AGE_MAX: Span = Span::from_millis(300);
-
 /// Least time between two messages to a process with the loads of targets.
 const LEVELS_INTERVAL: Span = Span::from_millis(200);
 
-/// Last report of a process.
-#[derive(Debug)]
-struct Peer {
-    reported_at: Time,
-    strong: bool,
-}
-
-/// Offset of the older table, offset of the newer table, and their delta
-/// if there is one.
-type CachedDelta = (u64, u64, Option<Rc<Delta>>);
-
-/// State that is shared by all links of the leader.
-#[derive(Debug, Default)]
-struct Peers {
-    /// Last reports by VM.
-    reports: RefCell<BTreeMap<Arc<str>, Peer>>,
-    quotas: RefCell<Quotas>,
-    cached: RefCell<Option<CachedDelta>>,
-    levels: RefCell<Option<CachedLevels>>,
-    /// Last listing of the directory and when it was made.
-    listing: RefCell<Option<(Time, Rc<Listing>)>>,
-}
-
-/// Levels that were made at a time.
-#[derive(Debug)]
-struct CachedLevels {
-    made_at: Time,
-    /// Counter of the directory's changes.
-    directory_changes: u64,
-    levels: Rc<Vec<Levels>>,
-}
-
-impl Peers {
-    /// Returns the loads of all targets. All links share them for a while.
-    fn levels(&self, node: &Node, now: Time) -> Rc<Vec<Levels>> {
-        let directory = node.directory.borrow();
-        let mut cached = self.levels.borrow_mut();
-        if let Some(known) = &*cached
-            && known.directory_changes == directory.changes()
-            && now.since(known.made_at) < LEVELS_AGE_MAX
-        {
-            return known.levels.clone();
-        }
-        let quotas = self.quotas.borrow();
-        let pack = |service: &Arc<str>| {
-            let targets: Vec<&Target> = directory.of_service(service).collect();
-            Levels::new(service.clone(), &targets, |id| quotas.load(id))
-        };
-        let levels = Rc::new(directory.services().map(pack).collect::<Vec<_>>());
-        let directory_changes = directory.changes();
-        *cached = Some(CachedLevels { made_at: now, directory_changes, levels: levels.clone() });
-        levels
-    }
-
-    /// Returns a listing of the directory. It is made once for all processes
-    /// that ask within a while, and the changes since are forwarded.
-    fn listing(&self, node: &Node) -> io::Result<Option<Rc<Listing>>> {
-        let Some(to) = node.directory_feed.next_offset() else { return Ok(None) };
-        let now = node.now();
-        let mut cached = self.listing.borrow_mut();
-        if let Some((made_at, listing)) = &*cached
-            && now.since(*made_at) < LISTING_AGE_MAX
-            && node.directory_feed.since(listing.to).is_some()
-        {
-            return Ok(Some(listing.clone()));
-        }
-        let age = (now.since(node.directory_feed.checked_at()) + LISTING_AGE_MAX).as_micros();
-        let listing = Rc::new(Listing::new(to, age, &node.directory.borrow().listing(now))?);
-        *cached = Some((now, listing.clone()));
-        Ok(Some(listing))
-    }
-
-    /// Allots quotas at targets with keys to a process. Requests without a key
-    /// go to another target instead of waiting for a quota.
-    fn allot(&self, node: &Node, vm: &str) -> Counts {
-        let (directory, config) = (node.directory.borrow(), node.config.borrow());
-        let Some(config) = &*config else { return Counts::new() };
-        let objectives = node.objectives.borrow();
-        let requests_max = |id: &str| {
-            let entry = &directory.get(id)?.entry;
-            let is_keyed = config.services.get(&entry.service).is_some_and(|service| service.keyed);
-            let objective = load::objective(&objectives, &entry.service);
-            let service_time = lead::with_loads(|loads| loads.service_time(id));
-            is_keyed.then(|| load::requests_max(entry.slots, objective, f64::from(service_time)))
-        };
-        self.quotas.borrow_mut().allot(vm, requests_max)
-    }
-
-    /// Returns the delta between two tables. Most links need the same one,
-    /// so the last one is cached.
-    fn delta(&self, old: &VersionedOwners, new: &VersionedOwners) -> Option<TableUpdate> {
-        let mut cached = self.cached.borrow_mut();
-        let (from, to) = (old.offset, new.offset);
-        let matching = cached.as_ref().filter(|cached| (cached.0, cached.1) == (from, to));
-        let delta = match matching {
-            Some(cached) => cached.2.clone(),
-            None => Delta::new(&old.table, &new.table).map(Rc::new),
-        };
-        *cached = Some((from, to, delta.clone()));
-        Some(TableUpdate::Delta { from, to, delta: delta? })
-    }
-}
-
-/// Number of standbys of the leader.
-const STANDBY_COUNT: usize = 3;
-
-/// Returns whether a process is a standby: one of the first strong processes,
-/// or of the first weak ones if too few are strong.
-fn is_standby(node: &Node, peers: &Peers, vm: &str) -> bool {
-    let peers = peers.reports.borrow();
-    let others = || peers.iter().filter(|(other, _)| **other != node.identity.vm);
-    let strong = others().filter(|(_, peer)| peer.strong);
-    let weak = others().filter(|(_, peer)| !peer.strong);
-    strong.chain(weak).take(STANDBY_COUNT).any(|(other, _)| **other == *vm)
-}
-
 /// Accepts links from processes.
 pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener) {
     let peers = Rc::<Peers>::default();
@@ -172,26 +40,6 @@
     }
 }
 
-fn record_report(node: &Node, peers: &Peers, report: &Report) -> u32 {
-    let now = node.now();
-    let mut reports = peers.reports.borrow_mut();
-    reports.insert(report.vm.clone(), Peer { reported_at: now, strong: report.strong });
-    reports.retain(|_, peer| now.since(peer.reported_at) < PEER_TIMEOUT);
-    let (in_flight, queued) = (report.in_flight.clone(), report.queued.clone());
-    let count = peers.quotas.borrow_mut().report(now, &report.vm, in_flight, queued);
-    lead::with_loads(|loads| {
-        for (service, keys) in &report.key_counts {
-            for (key, count) in keys {
-                loads.add_requests(service, *key, f32::from(*count));
-            }
-        }
-        for (target, seconds) in &report.service_times {
-            loads.record_service_time(target, *seconds);
-        }
-    });
-    u32::try_from(count).unwrap_or(u32::MAX)
-}
-
 /// State of one link.
 #[derive(Default)]
 struct PeerState {
@@ -207,8 +55,8 @@
 
 impl PeerState {
     fn update(&mut self, node: &Node, peers: &Peers, report: &Report) {
-        self.count = record_report(node, peers, report);
-        self.standby = is_standby(node, peers, &report.vm);
+        self.count = peers.record(node, report);
+        self.standby = peers.is_standby(node, &report.vm);
         self.view.report(report.received, report.offset, report.next_offsets);
         self.table = self.table.take().filter(|owners| Some(owners.offset) == self.view.table());
     }
@@ -310,7 +158,7 @@
             let store_age = node.last_join.get().map_or(u64::MAX, |at| node.now().since(at).as_micros());
             let listing = state.listing(node, peers)?;
             let levels = quotas.as_ref().and_then(|_| state.levels(node, peers));
-            let use_quotas = peers.quotas.borrow().use_quotas();
+            let use_quotas = peers.use_quotas();
             let PeerState { count: peer_count, standby, .. } = state;
             let leader_state = LeaderState {
                 peer_count,
