--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -12,6 +12,15 @@
 //! that may have been granted to that owner has expired. Renewing needs no
 //! store.
 
+mod command;
+mod lease;
+mod range;
+
+pub use {
+    command::{Action, Command, Outcome},
+    lease::LeaseTimes,
+};
+
 use {
     crate::{
         balance,
@@ -19,61 +28,11 @@
         owners::{Owners, ProcessId, Row},
     },
     catkin::types::{Span, Time},
+    command::{FAILURE_WEIGHT_MAX, failure_weight},
+    range::{Phase, Range, empty_range, merge, split},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
 
-/// Times of leases.
-#[derive(Clone, Copy, Debug)]
-pub struct LeaseTimes {
-    /// Lease duration.
-    pub duration: Span,
-    /// Time between two renewals of a lease.
-    pub renew_interval: Span,
-    /// Added to the expiry of a lease for delays in the network and in timers.
-    pub margin: Span,
-    /// Factor by which the clock of a target that measures a lease may be
-    /// slower.
-    pub skew: f64,
-}
-
-/// Number of targets above which lease times are scaled; 512 targets receive
-/// about 700 commands per second.
-const SCALE_TARGETS_MIN: f64 = 512.0;
-
-/// Largest factor on the times of leases.
-const SCALE_FACTOR_MAX: f64 = 3.0;
-
-impl LeaseTimes {
-    /// Returns the times for a number of targets. With more targets each is
-    /// renewed less often, so that the leader's work stays the same; a
-    /// lost target then has a smaller part of the keys.
-    #[must_use]
-    pub fn scale_for(self, targets: usize) -> Self {
-        let factor = (targets as f64 / SCALE_TARGETS_MIN).clamp(1.0, SCALE_FACTOR_MAX);
-        Self {
-            duration: self.duration.scale(factor),
-            renew_interval: self.renew_interval.scale(factor),
-            ..self
-        }
-    }
-
-    /// Returns when a lease that was granted no later than now has expired.
-    fn expiry(&self, now: Time) -> Time {
-        now.after(self.duration.scale(self.skew)).after(self.margin)
-    }
-}
-
-/// Sum of the weights of failed commands in a row from which on a target counts
-/// as lost.
-const FAILURE_WEIGHT_MAX: u32 = 4;
-
-/// Weight of a command whose connection failed.
-const FAILURE_WEIGHT: u32 = 2;
-
-/// Weight of a command that timed out, as a target whose queue is full may
-/// answer late, and of one that was not sent because of that.
-const TIMEOUT_WEIGHT: u32 = 1;
-
 /// Delay before a command is repeated that the target refused.
 const REFUSED_DELAY: Span = Span::from_millis(150);
 
@@ -89,61 +48,6 @@
 /// owners: targets that start together are listed one after the other.
 const DIRECTORY_QUIET_TIME: Span = Span::from_millis(1_000);
 
-/// What a command asks of a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Hold the keys until the lease expires.
-    Grant {
-        /// Lease duration from the arrival of the command on.
-        duration: Span,
-        /// Handover data of the last owner, if there is any.
-        handover: Option<Arc<str>>,
-    },
-    /// Stop work on the keys and give up the lease.
-    Release,
-}
-
-/// A command to a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Command {
-    /// Identifies the command when its outcome is passed to
-    /// [`Granter::command_ended`].
-    pub ticket: u64,
-    /// The incarnation that the command is meant for.
-    pub incarnation: Incarnation,
-    /// Address of the target, also if it has left the directory.
-    pub addr: SocketAddr,
-    /// First key of the range.
-    pub from: u16,
-    /// Last key of the range, inclusive.
-    pub to: u16,
-    /// Fencing token of the grant.
-    pub fence: u64,
-    /// What the target is asked to do.
-    pub action: Action,
-}
-
-/// The outcome of a command.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The target carried the command out; a release may return handover data.
-    Done(Option<Arc<str>>),
-    /// The target refused the command, since it has seen a higher fence.
-    Fenced,
-    /// The target did not receive the command; its process may have ended.
-    Undelivered,
-    /// The connection ended after the command was sent: the command may be
-    /// carried out, or the process has ended.
-    Disconnected,
-    /// No answer came in time; the command may still be carried out.
-    Unknown,
-    /// The target refused the command for another reason.
-    Refused,
-    /// The command was not sent, since an earlier one on the same connection
-    /// got no answer.
-    Skipped,
-}
-
 /// A step that the leader must do next.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -158,70 +62,6 @@
         offset: u64,
     },
 }
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Phase {
-    /// The owner holds the keys, or will be granted them.
-    Held,
-    /// The owner is asked to release the keys.
-    Releasing,
-    /// No target may hold the keys from the given time on.
-    Unowned(Time),
-    /// A record with a new owner is being written to the store.
-    Writing,
-}
-
-#[derive(Clone, Debug)]
-struct Range {
-    row: Row,
-    phase: Phase,
-    /// Latest time at which a lease of the owner expires.
-    expiry: Time,
-    /// Latest expiry of a grant of this leader that was never answered. The
-    /// owner may carry it out after a release.
-    late_expiry: Time,
-    /// Latest expiry of a grant that an earlier leader may have sent. The owner
-    /// refuses it once it has seen this leader's fence.
-    earlier_expiry: Time,
-    next_send: Time,
-    /// Ticket of the command in progress.
-    pending: Option<u64>,
-    /// Sum of the weights of the commands that failed in a row.
-    failure_weight: u32,
-    /// Time of the first of the grants that were refused in a row.
-    refused_since: Option<Time>,
-    /// Whether the owner has acknowledged a grant of this leader.
-    granted: bool,
-    /// The next owner, if the keys are being moved.
-    dest: Option<Incarnation>,
-    /// When the keys moved to this owner, if they came by a move.
-    moved_at: Option<Time>,
-    /// Time of the last failed command after which the next command may open a
-    /// new connection. Another process with the owner's id may run at the other
-    /// end, which must not get this fence.
-    disconnected_at: Option<Time>,
-    /// When a connection for commands with this fence may last have been
-    /// opened, until the owner is known to have run after that. A later process
-    /// with the owner's id may hold the keys instead.
-    opened_at: Option<Time>,
-}
-
-impl Range {
-    fn is_disconnected(&self) -> bool {
-        self.phase == Phase::Held && self.pending.is_none() && self.disconnected_at.is_some()
-    }
-
-    /// Raises the fence of the same owner. The new fence may be sent on a new
-    /// connection: only the owner or its successor can get it.
-    fn raise_fence(&mut self, now: Time, fence: u64) {
-        self.row.fence = fence;
-        self.phase = Phase::Writing;
-        self.granted = false;
-        self.disconnected_at = None;
-        self.opened_at = Some(now);
-    }
-}
-
 /// A range of keys with its owner, as seen by the leader.
 #[derive(Clone, Debug)]
 pub struct OwnedRange {
@@ -233,7 +73,6 @@
     /// When it moved to its owner, if it came by a move.
     pub moved_at: Option<Time>,
 }
-
 /// What is known of a process that failed a command.
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
@@ -688,54 +527,6 @@
         }
     }
 }
-
-/// Returns the weight of a failed command. A target that refuses a grant runs,
-/// and may carry out a later one.
-fn failure_weight(outcome: &Outcome, is_release: bool) -> u32 {
-    match outcome {
-        Outcome::Refused if !is_release => 0,
-        Outcome::Unknown | Outcome::Skipped => TIMEOUT_WEIGHT,
-        _ => FAILURE_WEIGHT,
-    }
-}
-
-/// Returns the range of all keys without an owner, which is the initial state
-/// of a service and the default of the fields of other ranges.
-fn empty_range() -> Range {
-    Range {
-        row: Row { from: 0, to: u16::MAX, target: "".into(), started: 0, fence: 0, handover: None },
-        phase: Phase::Unowned(Time::default()),
-        expiry: Time::default(),
-        late_expiry: Time::default(),
-        earlier_expiry: Time::default(),
-        next_send: Time::default(),
-        pending: None,
-        failure_weight: 0,
-        refused_since: None,
-        granted: false,
-        dest: None,
-        moved_at: None,
-        disconnected_at: None,
-        opened_at: None,
-    }
-}
-
-/// Splits a range so that one piece has exactly the given keys.
-fn split(range: Range, from: u16, to: u16) -> Vec<Range> {
-    let bounds = [
-        (range.row.from, from.checked_sub(1)),
-        (from, Some(to)),
-        (to.saturating_add(1), (to < range.row.to).then_some(range.row.to)),
-    ];
-    let piece = |(from, to): (u16, Option<u16>)| {
-        let to = to.filter(|to| from <= *to && *to >= range.row.from)?;
-        let mut piece = range.clone();
-        (piece.row.from, piece.row.to) = (from, to);
-        Some(piece)
-    };
-    bounds.into_iter().filter_map(piece).collect()
-}
-
 /// Assigns new owners to ranges that no target may hold, and merges neighbours
 /// of one owner. Returns whether anything changed that must be written.
 fn reassign(
@@ -782,35 +573,3 @@
     *ranges = merge(now, next);
     true
 }
-
-/// Merges neighbouring ranges that one target holds. The merged range gets the
-/// higher of their fences: no other target had any of its keys with that one,
-/// so the range is renewed at once, whenever the record is written.
-fn merge(now: Time, ranges: Vec<Range>) -> Vec<Range> {
-    let mut merged: Vec<Range> = Vec::with_capacity(ranges.len());
-    for range in ranges {
-        let stable =
-            |s: &Range| s.pending.is_none() && s.phase == Phase::Held && s.granted && s.failure_weight == 0;
-        let can_merge = merged.last().is_some_and(|last| {
-            last.row.incarnation() == range.row.incarnation()
-                && last.row.to.checked_add(1) == Some(range.row.from)
-                && stable(last)
-                && stable(&range)
-        });
-        match merged.last_mut() {
-            Some(last) if can_merge => {
-                last.row.to = range.row.to;
-                last.row.fence = last.row.fence.max(range.row.fence);
-                last.row.handover = None;
-                last.expiry = last.expiry.max(range.expiry);
-                last.late_expiry = last.late_expiry.max(range.late_expiry);
-                last.earlier_expiry = last.earlier_expiry.max(range.earlier_expiry);
-                last.moved_at = last.moved_at.max(range.moved_at);
-                last.opened_at = last.opened_at.max(range.opened_at);
-                last.next_send = now;
-            }
-            _ => merged.push(range),
-        }
-    }
-    merged
-}
