--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -12,7 +12,6 @@
         delta::Delta,
         directory::Target,
         level::Levels,
-        load,
         quotas::{Counts, Quotas},
     },
     std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
@@ -106,16 +105,14 @@
     /// go to another target instead of waiting for a quota.
     pub(super) fn allot(&self, node: &Node, vm: &str) -> Counts {
         let (directory, config) = (node.directory.borrow(), node.config.borrow());
-        let Some(config) = &*config else { return Counts::new() };
-        let objectives = node.objectives.borrow();
-        let requests_max = |id: &str| {
+        let keyed = |service: &str| {
+            config.as_ref().and_then(|c| c.services.get(service)).is_some_and(|service| service.keyed)
+        };
+        let slots = |id: &str| {
             let entry = &directory.get(id)?.entry;
-            let is_keyed = config.services.get(&entry.service).is_some_and(|service| service.keyed);
-            let objective = load::objective(&objectives, &entry.service);
-            let service_time = lead::with_loads(|loads| loads.service_time(id));
-            is_keyed.then(|| load::requests_max(entry.slots, objective, f64::from(service_time)))
+            keyed(&entry.service).then_some(entry.slots)
         };
-        self.quotas.borrow_mut().allot(vm, requests_max)
+        self.quotas.borrow_mut().allot(vm, slots)
     }
 
     /// Returns whether there are so many processes that quotas are used.
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -12,7 +12,7 @@
         budget::{self, Budget},
         config::Config,
         directory::Directory,
-        load::{LocalLoads, Objectives},
+        load::LocalLoads,
         owners::{Owners, ProcessId},
         split::Split,
     },
@@ -70,8 +70,6 @@
     pub(crate) backoff: Cell<Option<Backoff>>,
     /// Newest known configuration; `None` until the first one is read.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
-    /// Latency objectives of the services of the configuration.
-    pub(crate) objectives: RefCell<Objectives>,
     /// Traffic split of routes with several services.
     pub(crate) split: RefCell<Split>,
     /// Directory of known targets.
@@ -173,7 +171,6 @@
             directory_feed: Feed::new(name::TARGETS_TOPIC, BootClock.now()),
             backoff: Cell::new(None),
             config: RefCell::default(),
-            objectives: RefCell::default(),
             split: RefCell::default(),
             directory: RefCell::new(Directory::default().with_entry_ttl(entry_ttl(&settings))),
             directory_read: Cell::new(false),
@@ -241,8 +238,6 @@
         log::info!(version = config.version, previous = known; "configuration in force");
         let names: std::collections::HashSet<Arc<str>> = config.routes().map(|r| r.name.clone()).collect();
         self.split.borrow_mut().retain(|name| names.contains(name));
-        self.loads.borrow_mut().set_objectives(config.objectives());
-        *self.objectives.borrow_mut() = config.objectives();
         *self.config.borrow_mut() = Some(Rc::new(config));
         true
     }
--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -114,15 +114,11 @@
         self.service_times.retain(|id, _| directory.get(id).is_some());
     }
 
-    /// Returns the mean service time of a target, in seconds.
-    pub fn service_time(&self, id: &str) -> f32 {
-        self.service_times.get(id).copied().unwrap_or(SERVICE_TIME_DEFAULT_S)
-    }
-
     /// Returns the mean service time of a target divided by its slots, in
     /// seconds. Times the request rate it is the usage of the slots.
     fn seconds_per_slot(&self, target: &Target) -> f32 {
-        let seconds = self.service_time(&target.entry.incarnation.id).clamp(0.005, 2.0);
+        let known = self.service_times.get(&target.entry.incarnation.id).copied();
+        let seconds = known.unwrap_or(SERVICE_TIME_DEFAULT_S).clamp(0.005, 2.0);
         seconds / target.entry.slots.max(1) as f32
     }
 
--- a/crates/catkin-route/src/config.rs
+++ b/crates/catkin-route/src/config.rs
@@ -160,18 +160,6 @@
         self.services.iter().filter(|(_, spec)| spec.keyed).map(|(name, _)| name)
     }
 
-    /// Returns the shortest latency objective among the routes of each service.
-    pub fn objectives(&self) -> HashMap<Arc<str>, Span> {
-        let mut objectives: HashMap<Arc<str>, Span> = HashMap::new();
-        for route in self.routes() {
-            for entry in &route.services {
-                let objective = objectives.entry(entry.service.clone()).or_insert(route.latency_objective);
-                *objective = (*objective).min(route.latency_objective);
-            }
-        }
-        objectives
-    }
-
     /// Returns the routes of all hosts, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -46,35 +46,11 @@
 /// Factor on the expected time of a target in its slow start.
 const COLD_FACTOR: f64 = 2.0;
 
-/// Most requests that all edge processes together may have at a target, as a
+/// Requests that all edge processes together may have at a target, as a
 /// multiple of its slots: the queue of a target is short, and some targets
 /// answer nothing any more once it is full.
 pub const FILL_FACTOR_MAX: f64 = 2.5;
 
-/// Least such bound, with which a target has work while the next requests are on
-/// their way.
-const FILL_FACTOR_MIN: f64 = 1.5;
-
-/// Share of the latency objective that a request may spend at a target.
-const OBJECTIVE_SHARE: f64 = 0.6;
-
-/// Returns how many requests all edge processes together may have at a target.
-/// A crest fills the queue of every target; if requests then took longer there
-/// than their objective, all would be late, though as many are served.
-pub fn requests_max(slots: u32, objective: Span, service_time_s: f64) -> u32 {
-    let factor = OBJECTIVE_SHARE * objective.as_secs_f64() / service_time_s.max(0.001);
-    (factor.clamp(FILL_FACTOR_MIN, FILL_FACTOR_MAX) * f64::from(slots)) as u32
-}
-
-/// Shortest latency objective among the routes of each service.
-pub type Objectives = HashMap<Arc<str>, Span>;
-
-/// Returns the objective of a service; with the default, the fill of its targets
-/// is bounded by [`FILL_FACTOR_MAX`] only.
-pub fn objective(objectives: &Objectives, service: &str) -> Span {
-    objectives.get(service).copied().unwrap_or(Span::from_secs(60))
-}
-
 /// Requests that one process may have at a target, as a multiple of its even
 /// share of the slots: callers are spread unevenly over the processes, and
 /// reports bound the sum.
@@ -170,19 +146,13 @@
     targets: HashMap<Arc<str>, TargetState>,
     quotas: HashMap<Arc<str>, QuotaState>,
     subsets: Subsets,
-    objectives: Objectives,
 }
 
 impl LocalLoads {
     /// Creates the loads of a process in a zone, without known targets.
     pub fn new(zone: Arc<str>) -> Self {
         let subsets = Subsets::new("".into(), zone.clone());
-        Self { zone, targets: HashMap::new(), quotas: HashMap::new(), subsets, objectives: Objectives::new() }
-    }
-
-    /// Sets the latency objectives of services.
-    pub fn set_objectives(&mut self, objectives: Objectives) {
-        self.objectives = objectives;
+        Self { zone, targets: HashMap::new(), quotas: HashMap::new(), subsets }
     }
 
     /// Sets the VM of the process, from which the order follows in which it
@@ -211,16 +181,14 @@
         let slots = target.entry.slots;
         let share = (OWN_SHARE_FACTOR * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
         let quota = self.quota(now, &target.entry.incarnation);
-        let objective = objective(&self.objectives, &target.entry.service);
         let state = self.state(&target.entry.incarnation);
-        let requests_max = requests_max(slots, objective, state.service_time);
         if let Some(quota) = quota {
             return state.backoff_end <= now && quota.left > 0;
         }
         let total = f64::from(state.in_flight) + state.others(now, peers);
         state.backoff_end <= now
             && state.in_flight < share.max(OWN_REQUESTS_MIN)
-            && total < f64::from(requests_max)
+            && total < FILL_FACTOR_MAX * f64::from(slots)
     }
 
     /// Returns the expected time of one more request with a body of `size`
--- a/crates/catkin-route/src/quotas.rs
+++ b/crates/catkin-route/src/quotas.rs
@@ -7,7 +7,7 @@
 //! process sends a request there only within its quota.
 
 use {
-    crate::level::TargetLoad,
+    crate::{level::TargetLoad, load::FILL_FACTOR_MAX},
     catkin::types::{Span, Time},
     std::{
         collections::{BTreeMap, HashMap},
@@ -99,16 +99,17 @@
     }
 
     /// Allots quotas to a process that has reported: the requests that it may
-    /// send to targets for which it has queued some. `requests_max` returns the
-    /// bound on the requests at a target for which quotas may be used.
-    pub fn allot(&mut self, vm: &str, requests_max: impl Fn(&str) -> Option<u32>) -> Counts {
+    /// send to targets for which it has queued some. `slots` returns the slots
+    /// of targets for which quotas may be used.
+    pub fn allot(&mut self, vm: &str, slots: impl Fn(&str) -> Option<u32>) -> Counts {
         if !self.use_quotas() {
             return Vec::new();
         }
         let Some(report) = self.reports.get_mut(vm) else { return Vec::new() };
         for (id, count) in &report.queued {
-            let Some(requests_max) = requests_max(id) else { continue };
+            let Some(slots) = slots(id) else { continue };
             let total = self.totals.entry(id.clone()).or_default();
+            let requests_max = (FILL_FACTOR_MAX * f64::from(slots)) as u32;
             let quota = requests_max.saturating_sub(*total).min(*count);
             *total += quota;
             if quota > 0 {
