granter: never send a known fence on a new connection

Found on reading: a fence that a target may have had was sent again once the directory confirmed the target, but the target may have been replaced since. Raising the fence is always possible when the directory can be read, so that way is removed.

--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -62,6 +62,7 @@
         offset: u64,
     },
 }
+
 /// A range of keys with its owner, as seen by the leader.
 #[derive(Clone, Debug)]
 pub struct OwnedRange {
@@ -73,6 +74,7 @@
     /// When it moved to its owner, if it came by a move.
     pub moved_at: Option<Time>,
 }
+
 /// What is known of a process that failed a command.
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
@@ -265,7 +267,6 @@
             let owner = range.row.incarnation();
             let is_confirmed = |at: &Time| directory.is_confirmed(&owner, *at);
             range.opened_at = range.opened_at.filter(|at| !is_confirmed(at));
-            range.disconnected_at = range.disconnected_at.filter(|at| !is_confirmed(at));
         }
         if self.addrs.len() > 4 * directory.len() + 64 {
             self.addrs.retain(|incarnation, _| directory.current(incarnation).is_some());
--- a/crates/catkin-route/src/granter/range.rs
+++ b/crates/catkin-route/src/granter/range.rs
@@ -42,9 +42,9 @@
     pub(super) dest: Option<Incarnation>,
     /// When the keys moved to this owner, if they came by a move.
     pub(super) moved_at: Option<Time>,
-    /// Time of the last failed command after which the next command may open a
-    /// new connection. Another process with the owner's id may run at the other
-    /// end, which must not get this fence.
+    /// Time of the last failed command after which the next command opens a new
+    /// connection. Another process with the owner's id may run at the other end,
+    /// which must not get this fence, so the range waits for a higher one.
     pub(super) disconnected_at: Option<Time>,
     /// When a connection for commands with this fence may last have been
     /// opened, until the owner is known to have run after that. A later process
