--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -93,11 +93,14 @@
     }
 }
 
+/// Returns a target that may get the request now. `waited` is the time since the
+/// last attempt, or since the request arrived.
 fn find_target(
     node: &Node,
     routed: &RoutedRequest<'_>,
     attempts: &Attempts,
-    (started, now): (Time, Time),
+    now: Time,
+    waited: Span,
     place: &mut QueuePlace<'_>,
 ) -> Result<Admitted, AdmitError> {
     let directory = node.directory.borrow();
@@ -116,7 +119,7 @@
     let row = owners.table.find(&routed.service, key).ok_or(AdmitError::NoTarget)?;
     let target =
         directory.current(&row.incarnation()).filter(|t| t.serves_keys(now)).ok_or(AdmitError::NoTarget)?;
-    if attempts.misdirected() == Some(&row.incarnation()) && now.since(started) < MISDIRECTED_DELAY {
+    if attempts.misdirected() == Some(&row.incarnation()) && waited < MISDIRECTED_DELAY {
         return Err(AdmitError::NoTarget);
     }
     let incarnation = &target.entry.incarnation;
@@ -156,7 +159,7 @@
         if routed.deadline.since(now) < TIME_LEFT_MIN {
             return Err(AdmitError::TooLate);
         }
-        let error = match find_target(node, routed, attempts, (started, now), &mut place) {
+        let error = match find_target(node, routed, attempts, now, now.since(started), &mut place) {
             Ok(admitted) => return Ok(admitted),
             Err(error) => error,
         };
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -100,16 +100,19 @@
 
     /// Records what the process will know once it has received a state.
     fn note_sent(&mut self, state: &LeaderState, newest: Option<VersionedOwners>) {
+        let table = match state.table {
+            Some(_) => newest.as_ref().map(|owners| owners.offset),
+            None => self.view.table(),
+        };
         if state.table.is_some() {
             self.table = newest;
         }
-        let sent = self.table.as_ref().filter(|_| state.table.is_some()).map(|owners| owners.offset);
         let known = self.view.next_offsets();
         let mut next_offsets = [0, 1].map(|i| state.changes[i].as_ref().map(|c| c.to).or(known[i]));
         if let Some(listing) = &state.listing {
             next_offsets[1] = Some(listing.to);
         }
-        self.view.note_sent(sent.or(self.view.table()), next_offsets);
+        self.view.note_sent(table, next_offsets);
     }
 }
 
