link: send no empty configuration to a process without a position

Found on reading: a process that was compacted away from its position and then led had no record of the configuration at hand. A process that started would have taken its empty state for the whole topic, and served nothing until the next configuration. Such a state is not sent any more, and a first state is always kept for others.

--- a/crates/catkin-edge/src/feed.rs
+++ b/crates/catkin-edge/src/feed.rs
@@ -107,7 +107,7 @@
     /// position in a topic all of whose keys are stored.
     pub(crate) fn newest(&self) -> Option<Batch> {
         let to = self.next_offset.get()?;
-        Some(Batch { from: 0, to, changes: self.backlog.borrow().newest() })
+        Some(Batch { from: 0, to, changes: self.backlog.borrow().newest()? })
     }
 
     /// Returns a receiver that is notified after each read.
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -182,18 +182,21 @@
 /// Applies forwarded changes that continue at the known position. After a gap,
 /// the records are read from the store.
 fn apply_forwarded(node: &Node, feed: &Feed, batch: &Batch, at: Time, apply: Apply) {
-    let known = match feed.next_offset() {
+    let (known, is_first) = match feed.next_offset() {
         None if batch.from == 0 && is_recent(node, at) => {
             feed.restart(batch.to, at);
-            0
+            (0, true)
         }
-        Some(next) if batch.from <= next && next <= batch.to => next,
+        Some(next) if batch.from <= next && next <= batch.to => (next, false),
         _ => return,
     };
     for change in batch.changes.iter().filter(|c| c.offset >= known) {
         match change.value.decode() {
-            Ok(value) if apply(node, node.now(), &change.key, &value) => feed.add(change.clone()),
-            Ok(_) => {}
+            Ok(value) => {
+                if apply(node, node.now(), &change.key, &value) || is_first {
+                    feed.add(change.clone());
+                }
+            }
             Err(error) => log::warn!(topic = feed.topic, error:display; "invalid change ignored"),
         }
     }
--- a/crates/catkin-route/src/backlog.rs
+++ b/crates/catkin-route/src/backlog.rs
@@ -122,9 +122,10 @@
         }
     }
 
-    /// Returns the newest change of each key that has one here.
-    pub fn newest(&self) -> Vec<Change> {
-        self.changes.iter().cloned().collect()
+    /// Returns the newest change of each key, or `None` if there is no change:
+    /// a process that took that for the whole topic would wait for the next one.
+    pub fn newest(&self) -> Option<Vec<Change>> {
+        (!self.changes.is_empty()).then(|| self.changes.iter().cloned().collect())
     }
 
     /// Returns the newest change of each key from an offset on, or `None` if
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -15,7 +15,7 @@
 //! | [`subset`] | in which order a process considers targets |
 //! | [`succession`] | which process takes over from a leader |
 //! | [`balance`] | which keys move to another target |
-//! | [`level`] | how the load of all targets is told to all processes |
+//! | [`level`] | how the loads of all targets are encoded for all processes |
 //! | [`load`] | which target gets a request |
 //! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
--- a/crates/catkin-route/tests/backlog.rs
+++ b/crates/catkin-route/tests/backlog.rs
@@ -41,6 +41,19 @@
     assert!(changes[0].value.size() * 5 < config(26).len(), "{} bytes", changes[0].value.size());
 }
 
+/// A process without a position must not get an empty topic: it would be without
+/// a configuration until the next one.
+#[test]
+fn empty_backlog_is_no_state() {
+    let mut backlog = Backlog::default();
+    backlog.reset(10);
+    assert!(backlog.newest().is_none());
+    backlog.append(change(10, "config", &config(1)));
+    backlog.append(change(12, "config", &config(2)));
+    let newest = backlog.newest().unwrap();
+    assert_eq!((newest.len(), newest[0].offset), (1, 12));
+}
+
 /// A process that is behind the kept records must read the store, since the
 /// backlog lacks changes that it needs.
 #[test]
