--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -51,8 +51,8 @@
 
 /// Longest time for which a table waits until its new owners have answered
 /// their grants. A request that reaches a target before its grant is answered as
-/// misdirected.
-const PUBLISH_DELAY_MAX: Span = Span::from_millis(60);
+/// misdirected, and so is one that goes to the last owner by the older table.
+const PUBLISH_DELAY_MAX: Span = Span::from_millis(15);
 
 /// Interval between rounds of the leader.
 const ROUND_INTERVAL: Span = Span::from_millis(60);
@@ -147,7 +147,8 @@
             return;
         }
         term.round(now);
-        let event = tokio::time::timeout(ROUND_INTERVAL.as_duration(), events.recv()).await;
+        let pause = if term.unpublished.is_some() { PUBLISH_DELAY_MAX } else { ROUND_INTERVAL };
+        let event = tokio::time::timeout(pause.as_duration(), events.recv()).await;
         let mut event = event.ok().flatten();
         while let Some(next) = event {
             if !term.handle(next) {
