edge: log where a configuration comes from, and measure the delay of links

The logs could not tell a process that takes late states for recent (hypothesis A) from one whose position passes a record (B) or one that can't read the store (C): a version in force names its source and position now, a refused request the version and its age, and the time from a report to its answer is a histogram. The setting 'advertised' lets tests put a proxy between processes. No decision changes.

--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -17,6 +17,7 @@
         level::Levels,
         owners::ProcessId,
         quotas::{Counts, TargetQuota},
+        report_times::ReportTimes,
     },
     std::{collections::HashMap, io, rc::Rc, sync::Arc},
     tokio::net::TcpStream,
@@ -193,6 +194,7 @@
     let mut interval = tokio::time::interval(interval.as_duration());
     let mut last_answer = node.now();
     let mut last_report = last_answer;
+    let mut reports = ReportTimes::new(last_answer);
     let mut received = 0;
     let mut is_answered = true;
     loop {
@@ -203,7 +205,12 @@
                 match answer {
                     LeaderMessage::State(state) => {
                         received += 1;
-                        is_answered |= state.quotas.is_some();
+                        if state.quotas.is_some() {
+                            is_answered = true;
+                            if let Some(delay) = reports.answered(last_answer) {
+                                node.metrics.record_link_delay(delay);
+                            }
+                        }
                         apply_state(node, *state, last_answer);
                     }
                     LeaderMessage::NotLeader => return Ok(()),
@@ -222,6 +229,7 @@
         }
         node.quota_wanted.set(false);
         is_answered = false;
+        reports.sent(last_report);
         write(&mut writer, &Message::Report(build_report(node, leader, received))).await?;
     }
 }
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -4,9 +4,10 @@
     catkin::types::Span,
     prometheus_client::{
         encoding::{EncodeLabelSet, text},
-        metrics::{counter::Counter, family::Family, histogram::Histogram},
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
+    std::sync::atomic::AtomicU64,
 };
 
 /// Buckets of the latency histogram. They include the latency objectives and
@@ -31,6 +32,9 @@
     attempts: Family<EndLabel, Counter>,
     commands: Family<KindLabel, Counter>,
     latency: Histogram,
+    config_version: Gauge,
+    config_age: Gauge<f64, AtomicU64>,
+    link_delay: Histogram,
 }
 
 impl Metrics {
@@ -45,7 +49,29 @@
         registry.register("commands", "Commands to targets about keys", commands.clone());
         let latency = Histogram::new(LATENCY_BUCKETS_SECONDS);
         registry.register("latency_seconds", "Time from request to answer", latency.clone());
-        Self { registry, answers, attempts, commands, latency }
+        let config_version = Gauge::default();
+        registry.register("config_version", "Version of the configuration in force", config_version.clone());
+        let config_age = Gauge::default();
+        let help = "Time since the configuration was known to be the newest, in seconds";
+        registry.register("config_age_seconds", help, config_age.clone());
+        let link_delay = Histogram::new(LATENCY_BUCKETS_SECONDS);
+        registry.register("link_delay_seconds", "Time from a report to its answer", link_delay.clone());
+        Self { registry, answers, attempts, commands, latency, config_version, config_age, link_delay }
+    }
+
+    /// Sets the version of the configuration in force.
+    pub(crate) fn set_config_version(&self, version: u64) {
+        self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the time since the configuration was known to be the newest.
+    pub(crate) fn set_config_age(&self, age: Span) {
+        self.config_age.set(age.as_secs_f64());
+    }
+
+    /// Records the time from a report to the leader to its answer.
+    pub(crate) fn record_link_delay(&self, delay: Span) {
+        self.link_delay.observe(delay.as_secs_f64());
     }
 
     /// Counts an answer to a caller, and records its latency.
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -2,7 +2,12 @@
 
 use {
     crate::{
-        feed::Feed, log_limiter::LogLimiter, metrics::Metrics, pool::Pool, settings::Settings, sync::Backoff,
+        feed::Feed,
+        log_limiter::LogLimiter,
+        metrics::Metrics,
+        pool::Pool,
+        settings::Settings,
+        sync::{Backoff, Source},
     },
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
     catkin::types::{Span, Time},
@@ -157,7 +162,8 @@
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let run_id =
             u64::try_from(since_epoch.as_micros()).unwrap_or_default() ^ u64::from(std::process::id());
-        let identity = ProcessId { vm: settings.vm.as_str().into(), run_id, addr: settings.peers };
+        let addr = settings.advertised.unwrap_or(settings.peers);
+        let identity = ProcessId { vm: settings.vm.as_str().into(), run_id, addr };
         let limits = budget::Bounds {
             ratio: bounds.retry_ratio,
             window: bounds.retry_window,
@@ -239,12 +245,14 @@
 
     /// Replaces the configuration unless a newer one is known. Returns whether
     /// it was replaced.
-    pub(crate) fn update_config(&self, config: Config) -> bool {
+    pub(crate) fn update_config(&self, config: Config, source: Source) -> bool {
         let known = self.config.borrow().as_ref().map(|c| c.version);
         if known.is_some_and(|known| known >= config.version) {
             return false;
         }
-        log::info!(version = config.version, previous = known; "configuration in force");
+        let position = self.config_feed.next_offset();
+        log::info!(version = config.version, previous = known, source:debug, position; "configuration in force");
+        self.metrics.set_config_version(config.version);
         let names: std::collections::HashSet<Arc<str>> = config.routes().map(|r| r.name.clone()).collect();
         self.split.borrow_mut().retain(|name| names.contains(name));
         *self.config.borrow_mut() = Some(Rc::new(config));
@@ -271,6 +279,7 @@
         directory.tick(now);
         self.loads.borrow_mut().retain(&directory);
         self.pool.sweep(now, &directory);
+        self.metrics.set_config_age(now.since(self.config_feed.checked_at()));
     }
 }
 
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -231,7 +231,9 @@
 
 fn refuse(node: &Node, incoming: &Incoming, id: &str, code: Code) -> Answer {
     if node.log_limiter.allow(node.now(), "request refused") {
-        log::info!(id, code:display, path = incoming.head.path(); "request refused");
+        let config = node.config.borrow().as_ref().map(|config| config.version);
+        let config_age_ms = node.now().since(node.config_feed.checked_at()).as_millis();
+        log::info!(id, code:display, path = incoming.head.path(), config, config_age_ms; "request refused");
     }
     node.metrics.count_answer("refused", node.now().since(incoming.arrived));
     answer_for_code(code, RETRY_AFTER_MAX)
--- a/crates/catkin-edge/src/settings.rs
+++ b/crates/catkin-edge/src/settings.rs
@@ -29,6 +29,9 @@
     pub(crate) metrics: Option<SocketAddr>,
     /// Address that other edge processes connect to (TCP).
     pub(crate) peers: SocketAddr,
+    /// Address at which other processes reach `peers`, if it differs.
+    #[serde(default)]
+    pub(crate) advertised: Option<SocketAddr>,
     /// Address of the platform's store (HTTP).
     pub(crate) store: SocketAddr,
     /// Processor time that the process may use, in cores.
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -104,15 +104,24 @@
     node.backoff.set((!answered).then_some(backoff));
 }
 
-/// Applies a key and value at a time. Returns whether it changed the state.
-type Apply = fn(&Node, Time, &[u8], &[u8]) -> bool;
+/// Where a record comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// This process has read it from the store.
+    Store,
+    /// The leader has forwarded it.
+    Leader,
+}
+
+/// Applies a key and value. Returns whether it changed the state.
+type Apply = fn(&Node, Source, &[u8], &[u8]) -> bool;
 
-fn apply_config(node: &Node, _: Time, key: &[u8], value: &[u8]) -> bool {
+fn apply_config(node: &Node, source: Source, key: &[u8], value: &[u8]) -> bool {
     if key != name::CONFIG_KEY {
         return false;
     }
     match config::decode(value) {
-        Ok(config) => node.update_config(config),
+        Ok(config) => node.update_config(config, source),
         Err(error) => {
             log::warn!(error:display; "invalid configuration ignored");
             false
@@ -120,7 +129,8 @@
     }
 }
 
-fn apply_target(node: &Node, now: Time, key: &[u8], value: &[u8]) -> bool {
+fn apply_target(node: &Node, _: Source, key: &[u8], value: &[u8]) -> bool {
+    let now = node.now();
     let mut directory = node.directory.borrow_mut();
     if value.is_empty() {
         directory.remove(now, &String::from_utf8_lossy(key));
@@ -193,7 +203,7 @@
     for change in batch.changes.iter().filter(|c| c.offset >= known) {
         match change.value.decode() {
             Ok(value) => {
-                if apply(node, node.now(), &change.key, &value) || is_first {
+                if apply(node, Source::Leader, &change.key, &value) || is_first {
                     feed.add(change.clone());
                 }
             }
@@ -238,7 +248,7 @@
             let live = newest.items.iter().filter(|r| !r.value.is_empty());
             let keys = live.clone().map(|r| r.key.clone()).collect();
             for record in live {
-                (self.apply)(node, node.now(), &record.key, &record.value);
+                (self.apply)(node, Source::Store, &record.key, &record.value);
             }
             feed.restart(newest.end, sent_at);
             for KeyedRecord { key, value } in newest.items.into_iter().filter(|r| (self.is_kept)(&r.key)) {
@@ -257,7 +267,7 @@
         (self.on_removed)(node, records.iter().flatten().filter(|r| r.value.is_empty()).count());
         for (offset, record) in (from..).zip(records) {
             let Some(KeyedRecord { key, value }) = record else { continue };
-            if (self.apply)(node, node.now(), &key, &value) {
+            if (self.apply)(node, Source::Store, &key, &value) {
                 self.keep(offset, key, &value);
             }
         }
