edge: failing test of states that are late on the link to the leader

Proxies stand between processes now, delay answers and silence open connections. With a link whose delay grows to 3.5 s a process answers 404 on a route 2 s after its configuration was accepted; it fails always.

--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -16,12 +16,16 @@
         fs, io,
         net::{SocketAddr, TcpListener},
         path::PathBuf,
+        pin::pin,
         process::{Child, Command, Stdio},
         rc::Rc,
         sync::atomic::{AtomicU16, Ordering},
         time::{Duration, Instant},
     },
-    tokio::net::TcpStream,
+    tokio::{
+        net::TcpStream,
+        sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+    },
 };
 
 /// First port of the tests; it is below the ports that the system assigns to
@@ -44,6 +48,11 @@
     }
 }
 
+/// Returns a free address on loopback.
+pub(crate) fn free_addr() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port()))
+}
+
 /// One edge process, which is killed when the value is dropped.
 pub(crate) struct Edge {
     pub(crate) callers: SocketAddr,
@@ -60,8 +69,12 @@
 
     /// Starts a process with further lines in its settings file.
     pub(crate) fn start_with(name: &str, store: SocketAddr, settings: &str) -> Self {
-        let addr = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        let (callers, admin, peers) = (addr(port()), addr(port()), addr(port()));
+        Self::start_at(name, store, free_addr(), settings)
+    }
+
+    /// Starts a process that other processes reach at an address.
+    pub(crate) fn start_at(name: &str, store: SocketAddr, peers: SocketAddr, settings: &str) -> Self {
+        let (callers, admin) = (free_addr(), free_addr());
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let file = dir.join(format!("{name}-{}.yaml", callers.port()));
         let text = format!(
@@ -132,11 +145,14 @@
 /// Store, servers and edge processes of one test.
 pub(crate) struct Fleet {
     pub(crate) store: Store,
+    store_addr: SocketAddr,
     pub(crate) servers: Vec<Server>,
     pub(crate) edges: Vec<Edge>,
     pub(crate) checker: InvariantChecker,
     /// Proxies between each edge process and the store.
     pub(crate) proxies: Vec<Proxy>,
+    /// Proxies between each edge process and those that report to it.
+    pub(crate) links: Vec<Proxy>,
     next_id: Rc<Cell<u64>>,
 }
 
@@ -171,17 +187,33 @@
             server.start().await;
             servers.push(server);
         }
-        let mut fleet =
-            Self { store, servers, edges: Vec::new(), checker, proxies: Vec::new(), next_id: Rc::default() };
-        for i in 0..edges {
-            let proxy = Proxy::start(store_addr).await;
-            fleet.edges.push(Edge::start(&format!("edge-{i}"), proxy.addr));
-            fleet.proxies.push(proxy);
+        let mut fleet = Self {
+            store,
+            store_addr,
+            servers,
+            edges: Vec::new(),
+            checker,
+            proxies: Vec::new(),
+            links: Vec::new(),
+            next_id: Rc::default(),
+        };
+        for _ in 0..edges {
+            fleet.add_edge("").await;
         }
         fleet.wait_until_serving(Duration::from_secs(15)).await;
         fleet
     }
 
+    /// Starts one more edge process with further lines in its settings file.
+    pub(crate) async fn add_edge(&mut self, settings: &str) {
+        let (store, peers) = (Proxy::start(self.store_addr).await, free_addr());
+        let link = Proxy::start(peers).await;
+        let settings = format!("advertised: {}\n{settings}", link.addr);
+        self.edges.push(Edge::start_at(&format!("edge-{}", self.edges.len()), store.addr, peers, &settings));
+        self.proxies.push(store);
+        self.links.push(link);
+    }
+
     /// Waits until every edge process serves keyed requests.
     pub(crate) async fn wait_until_serving(&self, within: Duration) {
         let until = Instant::now() + within;
@@ -319,27 +351,47 @@
 /// Proxy on loopback that injects network faults.
 #[derive(Clone)]
 pub(crate) struct Proxy {
-    mode: Rc<Cell<ProxyMode>>,
+    faults: Rc<ProxyFaults>,
     pub(crate) addr: SocketAddr,
 }
 
+/// Faults of a proxy.
+#[derive(Default)]
+struct ProxyFaults {
+    mode: Cell<ProxyMode>,
+    /// Time by which bytes of answers are late.
+    answer_delay: Cell<Duration>,
+    /// Number of times that all open connections went silent.
+    silences: Cell<u32>,
+}
+
 impl Proxy {
     /// Starts a proxy in front of an address.
     pub(crate) async fn start(to: SocketAddr) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let proxy = Self { mode: Rc::default(), addr: listener.local_addr().unwrap() };
-        let mode = proxy.mode.clone();
+        let proxy = Self { faults: Rc::default(), addr: listener.local_addr().unwrap() };
+        let faults = proxy.faults.clone();
         actix_rt::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
-                let mode = mode.clone();
+                let faults = faults.clone();
                 actix_rt::spawn(async move {
-                    let Ok(far) = TcpStream::connect(to).await else { return };
+                    let Ok(far) = TcpStream::connect(to).await else {
+                        let _ = near.set_zero_linger();
+                        return;
+                    };
                     let (near, far) = (Rc::new(near), Rc::new(far));
-                    let there = copy_bytes(near.clone(), far.clone(), mode.clone(), false);
-                    let back = copy_bytes(far, near.clone(), mode, true);
+                    let silences = faults.silences.get();
+                    let there = Copy {
+                        from: near.clone(),
+                        to: far.clone(),
+                        faults: faults.clone(),
+                        silences,
+                        is_answer: false,
+                    };
+                    let back = Copy { from: far, to: near, faults, silences, is_answer: true };
                     tokio::select! {
-                        () = there => {}
-                        () = back => {}
+                        () = there.run() => {}
+                        () = back.run() => {}
                     }
                 });
             }
@@ -349,43 +401,92 @@
 
     /// Changes how bytes are handled.
     pub(crate) fn set(&self, mode: ProxyMode) {
-        self.mode.set(mode);
+        self.faults.mode.set(mode);
+    }
+
+    /// Delays bytes of answers that arrive from now on.
+    pub(crate) fn set_answer_delay(&self, delay: Duration) {
+        self.faults.answer_delay.set(delay);
+    }
+
+    /// Stops all open connections for good without closing them. Later
+    /// connections work.
+    pub(crate) fn silence(&self) {
+        self.faults.silences.set(self.faults.silences.get() + 1);
     }
 }
 
-/// Copies bytes in one direction until the stream ends or the mode is
-/// [`ProxyMode::Reset`].
-async fn copy_bytes(from: Rc<TcpStream>, to: Rc<TcpStream>, mode: Rc<Cell<ProxyMode>>, is_answer: bool) {
-    let mut buffer = vec![0; 16 << 10];
-    loop {
-        let ready = tokio::time::timeout(Duration::from_millis(100), from.readable()).await;
-        match mode.get() {
-            ProxyMode::Reset => {
-                let _ = from.set_zero_linger();
-                let _ = to.set_zero_linger();
-                return;
+/// Bytes of a connection in one direction.
+struct Copy {
+    from: Rc<TcpStream>,
+    to: Rc<TcpStream>,
+    faults: Rc<ProxyFaults>,
+    /// Value of [`ProxyFaults::silences`] when the connection was opened.
+    silences: u32,
+    is_answer: bool,
+}
+
+impl Copy {
+    /// Copies bytes until the stream ends or the mode is [`ProxyMode::Reset`].
+    async fn run(self) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut written = pin!(write(&self.to, receiver));
+        tokio::select! {
+            () = self.read(sender) => {}
+            () = &mut written => return,
+        }
+        if self.faults.mode.get() != ProxyMode::Reset {
+            written.await;
+        }
+    }
+
+    /// Reads until the stream ends or the mode is [`ProxyMode::Reset`].
+    async fn read(&self, sender: UnboundedSender<(Instant, Vec<u8>)>) {
+        let mut buffer = vec![0; 16 << 10];
+        loop {
+            let ready = tokio::time::timeout(Duration::from_millis(100), self.from.readable()).await;
+            if self.silences < self.faults.silences.get() {
+                return std::future::pending().await;
             }
-            ProxyMode::Stalled => {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
+            match self.faults.mode.get() {
+                ProxyMode::Reset => {
+                    let _ = self.from.set_zero_linger();
+                    let _ = self.to.set_zero_linger();
+                    return;
+                }
+                ProxyMode::Stalled => {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+                ProxyMode::OneWay if self.is_answer => {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+                ProxyMode::Slow => tokio::time::sleep(Duration::from_millis(150)).await,
+                ProxyMode::OneWay | ProxyMode::Up => {}
             }
-            ProxyMode::OneWay if is_answer => {
-                tokio::time::sleep(Duration::from_millis(20)).await;
+            if ready.is_err() {
                 continue;
             }
-            ProxyMode::Slow => tokio::time::sleep(Duration::from_millis(150)).await,
-            ProxyMode::OneWay | ProxyMode::Up => {}
-        }
-        if ready.is_err() {
-            continue;
+            let count = match self.from.try_read(&mut buffer) {
+                Ok(0) => return,
+                Ok(count) => count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(_) => return,
+            };
+            let delay = if self.is_answer { self.faults.answer_delay.get() } else { Duration::ZERO };
+            if sender.send((Instant::now() + delay, buffer[..count].to_vec())).is_err() {
+                return;
+            }
         }
-        let count = match from.try_read(&mut buffer) {
-            Ok(0) => return,
-            Ok(count) => count,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
-            Err(_) => return,
-        };
-        let mut rest = &buffer[..count];
+    }
+}
+
+/// Writes bytes when they are due.
+async fn write(to: &TcpStream, mut receiver: UnboundedReceiver<(Instant, Vec<u8>)>) {
+    while let Some((due, bytes)) = receiver.recv().await {
+        tokio::time::sleep_until(due.into()).await;
+        let mut rest = &bytes[..];
         while !rest.is_empty() {
             if to.writable().await.is_err() {
                 return;
