edge: failing test of a listing that arrives after newer changes

A strong process starts while the store answers its listing late; the leader forwards a new version meanwhile. That process leads later, and a process that starts then gets the old configuration and keeps it: 404 on the new route 3 s after its start. The stand-in of the store can answer listings late.

--- a/crates/catkin-edge/tests/config.rs
+++ b/crates/catkin-edge/tests/config.rs
@@ -6,7 +6,7 @@
     actix_http::Method,
     catkin_standin::users::{Config, Route, put_config},
     common::{Edge, Fleet, plan, send},
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// Time in which an accepted configuration must be in force.
@@ -52,6 +52,31 @@
     fleet.check();
 }
 
+/// A listing of the store that arrives after newer changes of the leader must
+/// not replace what the process forwards once it leads: a process that starts
+/// then would keep the old configuration.
+#[actix_rt::test]
+async fn late_listing_is_not_forwarded() {
+    let mut fleet = Fleet::start(1).await;
+    fleet.store.set_listing_delay("keyed.op", Duration::from_millis(1_000));
+    fleet.add_edge("").await;
+    sleep(600).await;
+    put_config(&fleet.store, &plan_with_route(2));
+    fleet.store.set_listing_delay("keyed.op", Duration::ZERO);
+    sleep(2_000).await;
+    fleet.edges[0].kill();
+    let until = Instant::now() + Duration::from_secs(10);
+    while fleet.leader() != 1 {
+        assert!(Instant::now() < until, "no process has replaced the leader");
+        sleep(50).await;
+    }
+    fleet.add_edge("cores: 0.1\n").await;
+    actix_rt::time::sleep(STABLE_WINDOW).await;
+    assert!(has_new_route(&fleet, &fleet.edges[1]).await, "the leader has the old configuration");
+    assert!(has_new_route(&fleet, &fleet.edges[2]).await, "the started process has the old configuration");
+    fleet.check();
+}
+
 /// When all open connections go silent, a process must not wait for one
 /// connection to the store after the other.
 #[actix_rt::test]
--- a/crates/catkin-standin/src/users/store.rs
+++ b/crates/catkin-standin/src/users/store.rs
@@ -64,6 +64,8 @@
     topics: RefCell<HashMap<String, Topic>>,
     group: RefCell<Group>,
     mode: Cell<StoreMode>,
+    /// Time by which listings of a topic are answered late, by topic.
+    listing_delays: RefCell<HashMap<String, Duration>>,
     /// Number of calls by path.
     calls: RefCell<HashMap<String, u64>>,
     appended: Notify,
@@ -123,6 +125,12 @@
         self.inner.mode.set(mode);
     }
 
+    /// Delays the answers to listings of a topic. They hold the records at the
+    /// time of the call.
+    pub fn set_listing_delay(&self, topic: &str, delay: Duration) {
+        self.inner.listing_delays.borrow_mut().insert(topic.to_owned(), delay);
+    }
+
     /// Returns how often a path was called, in any mode.
     pub fn call_count(&self, path: &str) -> u64 {
         self.inner.calls.borrow().get(path).copied().unwrap_or(0)
@@ -179,7 +187,7 @@
                 if mode == StoreMode::UnansweredWrites { pending().await } else { reply }
             }
             "/v1/log-read" => self.read(&query).await,
-            "/v1/log-newest" => self.list(&query),
+            "/v1/log-newest" => self.list(&query).await,
             "/v1/log-join" => self.join(request).await,
             "/v1/log-leave" => self.leave(request).await,
             "/v1/log-owners" => self.owners(),
@@ -233,11 +241,15 @@
         Response::ok().set_body(body.freeze()).map_into_boxed_body()
     }
 
-    fn list(&self, query: &HashMap<String, String>) -> Response<BoxBody> {
+    async fn list(&self, query: &HashMap<String, String>) -> Response<BoxBody> {
         let name = query.get("topic").cloned().unwrap_or_default();
         let end = self.inner.topics.borrow_mut().entry(name.clone()).or_default().end();
         let item = |(key, value): (String, Bytes)| json!({ "key": key, "value": STANDARD.encode(value), "offset": 0 });
         let items: Vec<Value> = self.newest(&name).into_iter().map(item).collect();
+        let delay = self.inner.listing_delays.borrow().get(&name).copied();
+        if let Some(delay) = delay {
+            actix_rt::time::sleep(delay).await;
+        }
         json_reply(200, &json!({ "items": items, "truncated": false, "end": end }))
     }
 
