link: count the time on the way in the age of the leader's states

Cause: the leader says how old its state is when it sends it, and the process added that to the time of arrival. What the state spent in buffers and on a link with too little bandwidth did not count. As long as messages kept coming, a process that was seconds behind took each of them for recent and never read the store. A state is at least as new as the report that it answers, so its age counts from the sending of that report, on the process's own clock.

The same cause elsewhere: the table of owners was taken for recent by arrival, and the leader dated its last contact with the store by the arrival of the answer, which an earlier leader's last renewal depends on; both count from the sending now. Quotas and loads still expire by arrival: they bound requests for 1.2 s and decide nothing that must be in force in time.

--- a/crates/catkin-edge/src/lead/membership.rs
+++ b/crates/catkin-edge/src/lead/membership.rs
@@ -76,10 +76,12 @@
             continue;
         }
         joined = true;
+        let sent_at = node.now();
         match node.store.join(&member, generation, ANSWER_TIMEOUT.as_duration()).await {
             Ok(membership) => {
                 generation = membership.generation;
-                node.last_join.set(Some(node.now()));
+                // The store may have executed the call long before its answer.
+                node.last_join.set(Some(sent_at));
                 node.is_successor.set(membership.holds(0));
             }
             Err(StoreError::Fenced) => node.is_successor.set(false),
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -89,9 +89,10 @@
     }
 }
 
-/// Applies an answer of the leader.
-fn apply_state(node: &Node, state: LeaderState, now: Time) {
+/// Applies a state that the leader has sent after a time.
+fn apply_state(node: &Node, state: LeaderState, now: Time, sent_after: Time) {
     node.last_leader_answer.set(now);
+    node.forwarded_at.set(node.forwarded_at.get().max(sent_after));
     node.peer_count.set(state.peer_count.max(1));
     node.is_standby.set(state.standby);
     match state.table {
@@ -103,11 +104,16 @@
         }
         None => {}
     }
-    apply_changes(node, state.changes, state.store_age, now);
+    // The leader reports to itself as well; it already has its own changes.
+    if !node.is_leader.get() {
+        let contact = now.before(Span::from_micros(state.store_age));
+        node.leader_store_contact.set(node.leader_store_contact.get().max(contact));
+        apply_changes(node, state.changes, sent_after);
+    }
     if let Some(listing) = state.listing
         && !node.is_leader.get()
     {
-        let at = now.before(Span::from_micros(listing.age));
+        let at = sent_after.before(Span::from_micros(listing.age));
         match listing.entries() {
             Ok(entries) => sync::apply_listing(node, entries, listing.to, at),
             Err(error) => log::warn!(error:display; "invalid listing of the directory ignored"),
@@ -121,14 +127,8 @@
 }
 
 /// Applies changes of the configuration and of the directory.
-fn apply_changes(node: &Node, changes: [Option<TopicChanges>; 2], store_age: u64, now: Time) {
-    // The leader reports to itself as well; it already has its own changes.
-    if node.is_leader.get() {
-        return;
-    }
-    node.leader_store_contact
-        .set(node.leader_store_contact.get().max(now.before(Span::from_micros(store_age))));
-    let at = |c: &TopicChanges| now.before(Span::from_micros(c.age));
+fn apply_changes(node: &Node, changes: [Option<TopicChanges>; 2], sent_after: Time) {
+    let at = |c: &TopicChanges| sent_after.before(Span::from_micros(c.age));
     let [configs, targets] = changes;
     if let Some(changes) = configs {
         let at = at(&changes);
@@ -211,7 +211,7 @@
                                 node.metrics.record_link_delay(delay);
                             }
                         }
-                        apply_state(node, *state, last_answer);
+                        apply_state(node, *state, last_answer, reports.sent_after());
                     }
                     LeaderMessage::NotLeader => return Ok(()),
                 }
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -111,6 +111,9 @@
     /// Time of the last answer of the leader; the default time before the first
     /// one.
     pub(crate) last_leader_answer: Cell<Time>,
+    /// Time after which the leader sent its newest message; the default time
+    /// before the first one.
+    pub(crate) forwarded_at: Cell<Time>,
     /// Time at which the group last confirmed this process as a member.
     pub(crate) last_join: Cell<Option<Time>>,
     /// Whether the group names this process to succeed a leader that fails.
@@ -195,6 +198,7 @@
             started_at: BootClock.now(),
             is_standby: Cell::new(false),
             last_leader_answer: Cell::new(Time::default()),
+            forwarded_at: Cell::new(Time::default()),
             last_join: Cell::new(None),
             is_successor: Cell::new(false),
             is_leader: Cell::new(false),
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -387,7 +387,7 @@
     let mut known = None;
     let mut next = (node.settings.bootstrap == Some(true) && !node.is_strong()).then_some(0);
     loop {
-        if node.now().since(node.last_leader_answer.get()) <= FORWARD_AGE_MAX || node.is_leader.get() {
+        if node.now().since(node.forwarded_at.get()) <= FORWARD_AGE_MAX || node.is_leader.get() {
             next = None;
             sleep(RECHECK_INTERVAL).await;
             continue;
