feed: keep every record up to the position of a copy

Cause: a process forwards what it has kept of a topic, and its position says up to where that is complete. A listing of the store that newer changes of the leader had overtaken replaced the position by an older one and the kept record by an older one. The changes came again, but as the process knew them already they changed nothing and were not kept, while the position passed them. Once that process led, it gave the old configuration to every process that started. The same hole opens when a record is written while the store lists, and when a change can't be decoded or packed.

A copy of a topic is one type now (catkin-route/topic_copy): a listing counts only without a known position; until a read has reached the end of the topic, records are kept whether they change the state or not; forwarded changes are always kept; what can't be kept is forgotten, so that others read the store. An answer 'deleted' no longer resets a position that moved meanwhile.

--- a/crates/catkin-edge/src/feed.rs
+++ b/crates/catkin-edge/src/feed.rs
@@ -8,7 +8,7 @@
 
 use {
     catkin::types::Time,
-    catkin_route::backlog::{Backlog, Change},
+    catkin_route::{backlog::Change, topic_copy::TopicCopy},
     std::cell::{Cell, RefCell},
     tokio::sync::watch,
 };
@@ -18,11 +18,10 @@
 pub(crate) struct Feed {
     /// Name of the topic in the store.
     pub(crate) topic: &'static str,
-    next_offset: Cell<Option<u64>>,
+    copy: RefCell<TopicCopy>,
     /// Since when the position is unknown.
     lost_at: Cell<Time>,
     checked_at: Cell<Time>,
-    backlog: RefCell<Backlog>,
     position: watch::Sender<u64>,
 }
 
@@ -42,10 +41,9 @@
     pub(crate) fn new(topic: &'static str, now: Time) -> Self {
         Self {
             topic,
-            next_offset: Cell::new(None),
+            copy: RefCell::default(),
             lost_at: Cell::new(now),
             checked_at: Cell::default(),
-            backlog: RefCell::default(),
             position: watch::Sender::new(0),
         }
     }
@@ -53,7 +51,7 @@
     /// Returns the offset of the next record; `None` before the first complete
     /// listing and after a reset.
     pub(crate) fn next_offset(&self) -> Option<u64> {
-        self.next_offset.get()
+        self.copy.borrow().next_offset()
     }
 
     /// Returns when this process last knew that the store had no newer record.
@@ -63,13 +61,13 @@
 
     /// Clears the position, so that the newest records are listed again.
     pub(crate) fn reset(&self, now: Time) {
-        self.next_offset.set(None);
+        self.copy.borrow_mut().reset();
         self.lost_at.set(now);
     }
 
     /// Returns since when the position is unknown, if it is.
     pub(crate) fn lost_since(&self) -> Option<Time> {
-        self.next_offset.get().is_none().then(|| self.lost_at.get())
+        self.next_offset().is_none().then(|| self.lost_at.get())
     }
 
     /// Returns whether a position was ever known.
@@ -77,37 +75,56 @@
         self.checked_at.get() > Time::default()
     }
 
-    /// Records that everything before offset `to` was read at time `at`.
-    pub(crate) fn advance(&self, to: u64, at: Time) {
-        self.next_offset.set(Some(to));
+    /// Records that everything before offset `to` was read at time `at`, when
+    /// the topic ended at `end`, if that is known.
+    pub(crate) fn advance(&self, to: u64, end: Option<u64>, at: Time) {
+        self.copy.borrow_mut().advance(to, end);
+        self.note_checked(to, at);
+    }
+
+    /// Sets the position after a complete listing and discards earlier changes.
+    /// Returns `false` if a position is known already.
+    pub(crate) fn list(&self, end: u64, at: Time) -> bool {
+        let is_listed = self.copy.borrow_mut().list(end);
+        if is_listed {
+            self.note_checked(end, at);
+        }
+        is_listed
+    }
+
+    fn note_checked(&self, to: u64, at: Time) {
         self.checked_at.set(self.checked_at.get().max(at));
         self.position.send_replace(to);
     }
 
-    /// Sets the position after a complete listing and discards earlier changes.
-    pub(crate) fn restart(&self, to: u64, at: Time) {
-        self.backlog.borrow_mut().reset(to);
-        self.advance(to, at);
+    /// Returns whether a record must be kept for other processes, see
+    /// [`TopicCopy::must_keep`].
+    pub(crate) fn must_keep(&self, has_changed: bool) -> bool {
+        self.copy.borrow().must_keep(has_changed)
     }
 
-    /// Stores a change for other processes.
+    /// Keeps a change for other processes.
     pub(crate) fn add(&self, change: Change) {
-        self.backlog.borrow_mut().append(change);
+        self.copy.borrow_mut().add(change);
+    }
+
+    /// Discards the kept changes before an offset.
+    pub(crate) fn forget_before(&self, offset: u64) {
+        self.copy.borrow_mut().forget_before(offset);
     }
 
     /// Returns the changes from an offset on, or `None` if some of them are not
-    /// stored.
+    /// kept.
     pub(crate) fn since(&self, from: u64) -> Option<Batch> {
-        let to = self.next_offset.get().filter(|to| from <= *to)?;
-        let changes = self.backlog.borrow().since(from)?;
+        let (to, changes) = self.copy.borrow().since(from)?;
         Some(Batch { from, to, changes })
     }
 
-    /// Returns the newest records that are stored, for a process without a
-    /// position in a topic all of whose keys are stored.
+    /// Returns the newest records that are kept, for a process without a
+    /// position in a topic all of whose keys are kept.
     pub(crate) fn newest(&self) -> Option<Batch> {
-        let to = self.next_offset.get()?;
-        Some(Batch { from: 0, to, changes: self.backlog.borrow().newest()? })
+        let (to, changes) = self.copy.borrow().newest()?;
+        Some(Batch { from: 0, to, changes })
     }
 
     /// Returns a receiver that is notified after each read.
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -167,7 +167,7 @@
 /// Applies a complete listing of the directory that the leader forwarded, if
 /// this process has no position.
 pub(crate) fn apply_listing(node: &Node, entries: Vec<Entry>, to: u64, at: Time) {
-    if node.directory_feed.next_offset().is_some() || !is_recent(node, at) {
+    if !is_recent(node, at) || !node.directory_feed.list(to, at) {
         return;
     }
     let listed: HashSet<&str> = entries.iter().map(|entry| &*entry.incarnation.id).collect();
@@ -175,7 +175,6 @@
     let missing = node.directory.borrow().all().filter(is_missing).count();
     start_grace(node, missing);
     node.directory.borrow_mut().replace(node.now(), entries);
-    node.directory_feed.restart(to, at);
     node.directory.borrow_mut().note_read(at);
     node.directory_read.set(true);
     node.capacity_changed.notify_waiters();
@@ -190,27 +189,30 @@
 }
 
 /// Applies forwarded changes that continue at the known position. After a gap,
-/// the records are read from the store.
+/// or if a change is invalid, the records are read from the store.
 fn apply_forwarded(node: &Node, feed: &Feed, batch: &Batch, at: Time, apply: Apply) {
-    let (known, is_first) = match feed.next_offset() {
+    let known = match feed.next_offset() {
         None if batch.from == 0 && is_recent(node, at) => {
-            feed.restart(batch.to, at);
-            (0, true)
+            feed.list(batch.to, at);
+            0
         }
-        Some(next) if batch.from <= next && next <= batch.to => (next, false),
+        Some(next) if batch.from <= next && next <= batch.to => next,
         _ => return,
     };
     for change in batch.changes.iter().filter(|c| c.offset >= known) {
         match change.value.decode() {
             Ok(value) => {
-                if apply(node, Source::Leader, &change.key, &value) || is_first {
-                    feed.add(change.clone());
-                }
+                apply(node, Source::Leader, &change.key, &value);
+                feed.add(change.clone());
+            }
+            Err(error) => {
+                log::warn!(topic = feed.topic, error:display; "invalid change ignored");
+                feed.reset(node.now());
+                return;
             }
-            Err(error) => log::warn!(topic = feed.topic, error:display; "invalid change ignored"),
         }
     }
-    feed.advance(batch.to, at);
+    feed.advance(batch.to, None, at);
 }
 
 /// Reader of one topic.
@@ -245,36 +247,42 @@
         let sent_at = node.now();
         let Some(from) = feed.next_offset() else {
             let newest = node.store.newest(feed.topic, timeout).await?;
+            if !feed.list(newest.end, sent_at) {
+                // The state of the leader may be newer.
+                return Ok(None);
+            }
             let live = newest.items.iter().filter(|r| !r.value.is_empty());
             let keys = live.clone().map(|r| r.key.clone()).collect();
             for record in live {
                 (self.apply)(node, Source::Store, &record.key, &record.value);
             }
-            feed.restart(newest.end, sent_at);
             for KeyedRecord { key, value } in newest.items.into_iter().filter(|r| (self.is_kept)(&r.key)) {
                 self.keep(newest.end.saturating_sub(1), key, &value);
             }
             return Ok(Some(keys));
         };
-        let batch = node.store.read(feed.topic, from, wait, timeout).await?;
-        if feed.next_offset() != Some(from) {
+        let read = node.store.read(feed.topic, from, wait, timeout).await;
+        let has_moved = feed.next_offset() != Some(from);
+        let batch = match read {
             // Changes from the leader moved the position during the read.
-            return Ok(None);
-        }
+            Ok(_) | Err(StoreError::Deleted(_)) if has_moved => return Ok(None),
+            read => read?,
+        };
         let to = from + batch.records.len() as u64;
         let decoded = batch.records.into_iter().map(|record| decode_record(record, feed.topic));
         let records: Vec<Option<KeyedRecord>> = decoded.collect();
         (self.on_removed)(node, records.iter().flatten().filter(|r| r.value.is_empty()).count());
         for (offset, record) in (from..).zip(records) {
             let Some(KeyedRecord { key, value }) = record else { continue };
-            if (self.apply)(node, Source::Store, &key, &value) {
+            let has_changed = (self.apply)(node, Source::Store, &key, &value);
+            if feed.must_keep(has_changed) || (self.is_kept)(&key) {
                 self.keep(offset, key, &value);
             }
         }
         // The store answers at once if it has a record, and otherwise after the
         // whole wait: an empty answer is current at the end of the wait.
         let at = if to == from { sent_at.after(wait).min(node.now()) } else { sent_at };
-        feed.advance(to, at);
+        feed.advance(to, Some(batch.end), at);
         Ok(None)
     }
 
@@ -282,8 +290,10 @@
     fn keep(&self, offset: u64, key: Bytes, value: &Bytes) {
         match Payload::new(value) {
             Ok(value) => self.feed.add(Change { offset, key, value }),
-            // Other processes read the record from the store instead.
-            Err(error) => log::error!(topic = self.feed.topic, error:display; "change not forwarded"),
+            Err(error) => {
+                log::error!(topic = self.feed.topic, error:display; "change not forwarded");
+                self.feed.forget_before(offset + 1);
+            }
         }
     }
 
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`load`] | which target gets a request |
 //! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
+//! | [`topic_copy`] | which records of a topic a process keeps for others |
 //! | [`report_times`] | how old a state of the leader is when it arrives |
 //! | [`budget`] | whether a service has a retry left |
 //! | [`attempts`] | whether a request may get another attempt, and what its caller is told |
@@ -40,3 +41,4 @@
 pub mod split;
 pub mod subset;
 pub mod succession;
+pub mod topic_copy;
--- /dev/null
+++ b/crates/catkin-route/src/topic_copy.rs
@@ -0,0 +1,83 @@
+//! A process's copy of a topic: its position, and the records that it forwards.
+//!
+//! Load pattern: changes of the leader overtake a slow listing of the store, and
+//! records are written while the store lists. The process then knows more than
+//! its position says, and gets records that change nothing for it. A process
+//! behind it needs them, so they are kept: whoever is brought up to date from a
+//! copy has every record up to its position.
+
+use crate::backlog::{Backlog, Change};
+
+/// Position in a topic, and the records that are kept for other processes.
+#[derive(Clone, Debug, Default)]
+pub struct TopicCopy {
+    next_offset: Option<u64>,
+    backlog: Backlog,
+    /// Whether the state may hold records from the position on.
+    may_be_ahead: bool,
+}
+
+impl TopicCopy {
+    /// Returns the offset of the next record; `None` before the first complete
+    /// listing and after a reset.
+    pub fn next_offset(&self) -> Option<u64> {
+        self.next_offset
+    }
+
+    /// Clears the position, so that the topic is listed again.
+    pub fn reset(&mut self) {
+        self.next_offset = None;
+    }
+
+    /// Sets the position after a complete listing, and discards earlier changes.
+    /// Returns `false`, and changes nothing, if a position became known while
+    /// the listing was on its way: the listing may be older.
+    pub fn list(&mut self, end: u64) -> bool {
+        if self.next_offset.is_some() {
+            return false;
+        }
+        self.backlog.reset(end);
+        self.next_offset = Some(end);
+        self.may_be_ahead = true;
+        true
+    }
+
+    /// Returns whether a record must be kept. `has_changed` says whether it has
+    /// changed the state of this process.
+    pub fn must_keep(&self, has_changed: bool) -> bool {
+        has_changed || self.may_be_ahead
+    }
+
+    /// Keeps a record for other processes.
+    pub fn add(&mut self, change: Change) {
+        self.backlog.append(change);
+    }
+
+    /// Discards the kept records before an offset, as one of them is missing:
+    /// processes that need them read the store.
+    pub fn forget_before(&mut self, offset: u64) {
+        self.backlog.reset(offset);
+    }
+
+    /// Records that everything before offset `to` was read. `end` is the end of
+    /// the topic at that time, if it is known.
+    pub fn advance(&mut self, to: u64, end: Option<u64>) {
+        self.next_offset = Some(to);
+        if end.is_some_and(|end| end <= to) {
+            self.may_be_ahead = false;
+        }
+    }
+
+    /// Returns the position and the changes from an offset on, or `None` if some
+    /// of them are not kept.
+    pub fn since(&self, from: u64) -> Option<(u64, Vec<Change>)> {
+        let to = self.next_offset.filter(|to| from <= *to)?;
+        Some((to, self.backlog.since(from)?))
+    }
+
+    /// Returns the position and the newest change of each key, for a process
+    /// without a position in a topic all of whose keys are kept.
+    pub fn newest(&self) -> Option<(u64, Vec<Change>)> {
+        Some((self.next_offset?, self.backlog.newest()?))
+    }
+}
--- /dev/null
+++ b/crates/catkin-route/tests/topic_copy.rs
@@ -0,0 +1,75 @@
+//! Tests of the records that a process keeps for others.
+
+use {
+    bytes::Bytes,
+    catkin_route::{
+        backlog::{Change, Payload},
+        topic_copy::TopicCopy,
+    },
+};
+
+fn change(offset: u64) -> Change {
+    let value = Payload::new(&Bytes::from(format!("version {offset}"))).unwrap();
+    Change { offset, key: Bytes::from_static(b"config"), value }
+}
+
+/// Returns the offsets of the changes that bring a process at `from` up to date.
+fn offsets(copy: &TopicCopy, from: u64) -> Option<Vec<u64>> {
+    Some(copy.since(from)?.1.iter().map(|change| change.offset).collect())
+}
+
+/// A listing that was on its way while the leader forwarded a newer state must
+/// not move the position back.
+#[test]
+fn listing_does_not_replace_a_known_position() {
+    let mut copy = TopicCopy::default();
+    assert!(copy.list(10));
+    copy.add(change(9));
+    assert!(!copy.list(8), "the listing is older");
+    assert_eq!(copy.next_offset(), Some(10));
+    copy.reset();
+    assert!(copy.list(8), "a listing after a reset counts");
+    assert_eq!(copy.next_offset(), Some(8));
+}
+
+/// A record that was written while the store listed is part of the listed state
+/// and comes again. A process that has not seen it must get it.
+#[test]
+fn records_written_during_a_listing_are_kept() {
+    let mut copy = TopicCopy::default();
+    copy.list(10);
+    // The listing names the end 10, but holds the record 10 already.
+    assert!(copy.must_keep(false));
+    copy.add(change(10));
+    copy.advance(11, Some(11));
+    assert_eq!(offsets(&copy, 10), Some(vec![10]));
+    assert!(!copy.must_keep(false), "later records are new to this process");
+}
+
+/// The state may be ahead of the position until a read has reached the end of the
+/// topic: reads are limited in size, and a forwarded batch says nothing of it.
+#[test]
+fn records_are_kept_until_the_end_was_read() {
+    let mut copy = TopicCopy::default();
+    copy.list(10);
+    copy.advance(12, None);
+    assert!(copy.must_keep(false));
+    copy.advance(13, Some(15));
+    assert!(copy.must_keep(false));
+    copy.advance(15, Some(15));
+    assert!(!copy.must_keep(false));
+    assert!(copy.must_keep(true));
+}
+
+/// A process that needs a record that could not be kept reads the store.
+#[test]
+fn processes_behind_a_missing_record_get_nothing() {
+    let mut copy = TopicCopy::default();
+    copy.list(10);
+    copy.add(change(10));
+    copy.forget_before(12);
+    copy.advance(12, Some(12));
+    assert_eq!(offsets(&copy, 10), None);
+    assert_eq!(offsets(&copy, 12), Some(vec![]));
+    assert!(copy.newest().is_none());
+}
