feed: keep the newer value when an older record follows

An older version of the configuration that is written after a newer one then replaced what others get: the test configuration_comes_into_force failed. A record that changes nothing now keeps the value that is known for its key, at its own offset. older_records_do_not_replace_newer_ones guards the decision.

--- a/crates/catkin-edge/src/feed.rs
+++ b/crates/catkin-edge/src/feed.rs
@@ -97,15 +97,17 @@
         self.position.send_replace(to);
     }
 
-    /// Returns whether a record must be kept for other processes, see
-    /// [`TopicCopy::must_keep`].
-    pub(crate) fn must_keep(&self, has_changed: bool) -> bool {
-        self.copy.borrow().must_keep(has_changed)
+    /// Keeps a record for other processes. `has_changed` says whether it has
+    /// changed the state.
+    pub(crate) fn add(&self, change: Change, has_changed: bool) {
+        let mut copy = self.copy.borrow_mut();
+        if has_changed { copy.add(change) } else { copy.add_known(change) }
     }
 
-    /// Keeps a change for other processes.
-    pub(crate) fn add(&self, change: Change) {
-        self.copy.borrow_mut().add(change);
+    /// Returns whether records that change nothing for this process must be
+    /// kept, see [`TopicCopy::may_be_ahead`].
+    pub(crate) fn may_be_ahead(&self) -> bool {
+        self.copy.borrow().may_be_ahead()
     }
 
     /// Discards the kept changes before an offset.
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -202,8 +202,8 @@
     for change in batch.changes.iter().filter(|c| c.offset >= known) {
         match change.value.decode() {
             Ok(value) => {
-                apply(node, Source::Leader, &change.key, &value);
-                feed.add(change.clone());
+                let has_changed = apply(node, Source::Leader, &change.key, &value);
+                feed.add(change.clone(), has_changed);
             }
             Err(error) => {
                 log::warn!(topic = feed.topic, error:display; "invalid change ignored");
@@ -257,7 +257,7 @@
                 (self.apply)(node, Source::Store, &record.key, &record.value);
             }
             for KeyedRecord { key, value } in newest.items.into_iter().filter(|r| (self.is_kept)(&r.key)) {
-                self.keep(newest.end.saturating_sub(1), key, &value);
+                self.keep(newest.end.saturating_sub(1), key, &value, true);
             }
             return Ok(Some(keys));
         };
@@ -275,8 +275,8 @@
         for (offset, record) in (from..).zip(records) {
             let Some(KeyedRecord { key, value }) = record else { continue };
             let has_changed = (self.apply)(node, Source::Store, &key, &value);
-            if feed.must_keep(has_changed) || (self.is_kept)(&key) {
-                self.keep(offset, key, &value);
+            if has_changed || feed.may_be_ahead() {
+                self.keep(offset, key, &value, has_changed);
             }
         }
         // The store answers at once if it has a record, and otherwise after the
@@ -287,9 +287,9 @@
     }
 
     /// Keeps a record for other processes.
-    fn keep(&self, offset: u64, key: Bytes, value: &Bytes) {
+    fn keep(&self, offset: u64, key: Bytes, value: &Bytes, has_changed: bool) {
         match Payload::new(value) {
-            Ok(value) => self.feed.add(Change { offset, key, value }),
+            Ok(value) => self.feed.add(Change { offset, key, value }, has_changed),
             Err(error) => {
                 log::error!(topic = self.feed.topic, error:display; "change not forwarded");
                 self.feed.forget_before(offset + 1);
--- a/crates/catkin-route/src/backlog.rs
+++ b/crates/catkin-route/src/backlog.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Returns the change of a key that is kept.
+    pub fn get(&self, key: &[u8]) -> Option<&Change> {
+        self.changes.iter().find(|change| change.key == key)
+    }
+
     /// Returns the newest change of each key, or `None` if there is no change:
     /// a process that took that for the whole topic would wait for the next one.
     pub fn newest(&self) -> Option<Vec<Change>> {
--- a/crates/catkin-route/src/topic_copy.rs
+++ b/crates/catkin-route/src/topic_copy.rs
@@ -42,17 +42,23 @@
         true
     }
 
-    /// Returns whether a record must be kept. `has_changed` says whether it has
-    /// changed the state of this process.
-    pub fn must_keep(&self, has_changed: bool) -> bool {
-        has_changed || self.may_be_ahead
+    /// Returns whether records that change nothing for this process must be kept.
+    pub fn may_be_ahead(&self) -> bool {
+        self.may_be_ahead
     }
 
-    /// Keeps a record for other processes.
+    /// Keeps a record for other processes that has changed the state.
     pub fn add(&mut self, change: Change) {
         self.backlog.append(change);
     }
 
+    /// Keeps a record for other processes that has not changed the state. The
+    /// value that is kept for its key, if there is one, is at least as new.
+    pub fn add_known(&mut self, change: Change) {
+        let value = self.backlog.get(&change.key).map(|kept| kept.value.clone());
+        self.backlog.append(Change { value: value.unwrap_or(change.value), ..change });
+    }
+
     /// Discards the kept records before an offset, as one of them is missing:
     /// processes that need them read the store.
     pub fn forget_before(&mut self, offset: u64) {
