tests: odd entries of the directory do not stop it

They are refused, or skipped where the field is unused, listed and as changes; no process ends, and a later change is followed. It can't happen here, so nothing was mended. EDGE_LOGS names a folder for the logs of the tests' processes.

--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -13,7 +13,9 @@
     },
     std::{
         cell::{Cell, RefCell},
-        fs, io,
+        env,
+        fs::{self, File},
+        io,
         net::{SocketAddr, TcpListener},
         path::PathBuf,
         pin::pin,
@@ -94,13 +96,21 @@
         let child = Command::new(env!("CARGO_BIN_EXE_catkin-edge"))
             .arg("--settings")
             .arg(&self.file)
-            .stdout(Stdio::null())
+            .stdout(self.output())
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
         *self.child.borrow_mut() = Some(child);
     }
 
+    /// Returns where the process writes its log: a file in the folder that the
+    /// variable `EDGE_LOGS` names, or nowhere.
+    fn output(&self) -> Stdio {
+        let Some(dir) = env::var_os("EDGE_LOGS") else { return Stdio::null() };
+        let file = PathBuf::from(dir).join(self.file.file_name().unwrap()).with_extension("log");
+        File::options().create(true).append(true).open(file).unwrap().into()
+    }
+
     /// Sends a signal to the process if it runs.
     pub(crate) fn signal(&self, signal: Signal) {
         if self.has_ended() {
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -279,6 +279,34 @@
     fleet.check();
 }
 
+/// Odd entries of another writer, listed or read as changes, must neither end a
+/// process nor keep it from later changes of the directory.
+#[actix_rt::test]
+async fn odd_entries_do_not_stop_the_directory() {
+    let mut fleet = Fleet::start(2).await;
+    let nested = format!("{{\"status\":{}", "[".repeat(100_000));
+    let entry = |addr: &str, born: &str| {
+        format!(
+            r#"{{"address":"{addr}","born":{born},"info":{{"service":"keyed","zone":"z","slots":6}},"status":{{"state":"ready"}}}}"#
+        )
+    };
+    let odd = [nested, entry("127.0.0.1:99999", "1"), entry("127.0.0.1:80", "1e999"), "\u{0}".to_owned()];
+    for (i, value) in odd.iter().enumerate() {
+        fleet.store.put("keyed.servers", &format!("odd-{i}"), value.as_bytes());
+    }
+    fleet.add_edge("").await;
+    fleet.add_edge("cores: 0.1\n").await;
+    fleet.servers[0].drain();
+    sleep(1_500).await;
+    fleet.servers[0].stop();
+    fleet.wait_until_serving(Duration::from_secs(5)).await;
+    let (_, failed) = lookups(&fleet, 500).await;
+    assert_eq!(failed, 0);
+    assert!(fleet.table().services["keyed"].iter().all(|row| *row.target != *"s0"));
+    assert!(fleet.edges.iter().all(|edge| !edge.has_ended()));
+    fleet.check();
+}
+
 /// Hundreds of processes that start, or lose their position, and each read the
 /// whole state from the store would cost most of a day's calls. A process without
 /// the resources to lead reads only who leads, and gets the rest from the leader.
