granter: do not ask a lost target to release its keys

Cause: once no earlier leader could renew, the leader asked the target to release its keys, and waited for an answer until the time-out of 1.5 s, though it had answered no command and had left the directory. Its keys are free when their leases have expired now.

lost_target_is_not_asked_to_release fails without the mend.

--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -342,6 +342,8 @@
             }
             // A grant goes first, so that the owner refuses an earlier leader.
             _ if range.earlier_expiry > now => {}
+            // The answer to a release would be awaited for longer than the lease.
+            None if range.failure_weight > 0 => range.phase = Phase::Unowned(range.expiry),
             _ if open_count > 0 => range.phase = Phase::Releasing,
             _ => {}
         }
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -77,6 +77,34 @@
     assert!(moved(&sim));
 }
 
+/// A target that left the directory and answers no command will not answer a
+/// release either. Waiting for that would keep its keys without service after
+/// their lease has expired.
+#[test]
+fn lost_target_is_not_asked_to_release() {
+    let mut sim = start_granted(&["a", "b"]);
+    let table = granter::claim(&leader("z"), LEASE_TIMES.duration, sim.table.as_ref(), sim.next_offset);
+    let (now, offset) = (at(sim.now), sim.next_offset);
+    sim.granter = Granter::new(LEASE_TIMES, now, now, LEASE_TIMES.duration, &table, offset);
+    sim.next_offset += 1;
+    let silent = |c: &Command| match &*c.incarnation.id {
+        "a" => None,
+        _ => Some(Outcome::Done(None)),
+    };
+    // The first grant to the lost target gets no answer for 500 ms, and the
+    // others wait for it.
+    let commands = sim.run(500, silent);
+    for (i, command) in commands.iter().filter(|c| &*c.incarnation.id == "a").enumerate() {
+        let outcome = if i == 0 { Outcome::Unknown } else { Outcome::Skipped };
+        sim.granter.command_ended(at(sim.now), command.ticket, outcome);
+    }
+    sim.directory.remove(at(sim.now), "a");
+    let lease_ms = 3_000 * 1_025 / 1_000 + 250;
+    let commands = sim.run(lease_ms + 200, silent);
+    assert!(commands.iter().all(|c| c.action != Action::Release));
+    assert!(sim.table.unwrap().services["s"].iter().all(|r| &*r.target == "b"));
+}
+
 /// While the store is unavailable, the directory still lists a target that is
 /// lost. If it got its keys back, they would have no owner for another lease
 /// duration.
