claim: let a leader that claims again lead

Cause: a process that found a newer table of the leader that it knew took that for the old leadership and claimed, although the leader had just claimed again. A newer table, or a write of another process in between, shows that its writer reaches the store, so its time-out starts then. A claim also ends the backoff of reads: the store is available, and a leader needs the directory at once.

--- a/crates/catkin-edge/src/lead/claim.rs
+++ b/crates/catkin-edge/src/lead/claim.rs
@@ -83,17 +83,31 @@
             return None;
         }
     };
-    let known = node.owners().map(|o| o.table.leader.clone());
-    if let Some(last) =
-        last.as_ref().filter(|l| l.leader.vm != node.identity.vm && Some(&l.leader) != known.as_ref())
-    {
-        // Another process has claimed leadership since; its time-out starts
-        // now.
+    let offset = end.saturating_sub(1);
+    let is_news = node.owners().is_none_or(|known| known.offset < offset);
+    if let Some(last) = last.as_ref().filter(|last| is_news && last.leader.vm != node.identity.vm) {
+        // Another process has led since; its time-out starts now.
         node.leader_store_contact.set(node.now());
-        node.update_owners(end.saturating_sub(1), Rc::new(last.clone()));
+        node.update_owners(offset, Rc::new(last.clone()));
+        return None;
+    }
+    if decide(node, Some(false)) != Decision::Claim {
+        // Another reader has learned of a leader meanwhile.
         return None;
     }
     let table = granter::claim(&node.identity, lease_times(node).duration, last.as_ref(), end);
     let lease_duration = last.as_ref().map_or(Span::ZERO, |l| l.lease_duration);
-    record::write_once(node, &table, end).await.then_some(Claim { table, offset: end, lease_duration })
+    match record::write_once(node, &table, end).await {
+        Some(true) => {
+            // The store is available: a leader needs the directory at once.
+            node.backoff.set(None);
+            Some(Claim { table, offset: end, lease_duration })
+        }
+        Some(false) => {
+            // Another process has written since the read, so it works.
+            node.leader_store_contact.set(node.now());
+            None
+        }
+        None => None,
+    }
 }
--- a/crates/catkin-edge/src/lead/record.rs
+++ b/crates/catkin-edge/src/lead/record.rs
@@ -109,12 +109,12 @@
     }
 }
 
-/// Writes a table at `offset` with a single attempt. Returns whether the
-/// store has confirmed it there; after `false`, the attempt may still take
-/// effect.
-pub(super) async fn write_once(node: &Node, table: &Owners, offset: u64) -> bool {
-    let Some(bytes) = encode(table) else { return false };
-    try_append(node, table, &bytes, offset).await == Some(true)
+/// Writes a table at `offset` with a single attempt. Returns whether the table
+/// or another record is stored there, or `None` if that is unknown; the attempt
+/// may still take effect then.
+pub(super) async fn write_once(node: &Node, table: &Owners, offset: u64) -> Option<bool> {
+    let bytes = encode(table)?;
+    try_append(node, table, &bytes, offset).await
 }
 
 /// Writes a table at `offset`, and repeats the attempt until the store has
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -237,9 +237,8 @@
         if !newer {
             return;
         }
-        let known = self.owners.borrow().as_ref().map(|o| o.table.leader.clone());
-        if known.is_some_and(|known| known != table.leader) {
-            // The new leader has reached the store with its claim.
+        if self.owners.borrow().is_some() {
+            // Its leader has reached the store since, also one that led before.
             self.leader_store_contact.set(self.now());
         }
         log::info!(version = offset, leader = &*table.leader.vm; "table of owners changed");
