attempt: read and log the limit that a target names

The logs could not tell whether a process knew of a limit. The header is read now into a state of the target, with a newtype for rates, and each change is logged. No decision uses it yet.

--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -9,7 +9,7 @@
     catkin::types::{Span, Time},
     catkin_net::{Conn, HttpAnswer},
     catkin_platform::name,
-    catkin_route::{directory::Incarnation, load::Completion},
+    catkin_route::{directory::Incarnation, load::Completion, rate::RequestRate},
     std::{rc::Rc, time::Duration},
 };
 
@@ -117,7 +117,8 @@
     let body = routed.incoming.body.clone();
     let exchange =
         conn.exchange(head, body, routed.incoming.chunked, |head| matches_request(head, &routed.id));
-    let left = routed.deadline.since(now) + ANSWER_SLACK;
+    let sent_at = now;
+    let left = routed.deadline.since(sent_at) + ANSWER_SLACK;
     let reply = match tokio::time::timeout(left.as_duration(), exchange).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(failure)) if !failure.sent => {
@@ -146,6 +147,7 @@
         // The answered request is still counted both by the target and here.
         node.loads.borrow_mut().record_report(now, incarnation, running + queued);
     }
+    note_limit(node, incarnation, &reply.head, sent_at);
     // A late copy of an answer without an id could pass for the next one.
     if reply.reusable && reply.head.headers().contains_key(name::REQUEST_ID) {
         let keep_alive = header_text(&reply.head, &name::KEEP_ALIVE).and_then(name::parse_keep_alive);
@@ -154,6 +156,30 @@
     classify(node, incarnation, reply, &mut guard)
 }
 
+/// Notes the limit that a target names in an answer. An answer of another target
+/// at its address says nothing of it, and a refusal need not repeat the limit.
+fn note_limit(node: &Node, incarnation: &Incarnation, head: &ResponseHead, sent_at: Time) {
+    let has = |header: &HeaderName| head.headers().contains_key(header);
+    let is_refusal = has(&name::NOT_RUN) && has(&name::LIMIT);
+    if head.status == StatusCode::MISDIRECTED_REQUEST || !(has(&name::STAMP) || is_refusal) {
+        return;
+    }
+    let limit = header_text(head, &name::LIMIT).map(str::parse::<RequestRate>);
+    let limit = match limit.transpose() {
+        Ok(limit) => limit,
+        Err(error) => {
+            if node.log_limiter.allow(node.now(), "invalid limit ignored") {
+                log::info!(target_id = &*incarnation.id, error:display; "invalid limit ignored");
+            }
+            return;
+        }
+    };
+    if node.loads.borrow_mut().record_limit(node.now(), incarnation, limit, sent_at) {
+        let limit = limit.map(|limit| limit.to_string());
+        log::info!(target_id = &*incarnation.id, limit; "limit of a target changed");
+    }
+}
+
 fn classify(
     node: &Node,
     incarnation: &Incarnation,
--- a/crates/catkin-edge/tests/names.rs
+++ b/crates/catkin-edge/tests/names.rs
@@ -8,7 +8,7 @@
 
 /// Names of the platform's wire protocol. They may occur in `platform/` and in
 /// the stand-in only, so that a change of the protocol changes one folder.
-const WIRE: [&str; 22] = [
+const WIRE: [&str; 23] = [
     "x-request-id",
     "x-deadline-ms",
     "x-expect-instance",
@@ -16,6 +16,7 @@
     "x-not-run",
     "x-server-stamp",
     "x-server-load",
+    "server-limit",
     "x-handover",
     "x-instance-id",
     "trafficSplit",
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`balance`] | which keys move to another target |
 //! | [`level`] | how the loads of all targets are encoded for all processes |
 //! | [`load`] | which target gets a request |
+//! | [`announced`] | which announcements of a target are in force |
 //! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
 //! | [`topic_copy`] | which records of a topic a process keeps for others |
@@ -24,6 +25,7 @@
 //! | [`budget`] | whether a service has a retry left |
 //! | [`attempts`] | whether a request may get another attempt, and what its caller is told |
 
+pub mod announced;
 pub mod attempts;
 pub mod backlog;
 pub mod balance;
@@ -37,6 +39,7 @@
 pub mod owners;
 pub mod peer_view;
 pub mod quotas;
+pub mod rate;
 pub mod report_times;
 pub mod split;
 pub mod subset;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -3,8 +3,10 @@
 
 use {
     crate::{
+        announced::Announced,
         directory::{Directory, Incarnation, Target},
         quotas::{Counts, TargetQuota},
+        rate::RequestRate,
         subset::{self, Subsets},
     },
     catkin::types::{Span, Time},
@@ -82,6 +84,7 @@
     backoff_end: Time,
     /// Requests of this process that are queued for the target.
     queued: u32,
+    announced: Announced,
 }
 
 /// This process's quota at a target.
@@ -109,6 +112,7 @@
             backoff: Span::ZERO,
             backoff_end: zero,
             queued: 0,
+            announced: Announced::default(),
         }
     }
 
@@ -378,6 +382,18 @@
         state.reported_at = now;
     }
 
+    /// Records whether an answer of a target named a limit, see
+    /// [`Announced::record_limit`]. Returns whether the limit has changed.
+    pub fn record_limit(
+        &mut self,
+        now: Time,
+        incarnation: &Incarnation,
+        limit: Option<RequestRate>,
+        sent_at: Time,
+    ) -> bool {
+        self.state(incarnation).announced.record_limit(now, limit, sent_at)
+    }
+
     /// Returns this process's requests in flight at each target that has some.
     pub fn in_flight(&self) -> Vec<(Arc<str>, u32)> {
         let some = self.targets.iter().filter(|(_, state)| state.in_flight > 0);
