edge: failing tests of limits that targets name

The stand-in names a limit in its answers and checks it as the users word it: from 3 s after the first such answer, at most one and a half times the limit and 5 requests in any 4 s.

--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -65,6 +65,41 @@
     received: Cell<u32>,
     faults: Cell<ServerFaults>,
     grants: RefCell<Vec<Grant>>,
+    limit: RefCell<Option<NamedLimit>>,
+}
+
+/// A limit that the server names in its answers.
+#[derive(Debug)]
+struct NamedLimit {
+    per_second: f64,
+    since: Instant,
+    /// Times of the requests since.
+    arrivals: Vec<Instant>,
+}
+
+/// Time after a server named its limit from which on it is checked.
+const LIMIT_GRACE: Duration = Duration::from_secs(3);
+
+/// Span in which the requests at a server with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests in that span, as a multiple of the limit and in addition to it, that
+/// are no violation.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+
+impl NamedLimit {
+    /// Returns the most requests in one window, if they are too many.
+    fn excess(&self) -> Option<usize> {
+        let checked = self.arrivals.iter().filter(|at| **at - self.since >= LIMIT_GRACE);
+        let checked: Vec<&Instant> = checked.collect();
+        let in_window = |(i, from): (usize, &&Instant)| {
+            checked[i..].iter().filter(|at| ***at - **from < LIMIT_WINDOW).count()
+        };
+        let most = checked.iter().enumerate().map(in_window).max().unwrap_or(0);
+        let allowed = LIMIT_FACTOR * LIMIT_WINDOW.as_secs_f64() * self.per_second + LIMIT_SLACK;
+        (most as f64 > allowed).then_some(most)
+    }
 }
 
 /// A server. Clones share its state.
@@ -114,6 +149,7 @@
             received: Cell::new(0),
             faults: Cell::default(),
             grants: RefCell::default(),
+            limit: RefCell::default(),
         };
         Self { inner: Rc::new(inner) }
     }
@@ -148,6 +184,25 @@
         self.inner.faults.set(faults);
     }
 
+    /// Names a limit in requests per second in all further answers, or none. The
+    /// limit before ends with a violation if the server got too many requests.
+    pub fn set_limit(&self, per_second: Option<f64>) {
+        let limit = per_second.map(|per_second| NamedLimit {
+            per_second,
+            since: Instant::now(),
+            arrivals: Vec::new(),
+        });
+        if let Some(ended) = self.inner.limit.replace(limit)
+            && let Some(count) = ended.excess()
+        {
+            let NamedLimit { per_second, .. } = ended;
+            let id = &self.inner.id;
+            self.inner.checker.add_violation(format!(
+                "{id} got {count} requests in {LIMIT_WINDOW:?} beside a limit of {per_second} per second"
+            ));
+        }
+    }
+
     /// Announces that the server leaves, by the state `draining` in its entry.
     /// It still accepts requests.
     pub fn drain(&self) {
@@ -267,6 +322,10 @@
         let key: u16 = header_text(&request, "x-shard-key").and_then(|k| k.parse().ok()).unwrap_or(0);
         let fence = if inner.keyed { self.fence_of(key) } else { Some(0) };
         let Some(fence) = fence else { return not_run(421).finish().map_into_boxed_body() };
+        let limit = inner.limit.borrow_mut().as_mut().map(|limit| {
+            limit.arrivals.push(Instant::now());
+            limit.per_second.to_string()
+        });
         if inner.running.get() >= SLOTS + EXCESS_MAX || every(faults.shed_every) {
             return not_run(503).finish().map_into_boxed_body();
         }
@@ -286,7 +345,11 @@
         }
         let status =
             if every(faults.fail_every) { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
-        Response::build(status)
+        let mut response = Response::build(status);
+        if let Some(limit) = limit {
+            response.insert_header(("server-limit", limit));
+        }
+        response
             .insert_header(("x-request-id", id.clone()))
             .insert_header(("x-server-stamp", format!("{}.{fence}", inner.id)))
             .insert_header(("x-server-load", load))
