load: keep to the limit that a target names, all processes together

A process sends to such a target in slots of its even share, refuses the rest at once with the time to come back, and reports what it observes to the leader. The leader tells all processes the newest observation and moves keys away, since the target counts as fully used at its limit.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -7,6 +7,7 @@
     catkin_route::{
         attempts::Attempts,
         directory::{Entry, Incarnation},
+        load::Denial,
     },
     std::rc::Rc,
 };
@@ -21,6 +22,9 @@
     NoFreeSlots,
     /// More requests are queued for the key's owner than it can take in time.
     QueueTooLong,
+    /// The key's owner names a limit, and the share of this process is used up.
+    /// The span is the mean time until any process may send it a request.
+    Limited(Span),
     /// Less than [`TIME_LEFT_MIN`] is left until the deadline.
     TooLate,
 }
@@ -104,7 +108,7 @@
     place: &mut QueuePlace<'_>,
 ) -> Result<Admitted, AdmitError> {
     let directory = node.directory.borrow();
-    let peers = node.peer_count.get();
+    let peers = node.peer_count.get().get();
     let Some(key) = routed.key else {
         let mut loads = node.loads.borrow_mut();
         let size = routed.incoming.body.iter().map(Bytes::len).sum();
@@ -124,12 +128,14 @@
     }
     let incarnation = &target.entry.incarnation;
     place.follow_owner(now, incarnation);
-    let (has_capacity, needs_quota) = {
+    let (checked, needs_quota) = {
         let mut loads = node.loads.borrow_mut();
-        (loads.has_capacity(now, target, peers), loads.is_quota_limited(now, incarnation))
+        (loads.check(now, target, peers), loads.is_quota_limited(now, incarnation))
     };
-    if has_capacity {
-        return Ok(Admitted::new(&target.entry));
+    match checked {
+        Ok(()) => return Ok(Admitted::new(&target.entry)),
+        Err(Denial::Limited(wait)) => return Err(AdmitError::Limited(wait)),
+        Err(_) => {}
     }
     if needs_quota && place.incarnation.as_ref() != Some(incarnation) {
         let wait_max = routed.route.latency_objective.scale(WAIT_FRACTION);
@@ -163,7 +169,8 @@
             Ok(admitted) => return Ok(admitted),
             Err(error) => error,
         };
-        if now >= wait_until || error == AdmitError::QueueTooLong {
+        let is_final = matches!(error, AdmitError::QueueTooLong | AdmitError::Limited(_));
+        if is_final || now >= wait_until {
             return Err(error);
         }
         let pause = wait_until.since(now).min(RECHECK_INTERVAL);
--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -47,8 +47,9 @@
 
 impl<'a> InFlightGuard<'a> {
     fn new(node: &'a Node, target: &'a Admitted) -> Self {
-        node.loads.borrow_mut().begin(&target.incarnation);
-        Self { node, target, start: node.now(), completion: Completion::Cancelled }
+        let start = node.now();
+        node.loads.borrow_mut().begin(start, &target.incarnation, node.peer_count.get().get());
+        Self { node, target, start, completion: Completion::Cancelled }
     }
 }
 
@@ -174,7 +175,7 @@
             return;
         }
     };
-    if node.loads.borrow_mut().record_limit(node.now(), incarnation, limit, sent_at) {
+    if node.loads.borrow_mut().observe_limit(node.now(), incarnation, limit, sent_at) {
         let limit = limit.map(|limit| limit.to_string());
         log::info!(target_id = &*incarnation.id, limit; "limit of a target changed");
     }
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -217,7 +217,7 @@
         self.last_decay = now;
         with_loads(|loads| {
             loads.decay();
-            loads.retain(&self.node.directory.borrow());
+            loads.retain(now, &self.node.directory.borrow());
         });
         self.conns.borrow_mut().retain(|_, conn| !conn.is_unused());
     }
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -5,6 +5,7 @@
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
     catkin_route::{
+        announced::LimitReport,
         backlog::{Change, Payload},
         delta::Delta,
         directory::Entry,
@@ -63,6 +64,8 @@
     /// Mean time of a request at each target, in seconds; targets without a
     /// measurement are left out.
     pub(super) service_times: Vec<(Arc<str>, f32)>,
+    /// What the process has observed of the limits of targets.
+    pub(super) limits: Vec<LimitReport>,
 }
 
 /// Confirms that the asked process of this VM does not lead.
@@ -91,6 +94,9 @@
     pub(super) quotas: Option<Counts>,
     /// Loads of all targets by service, if they are due.
     pub(super) levels: Option<Rc<Vec<Levels>>>,
+    /// Newest observations of the limits of targets; present in an answer to a
+    /// report.
+    pub(super) limits: Vec<LimitReport>,
     /// Whether busy targets with keys accept requests within quotas only.
     pub(super) use_quotas: bool,
     /// Newer table of owners.
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -161,6 +161,9 @@
             for (target, seconds) in &report.service_times {
                 loads.record_service_time(target, *seconds);
             }
+            for limit in &report.limits {
+                loads.record_limit(now, limit);
+            }
         });
         u32::try_from(count).unwrap_or(u32::MAX)
     }
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -40,6 +40,7 @@
     let service_times = node.loads.borrow_mut().take_service_times();
     let in_flight = node.loads.borrow().in_flight();
     let queued = node.loads.borrow().queue_lengths();
+    let limits = node.loads.borrow().limit_reports(node.now());
     let offset = node.owners().map(|o| o.offset);
     let next_offsets = [node.config_feed.next_offset(), node.directory_feed.next_offset()];
     let strong = node.is_strong();
@@ -55,6 +56,7 @@
         queued,
         key_counts,
         service_times,
+        limits,
     }
 }
 
@@ -93,7 +95,9 @@
 fn apply_state(node: &Node, state: LeaderState, now: Time, sent_after: Time) {
     node.last_leader_answer.set(now);
     node.forwarded_at.set(node.forwarded_at.get().max(sent_after));
-    node.peer_count.set(state.peer_count.max(1));
+    let mut peer_count = node.peer_count.get();
+    peer_count.update(now, state.peer_count);
+    node.peer_count.set(peer_count);
     node.is_standby.set(state.standby);
     match state.table {
         Some(TableUpdate::Full(offset, table)) => node.update_owners(offset, table),
@@ -122,6 +126,8 @@
     // Loads refer to the targets of the newest directory.
     if let Some(allotted) = state.quotas {
         apply_loads(node, now, state.levels.as_deref(), state.use_quotas, &allotted);
+        let directory = node.directory.borrow();
+        node.loads.borrow_mut().learn_limits(now, &directory, &state.limits, sent_after);
         node.capacity_changed.notify_waiters();
     }
 }
@@ -145,7 +151,7 @@
 fn apply_loads(node: &Node, now: Time, levels: Option<&Vec<Levels>>, use_quotas: bool, allotted: &Counts) {
     let (directory, config) = (node.directory.borrow(), node.config.borrow());
     let mut loads = node.loads.borrow_mut();
-    let peers = node.peer_count.get();
+    let peers = node.peer_count.get().get();
     let mut quotas = Vec::new();
     let mut is_complete = levels.is_some();
     for levels in levels.into_iter().flatten() {
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -8,7 +8,10 @@
         },
         peers::Peers,
     },
-    crate::node::{Node, VersionedOwners, sleep},
+    crate::{
+        lead,
+        node::{Node, VersionedOwners, sleep},
+    },
     catkin::types::{Span, Time},
     catkin_net::set_socket_options,
     catkin_route::{level::Levels, peer_view::PeerView},
@@ -161,6 +164,10 @@
             let store_age = node.last_join.get().map_or(u64::MAX, |at| node.now().since(at).as_micros());
             let listing = state.listing(node, peers)?;
             let levels = quotas.as_ref().and_then(|_| state.levels(node, peers));
+            let limits = match quotas {
+                Some(_) => lead::with_loads(|loads| loads.limit_reports(node.now())),
+                None => Vec::new(),
+            };
             let use_quotas = peers.use_quotas();
             let PeerState { count: peer_count, standby, .. } = state;
             let leader_state = LeaderState {
@@ -169,6 +176,7 @@
                 store_age,
                 quotas,
                 levels,
+                limits,
                 use_quotas,
                 table,
                 changes,
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -19,6 +19,7 @@
         directory::Directory,
         load::LocalLoads,
         owners::{Owners, ProcessId},
+        peer_count::PeerCount,
         split::Split,
     },
     std::{
@@ -103,7 +104,7 @@
     /// Number of requests in progress.
     pub(crate) open_requests: Cell<u32>,
     /// Number of edge processes, as counted by the leader.
-    pub(crate) peer_count: Cell<u32>,
+    pub(crate) peer_count: Cell<PeerCount>,
     /// When this process started.
     pub(crate) started_at: Time,
     /// Whether the leader chose this process as a standby.
@@ -194,7 +195,7 @@
             quota_requested: Notify::new(),
             stage: watch::Sender::new(Stage::Serving),
             open_requests: Cell::new(0),
-            peer_count: Cell::new(PEERS_DEFAULT),
+            peer_count: Cell::new(PeerCount::new(PEERS_DEFAULT)),
             started_at: BootClock.now(),
             is_standby: Cell::new(false),
             last_leader_answer: Cell::new(Time::default()),
@@ -228,7 +229,7 @@
     /// Returns whether the fleet is large, so that each process reports less
     /// often.
     pub(crate) fn is_large_fleet(&self) -> bool {
-        self.peer_count.get() >= LARGE_FLEET_MIN
+        self.peer_count.get().get() >= LARGE_FLEET_MIN
     }
 
     /// Replaces the table of owners unless a newer one is known.
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -141,7 +141,7 @@
     log::info!(
         id = &*routed.id, route = &*routed.route.name, service = &*routed.service, key = routed.key,
         status = answer.status.as_u16(), stamp = header_text(&name::STAMP), took_ms = took.as_millis(),
-        config = config.version, owners, peers = node.peer_count.get();
+        config = config.version, owners, peers = node.peer_count.get().get();
         "{message}"
     );
 }
@@ -160,12 +160,16 @@
 async fn send_with_retries(node: &Rc<Node>, routed: &RoutedRequest<'_>) -> Answer {
     let mut attempts = Attempts::new(&routed.route, routed.deadline);
     let mut failed = None;
+    let mut wait = None;
     let code = loop {
         let target = match admit::admit(node, routed, &attempts).await {
             Ok(target) => target,
-            Err(error) => break error.code(),
+            Err(error) => {
+                wait = error.wait();
+                break error.code();
+            }
         };
-        let peers = node.peer_count.get();
+        let peers = node.peer_count.get().get();
         if attempts.reached() > 0 && !node.budget.borrow_mut().take_retry(node.now(), &routed.service, peers)
         {
             break Code::RetryBudget;
@@ -195,12 +199,19 @@
     };
     match failed {
         Some(reply) => forward(reply),
-        None => local_answer(node, routed, &attempts, code),
+        None => local_answer(node, routed, &attempts, code, wait),
     }
 }
 
-/// Returns the final answer for a request without an answer of a target.
-fn local_answer(node: &Node, routed: &RoutedRequest<'_>, attempts: &Attempts, code: Code) -> Answer {
+/// Returns the final answer for a request without an answer of a target. `wait`
+/// is the time until the request may be served, if it is known.
+fn local_answer(
+    node: &Node,
+    routed: &RoutedRequest<'_>,
+    attempts: &Attempts,
+    code: Code,
+    wait: Option<Span>,
+) -> Answer {
     let code = attempts.caller_code(code);
     let elapsed = node.now().since(routed.incoming.arrived);
     if node.log_limiter.allow(node.now(), "request failed") {
@@ -210,12 +221,13 @@
             "request failed"
         );
     }
-    answer_for_code(code, routed.deadline.since(node.now()))
+    let delay = retry_delay(routed.deadline.since(node.now()));
+    answer_for_code(code, wait.map_or(delay, |wait| wait.max(RETRY_AFTER_MIN)))
 }
 
-fn answer_for_code(code: Code, left: Span) -> Answer {
+fn answer_for_code(code: Code, retry_after: Span) -> Answer {
     let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let retry_after = (status == StatusCode::SERVICE_UNAVAILABLE).then(|| retry_delay(left));
+    let retry_after = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(retry_after);
     Answer::local(status, retry_after)
 }
 
@@ -236,7 +248,7 @@
         log::info!(id, code:display, path = incoming.head.path(), config, config_age_ms; "request refused");
     }
     node.metrics.count_answer("refused", node.now().since(incoming.arrived));
-    answer_for_code(code, RETRY_AFTER_MAX)
+    answer_for_code(code, retry_delay(RETRY_AFTER_MAX))
 }
 
 /// Forwards a target's answer to the caller.
@@ -253,6 +265,15 @@
             Self::NoTarget => Code::NoOwner,
             Self::NoFreeSlots | Self::QueueTooLong => Code::QueueFull,
             Self::TooLate => Code::DeadlineTooShort,
+            Self::Limited(_) => Code::TargetLimited,
+        }
+    }
+
+    /// Returns the time until the request may be served, if it is known.
+    fn wait(self) -> Option<Span> {
+        match self {
+            Self::Limited(wait) => Some(wait),
+            _ => None,
         }
     }
 }
--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        announced::{LimitBoard, LimitReport},
         directory::{Directory, Incarnation, Target},
         granter::{Granter, OwnedRange},
         owners::Row,
@@ -63,6 +64,9 @@
 /// caused can be measured.
 const HOT_SETTLE_TIME: Span = Span::from_millis(1_500);
 
+/// Least limit that is told from a lower one, in requests per second.
+const LIMIT_MIN_PER_S: f32 = 0.1;
+
 /// Number of ranges into which all keys are cut when they get their first
 /// owners. Busy keys are close to one another, so each target gets several
 /// distant ranges.
@@ -86,6 +90,7 @@
 pub struct FleetLoads {
     rates: HashMap<Arc<str>, Vec<f32>>,
     service_times: HashMap<Arc<str>, f32>,
+    limits: LimitBoard,
 }
 
 impl FleetLoads {
@@ -109,17 +114,32 @@
         *mean += (seconds - *mean) * SERVICE_TIME_WEIGHT;
     }
 
+    /// Records what a process has observed of a target's limit.
+    pub fn record_limit(&mut self, now: Time, report: &LimitReport) {
+        self.limits.record(now, report);
+    }
+
+    /// Returns the newest observations of limits, for the processes.
+    pub fn limit_reports(&self, now: Time) -> Vec<LimitReport> {
+        self.limits.reports(now)
+    }
+
     /// Removes targets that the directory does not have.
-    pub fn retain(&mut self, directory: &Directory) {
+    pub fn retain(&mut self, now: Time, directory: &Directory) {
         self.service_times.retain(|id, _| directory.get(id).is_some());
+        self.limits.retain(now, directory);
     }
 
     /// Returns the mean service time of a target divided by its slots, in
-    /// seconds. Times the request rate it is the usage of the slots.
+    /// seconds. Times the request rate it is the usage of the slots. A target
+    /// that names a limit is fully used at that rate.
     fn seconds_per_slot(&self, target: &Target) -> f32 {
-        let known = self.service_times.get(&target.entry.incarnation.id).copied();
+        let incarnation = &target.entry.incarnation;
+        let known = self.service_times.get(&incarnation.id).copied();
         let seconds = known.unwrap_or(SERVICE_TIME_DEFAULT_S).clamp(0.005, 2.0);
-        seconds / target.entry.slots.max(1) as f32
+        let limit = self.limits.limit(incarnation).map(|limit| limit.per_second() as f32);
+        let limited = limit.map_or(0.0, |limit| 1.0 / limit.max(LIMIT_MIN_PER_S));
+        limited.max(seconds / target.entry.slots.max(1) as f32)
     }
 
     fn range_rate(&self, service: &str, from: u16, to: u16) -> f32 {
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -17,7 +17,9 @@
 //! | [`balance`] | which keys move to another target |
 //! | [`level`] | how the loads of all targets are encoded for all processes |
 //! | [`load`] | which target gets a request |
+//! | [`pace`] | when a process may send to a target that bounds all processes |
 //! | [`announced`] | which announcements of a target are in force |
+//! | [`peer_count`] | how many processes there are |
 //! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
 //! | [`topic_copy`] | which records of a topic a process keeps for others |
@@ -37,6 +39,8 @@
 pub mod level;
 pub mod load;
 pub mod owners;
+pub mod pace;
+pub mod peer_count;
 pub mod peer_view;
 pub mod quotas;
 pub mod rate;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        announced::Announced,
+        announced::{Announced, LimitReport},
         directory::{Directory, Incarnation, Target},
         quotas::{Counts, TargetQuota},
         rate::RequestRate,
@@ -65,6 +65,20 @@
 /// the leader.
 const QUOTA_TTL: Span = Span::from_millis(1_200);
 
+/// Why a target gets no further request of this process now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// Connections to it failed a short time ago.
+    Unreachable,
+    /// It names a limit, and the share of this process is used up. The span is
+    /// the mean time until any process may send it a request.
+    Limited(Span),
+    /// It is busy, and the quota of this process is used up.
+    NoQuota,
+    /// It has as many requests as it should have.
+    Full,
+}
+
 /// What this process knows of one target.
 #[derive(Clone, Debug)]
 struct TargetState {
@@ -179,20 +193,37 @@
         state
     }
 
-    /// Returns whether this process may send one more request to a target.
+    /// Checks whether this process may send one more request to a target.
     /// `peers` is the number of edge processes.
-    pub fn has_capacity(&mut self, now: Time, target: &Target, peers: u32) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// The reason why the target gets no request now.
+    pub fn check(&mut self, now: Time, target: &Target, peers: u32) -> Result<(), Denial> {
         let slots = target.entry.slots;
         let share = (OWN_SHARE_FACTOR * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
         let quota = self.quota(now, &target.entry.incarnation);
         let state = self.state(&target.entry.incarnation);
+        if state.backoff_end > now {
+            return Err(Denial::Unreachable);
+        }
+        if let Some(pace) = state.announced.pace()
+            && pace.next_slot(now, peers) > now
+        {
+            return Err(Denial::Limited(pace.fleet_interval()));
+        }
         if let Some(quota) = quota {
-            return state.backoff_end <= now && quota.left > 0;
+            return if quota.left > 0 { Ok(()) } else { Err(Denial::NoQuota) };
         }
         let total = f64::from(state.in_flight) + state.others(now, peers);
-        state.backoff_end <= now
-            && state.in_flight < share.max(OWN_REQUESTS_MIN)
-            && total < FILL_FACTOR_MAX * f64::from(slots)
+        let has_share = state.in_flight < share.max(OWN_REQUESTS_MIN);
+        if has_share && total < FILL_FACTOR_MAX * f64::from(slots) { Ok(()) } else { Err(Denial::Full) }
+    }
+
+    /// Returns whether this process may send one more request to a target, see
+    /// [`LocalLoads::check`].
+    pub fn has_capacity(&mut self, now: Time, target: &Target, peers: u32) -> bool {
+        self.check(now, target, peers).is_ok()
     }
 
     /// Returns the expected time of one more request with a body of `size`
@@ -259,9 +290,12 @@
         self.quotas.get(&incarnation.id).copied().filter(|quota| quota.expiry > now)
     }
 
-    /// Counts a request that is sent to a target, also against the quota.
-    pub fn begin(&mut self, incarnation: &Incarnation) {
-        self.state(incarnation).in_flight += 1;
+    /// Counts a request that is sent to a target, also against the quota and the
+    /// limit that the target names.
+    pub fn begin(&mut self, now: Time, incarnation: &Incarnation, peers: u32) {
+        let state = self.state(incarnation);
+        state.in_flight += 1;
+        state.announced.begin(now, peers);
         if let Some(quota) = self.quotas.get_mut(&incarnation.id) {
             quota.left = quota.left.saturating_sub(1);
         }
@@ -382,16 +416,42 @@
         state.reported_at = now;
     }
 
-    /// Records whether an answer of a target named a limit, see
-    /// [`Announced::record_limit`]. Returns whether the limit has changed.
-    pub fn record_limit(
+    /// Records the limit that an answer of a target named, or that it named none;
+    /// the answered request was sent at `sent_at`. Returns whether the limit has
+    /// changed.
+    pub fn observe_limit(
         &mut self,
         now: Time,
         incarnation: &Incarnation,
         limit: Option<RequestRate>,
         sent_at: Time,
     ) -> bool {
-        self.state(incarnation).announced.record_limit(now, limit, sent_at)
+        let phase = self.subsets.uniform(&incarnation.id);
+        let announced = &mut self.state(incarnation).announced;
+        let last = announced.limit();
+        announced.observe(now, limit, sent_at, phase);
+        announced.limit() != last
+    }
+
+    /// Applies what other processes have observed of the limits of targets, as
+    /// the leader said it after `sent_after`.
+    pub fn learn_limits(
+        &mut self,
+        now: Time,
+        directory: &Directory,
+        reports: &[LimitReport],
+        sent_after: Time,
+    ) {
+        for report in reports.iter().filter(|report| directory.current(&report.incarnation).is_some()) {
+            let phase = self.subsets.uniform(&report.incarnation.id);
+            let observed_at = sent_after.before(report.age());
+            self.state(&report.incarnation).announced.learn(now, report.rate(), observed_at, phase);
+        }
+    }
+
+    /// Returns what this process has observed of the limits of targets.
+    pub fn limit_reports(&self, now: Time) -> Vec<LimitReport> {
+        self.targets.values().filter_map(|state| state.announced.report(now, &state.incarnation)).collect()
     }
 
     /// Returns this process's requests in flight at each target that has some.
--- a/crates/catkin-route/src/subset.rs
+++ b/crates/catkin-route/src/subset.rs
@@ -69,12 +69,18 @@
         scored.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// Returns a number between 0 and 1 that is random for each process and
+    /// target.
+    pub fn uniform(&self, id: &Arc<str>) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (&self.vm, id).hash(&mut hasher);
+        (hasher.finish() as f64 + 1.0) / (u64::MAX as f64 + 2.0)
+    }
+
     /// Returns the score of a target by weighted rendezvous hashing; the lowest
     /// comes first.
     fn score(&self, target: &Target) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        (&self.vm, &target.entry.incarnation.id).hash(&mut hasher);
-        let uniform = (hasher.finish() as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        let uniform = self.uniform(&target.entry.incarnation.id);
         let weight = if target.entry.zone == self.zone { OWN_ZONE_WEIGHT } else { 1.0 };
         -uniform.ln() / weight
     }
--- a/crates/catkin-route/tests/load.rs
+++ b/crates/catkin-route/tests/load.rs
@@ -37,7 +37,7 @@
     assert!(loads.has_capacity(at(0), target(&directory), PEERS));
     loads.set_quotas(at(0), &quotas(1, 0));
     assert!(loads.has_capacity(at(1), target(&directory), PEERS));
-    loads.begin(&a);
+    loads.begin(at(1), &a, PEERS);
     assert!(!loads.has_capacity(at(2), target(&directory), PEERS));
     loads.end(at(500), &a, Completion::Good, Span::from_millis(498), 6);
     assert!(loads.has_capacity(at(500), target(&directory), PEERS));
@@ -100,7 +100,7 @@
     let mut choose = |near_ms: u64, size: usize| {
         for (id, ms) in [("near", near_ms), ("far", 100)] {
             for _ in 0..60 {
-                loads.begin(&incarnation(id, 1));
+                loads.begin(at(0), &incarnation(id, 1), PEERS);
                 loads.end(at(0), &incarnation(id, 1), Completion::Good, Span::from_millis(ms), 6);
             }
         }
--- a/crates/catkin-route/tests/subset.rs
+++ b/crates/catkin-route/tests/subset.rs
@@ -48,7 +48,7 @@
     for _ in 0..3 {
         for loads in &mut processes {
             let target = loads.choose(at(0), &directory, SERVICE, PROCESSES, &[], 0).unwrap();
-            loads.begin(&target.entry.incarnation);
+            loads.begin(at(0), &target.entry.incarnation, PROCESSES);
             *arrivals.entry(target.entry.incarnation.id.clone()).or_default() += 1;
         }
     }
@@ -67,7 +67,7 @@
         for i in 0..200 {
             let target = loads.choose(at(i * 300), &directory, SERVICE, PROCESSES, &[], 0).unwrap();
             let incarnation = target.entry.incarnation.clone();
-            loads.begin(&incarnation);
+            loads.begin(at(i * 300), &incarnation, PROCESSES);
             let took = Span::from_millis(80 + i % 7 * 10);
             loads.end(at(i * 300), &incarnation, Completion::Good, took, 6);
             used.insert(incarnation.id);
@@ -89,7 +89,7 @@
     for _ in 0..TARGETS {
         let target = loads.choose(at(0), &directory, SERVICE, PROCESSES, &[], 0).unwrap();
         let incarnation = target.entry.incarnation.clone();
-        loads.begin(&incarnation);
+        loads.begin(at(0), &incarnation, PROCESSES);
         loads.end(at(0), &incarnation, Completion::Unreachable, Span::ZERO, 6);
         used.insert(incarnation.id);
     }
--- a/crates/catkin/src/error.rs
+++ b/crates/catkin/src/error.rs
@@ -113,6 +113,7 @@
     FenceRefused = 416, NotRun, 503, "The target does not hold the slice with this fence.";
     RetryBudget = 417, NotRun, 503, "The retry budget is used up.";
     PeerUnreachable = 418, NotRun, 503, "The gateway that keeps the target is unreachable.";
+    TargetLimited = 419, NotRun, 503, "The target takes no further request at this moment.";
     OutcomeUnknown = 501, Unknown, 504, "The request was sent and no answer came.";
     AnswerCut = 502, Unknown, 502, "The answer ended before it was complete.";
     IntentSettled = 503, Unknown, 409, "An earlier request with this idempotency key was sent; its outcome is not known.";
