directory: a target that says in an answer that it leaves is draining

Cause: the header was not read. The incarnation counts as draining from the first such answer on: keys move by hand-over, and no entry, removal or time-out undoes it, only a later start under its id. Processes report departures to the leader, and the leader tells the others.

--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -148,7 +148,10 @@
         // The answered request is still counted both by the target and here.
         node.loads.borrow_mut().record_report(now, incarnation, running + queued);
     }
-    note_limit(node, incarnation, &reply.head, sent_at);
+    if is_from(&reply.head, incarnation) {
+        note_leaving(node, incarnation, &reply.head);
+        note_limit(node, incarnation, &reply.head, sent_at);
+    }
     // A late copy of an answer without an id could pass for the next one.
     if reply.reusable && reply.head.headers().contains_key(name::REQUEST_ID) {
         let keep_alive = header_text(&reply.head, &name::KEEP_ALIVE).and_then(name::parse_keep_alive);
@@ -157,12 +160,31 @@
     classify(node, incarnation, reply, &mut guard)
 }
 
-/// Notes the limit that a target names in an answer. An answer of another target
-/// at its address says nothing of it, and a refusal need not repeat the limit.
+/// Returns whether an answer comes from an incarnation. Another target that has
+/// its address refuses the request as misdirected, with its own id.
+fn is_from(head: &ResponseHead, incarnation: &Incarnation) -> bool {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return header_text(head, &name::INSTANCE) == Some(&*incarnation.id);
+    }
+    head.headers().contains_key(name::STAMP) || head.headers().contains_key(name::NOT_RUN)
+}
+
+/// Notes that a target says that it leaves.
+fn note_leaving(node: &Node, incarnation: &Incarnation, head: &ResponseHead) {
+    if header_text(head, &name::LEAVING).is_none_or(|value| value.trim() != "1") {
+        return;
+    }
+    if node.directory.borrow_mut().announce_leaving(node.now(), incarnation) {
+        log::info!(target_id = &*incarnation.id; "target leaves");
+        node.capacity_changed.notify_waiters();
+    }
+}
+
+/// Notes the limit that a target names in an answer. A refusal need not repeat
+/// it.
 fn note_limit(node: &Node, incarnation: &Incarnation, head: &ResponseHead, sent_at: Time) {
     let has = |header: &HeaderName| head.headers().contains_key(header);
-    let is_refusal = has(&name::NOT_RUN) && has(&name::LIMIT);
-    if head.status == StatusCode::MISDIRECTED_REQUEST || !(has(&name::STAMP) || is_refusal) {
+    if !has(&name::STAMP) && !has(&name::LIMIT) {
         return;
     }
     let limit = header_text(head, &name::LIMIT).map(str::parse::<RequestRate>);
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -8,7 +8,7 @@
         announced::LimitReport,
         backlog::{Change, Payload},
         delta::Delta,
-        directory::Entry,
+        directory::{Entry, Incarnation},
         level::Levels,
         owners::Owners,
         peer_view::NextOffsets,
@@ -32,7 +32,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Message {
     /// Loads of the process, and the offsets that it knows.
-    Report(Report),
+    Report(Box<Report>),
     /// Request to stop leading, for the process with this run id.
     Stop(u64),
 }
@@ -66,6 +66,8 @@
     pub(super) service_times: Vec<(Arc<str>, f32)>,
     /// What the process has observed of the limits of targets.
     pub(super) limits: Vec<LimitReport>,
+    /// Listed targets that said in an answer that they leave.
+    pub(super) leaving: Vec<Incarnation>,
 }
 
 /// Confirms that the asked process of this VM does not lead.
@@ -97,6 +99,9 @@
     /// Newest observations of the limits of targets; present in an answer to a
     /// report.
     pub(super) limits: Vec<LimitReport>,
+    /// Listed targets that said in an answer that they leave; present in an answer
+    /// to a report.
+    pub(super) leaving: Vec<Incarnation>,
     /// Whether busy targets with keys accept requests within quotas only.
     pub(super) use_quotas: bool,
     /// Newer table of owners.
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -6,6 +6,7 @@
     crate::{
         lead,
         node::{Node, VersionedOwners},
+        sync,
     },
     catkin::types::{Span, Time},
     catkin_route::{
@@ -165,6 +166,7 @@
                 loads.record_limit(now, limit);
             }
         });
+        sync::apply_leaving(node, &report.leaving);
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 }
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -57,6 +57,7 @@
         key_counts,
         service_times,
         limits,
+        leaving: node.directory.borrow().leaving(),
     }
 }
 
@@ -126,6 +127,7 @@
     // Loads refer to the targets of the newest directory.
     if let Some(allotted) = state.quotas {
         apply_loads(node, now, state.levels.as_deref(), state.use_quotas, &allotted);
+        sync::apply_leaving(node, &state.leaving);
         let directory = node.directory.borrow();
         node.loads.borrow_mut().learn_limits(now, &directory, &state.limits, sent_after);
         node.capacity_changed.notify_waiters();
@@ -236,7 +238,7 @@
         node.quota_wanted.set(false);
         is_answered = false;
         reports.sent(last_report);
-        write(&mut writer, &Message::Report(build_report(node, leader, received))).await?;
+        write(&mut writer, &Message::Report(Box::new(build_report(node, leader, received)))).await?;
     }
 }
 
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -168,6 +168,7 @@
                 Some(_) => lead::with_loads(|loads| loads.limit_reports(node.now())),
                 None => Vec::new(),
             };
+            let leaving = if quotas.is_some() { node.directory.borrow().leaving() } else { Vec::new() };
             let use_quotas = peers.use_quotas();
             let PeerState { count: peer_count, standby, .. } = state;
             let leader_state = LeaderState {
@@ -177,6 +178,7 @@
                 quotas,
                 levels,
                 limits,
+                leaving,
                 use_quotas,
                 table,
                 changes,
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -17,7 +17,7 @@
     },
     catkin_route::{
         backlog::{Change, Payload},
-        directory::{Entry, Target},
+        directory::{Entry, Incarnation, Target},
     },
     std::{collections::HashSet, rc::Rc},
 };
@@ -158,6 +158,15 @@
     node.capacity_changed.notify_waiters();
 }
 
+/// Applies that other processes were told by targets that these leave.
+pub(crate) fn apply_leaving(node: &Node, leaving: &[Incarnation]) {
+    for incarnation in leaving {
+        if node.directory.borrow_mut().announce_leaving(node.now(), incarnation) {
+            log::info!(target_id = &*incarnation.id; "target leaves, as another process was told");
+        }
+    }
+}
+
 /// Returns whether a state from the leader may be the first one of a topic. A
 /// leader that was paused sends an old one.
 fn is_recent(node: &Node, at: Time) -> bool {
--- a/crates/catkin-edge/tests/announced.rs
+++ b/crates/catkin-edge/tests/announced.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use {
+    catkin_standin::users::StoreMode,
     common::Fleet,
     std::{
         cell::Cell,
@@ -11,6 +12,13 @@
     },
 };
 
+/// Time after which a target that leaves gets no more requests.
+const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+
+async fn sleep(millis: u64) {
+    actix_rt::time::sleep(Duration::from_millis(millis)).await;
+}
+
 /// Counts of lookups.
 #[derive(Clone, Debug, Default)]
 struct Tally {
@@ -46,7 +54,7 @@
             };
             count.set(count.get() + 1);
         }));
-        actix_rt::time::sleep(Duration::from_millis(1_000 / per_second)).await;
+        sleep(1_000 / per_second).await;
     }
     for lookup in lookups {
         lookup.await.unwrap();
@@ -84,3 +92,44 @@
     assert!(tally.served_share() > 0.9, "{tally:?}");
     fleet.check();
 }
+
+/// A target says in its answers that it leaves, while its entry says that it is
+/// ready, with the store and without it. No process may send it requests after a
+/// while, and its keys must go to others.
+#[actix_rt::test]
+async fn leaving_target_gets_no_requests() {
+    for mode in [StoreMode::Up, StoreMode::Unavailable] {
+        let fleet = Rc::new(Fleet::start(3).await);
+        fleet.store.set_mode(mode);
+        for server in [&fleet.servers[0], &fleet.servers[3]] {
+            server.announce_leaving(DRAIN_TIME);
+        }
+        let orders = async {
+            for number in 0..60 {
+                fleet.order(&fleet.edges[number % 3]).await;
+                sleep(50).await;
+            }
+        };
+        let (tally, ()) = tokio::join!(load(&fleet, 40, Duration::from_secs(4)), orders);
+        if mode == StoreMode::Up {
+            assert!(tally.served_share() > 0.95, "{tally:?}");
+            assert!(fleet.table().services["keyed"].iter().all(|row| *row.target != *"s0"));
+        }
+        fleet.store.set_mode(StoreMode::Up);
+        fleet.check();
+    }
+}
+
+/// A target that left and starts again gets requests and keys.
+#[actix_rt::test]
+async fn restarted_target_has_not_left() {
+    let fleet = Rc::new(Fleet::start(2).await);
+    fleet.servers[0].announce_leaving(Duration::from_secs(60));
+    load(&fleet, 40, Duration::from_secs(3)).await;
+    assert!(fleet.table().services["keyed"].iter().all(|row| *row.target != *"s0"));
+    fleet.servers[0].stay();
+    fleet.servers[0].restart();
+    load(&fleet, 40, Duration::from_secs(4)).await;
+    assert!(fleet.table().services["keyed"].iter().any(|row| *row.target == *"s0"));
+    fleet.check();
+}
--- a/crates/catkin-edge/tests/names.rs
+++ b/crates/catkin-edge/tests/names.rs
@@ -8,7 +8,7 @@
 
 /// Names of the platform's wire protocol. They may occur in `platform/` and in
 /// the stand-in only, so that a change of the protocol changes one folder.
-const WIRE: [&str; 23] = [
+const WIRE: [&str; 24] = [
     "x-request-id",
     "x-deadline-ms",
     "x-expect-instance",
@@ -17,6 +17,7 @@
     "x-server-stamp",
     "x-server-load",
     "server-limit",
+    "server-leaving",
     "x-handover",
     "x-instance-id",
     "trafficSplit",
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -71,8 +71,8 @@
 pub struct Target {
     /// Newest entry that was received.
     pub entry: Entry,
-    /// When an entry of this incarnation first said that the target is
-    /// draining.
+    /// When an entry or an answer of this incarnation first said that the target
+    /// is draining.
     pub draining_since: Option<Time>,
     /// End of the grace period, if the entry expired while the store was
     /// unavailable; the target counts as present until then.
@@ -84,11 +84,26 @@
     pub last_seen: Time,
 }
 
+/// That an incarnation said in an answer that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    /// Start of the incarnation.
+    started: u64,
+    since: Time,
+}
+
+/// Most departures that are kept. Above, those of targets that are not listed
+/// are forgotten.
+const DEPARTURES_MAX: usize = 4_096;
+
 /// All known targets, by id and by service.
 #[derive(Clone, Debug)]
 pub struct Directory {
     targets: HashMap<Arc<str>, Target>,
     services: BTreeMap<Arc<str>, Vec<Arc<str>>>,
+    /// Incarnations that said themselves that they leave, by id, and since when
+    /// this is known. Entries do not change that, nor does their removal.
+    left: HashMap<Arc<str>, Departure>,
     grace_end: Time,
     changes: u64,
     entry_ttl: Span,
@@ -103,6 +118,7 @@
         Self {
             targets: HashMap::new(),
             services: BTreeMap::new(),
+            left: HashMap::new(),
             grace_end: Time::default(),
             changes: 0,
             entry_ttl: ENTRY_TTL_DEFAULT,
@@ -166,7 +182,8 @@
             without_cold_left(&t.entry) != without_cold_left(&entry) || t.grace_end.is_some()
         });
         self.changes += u64::from(has_changed);
-        let draining_since = entry.draining.then(|| known.and_then(|t| t.draining_since).unwrap_or(now));
+        let entry_since = entry.draining.then(|| known.and_then(|t| t.draining_since).unwrap_or(now));
+        let draining_since = self.left_since(&entry.incarnation).or(entry_since);
         let target = Target {
             cold_until: now.after(entry.cold_left),
             draining_since,
@@ -199,6 +216,41 @@
         }
     }
 
+    /// Records that an incarnation said in an answer that it leaves. It counts as
+    /// draining from now on, whatever its entry says. Returns whether that is
+    /// new.
+    pub fn announce_leaving(&mut self, now: Time, incarnation: &Incarnation) -> bool {
+        let is_newer = |known: &Departure| known.started >= incarnation.started;
+        if self.left.get(&incarnation.id).is_some_and(is_newer) {
+            return false;
+        }
+        if self.left.len() >= DEPARTURES_MAX {
+            let targets = &self.targets;
+            self.left.retain(|id, _| targets.contains_key(id));
+        }
+        self.left.insert(incarnation.id.clone(), Departure { started: incarnation.started, since: now });
+        let known = self.targets.get_mut(&incarnation.id).filter(|t| t.entry.incarnation == *incarnation);
+        if let Some(target) = known {
+            target.draining_since.get_or_insert(now);
+            self.changes += 1;
+        }
+        true
+    }
+
+    fn left_since(&self, incarnation: &Incarnation) -> Option<Time> {
+        self.left
+            .get(&incarnation.id)
+            .filter(|left| left.started == incarnation.started)
+            .map(|left| left.since)
+    }
+
+    /// Returns the listed incarnations that said that they leave.
+    pub fn leaving(&self) -> Vec<Incarnation> {
+        let incarnation =
+            |(id, left): (&Arc<str>, &Departure)| Incarnation { id: id.clone(), started: left.started };
+        self.left.iter().map(incarnation).filter(|incarnation| self.current(incarnation).is_some()).collect()
+    }
+
     /// Removes an entry. During the grace period after an outage of the store,
     /// a target that was not draining counts as present until the period ends,
     /// so that it can write its entry again.
@@ -258,7 +310,11 @@
 
     /// Returns a complete listing for a process that knows no target.
     pub fn listing(&self, now: Time) -> Vec<Entry> {
-        let entry = |t: &Target| Entry { cold_left: t.cold_until.since(now), ..t.entry.clone() };
+        let entry = |t: &Target| Entry {
+            cold_left: t.cold_until.since(now),
+            draining: t.draining_since.is_some(),
+            ..t.entry.clone()
+        };
         self.targets.values().filter(|t| t.grace_end.is_none()).map(entry).collect()
     }
 
--- a/crates/catkin-route/tests/directory.rs
+++ b/crates/catkin-route/tests/directory.rs
@@ -167,3 +167,49 @@
     assert!(receiver.current(&incarnation("a", 1)).is_some());
     assert_eq!(receiver.get("b").unwrap().cold_until, at(3_000));
 }
+
+/// A target in trouble says that it leaves, and its entry, late or wrong, that it
+/// is ready. It must not get requests again, also not after its entry was
+/// removed and is back.
+#[test]
+fn ready_entries_do_not_undo_leaving() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    assert!(directory.announce_leaving(at(100), &incarnation("a", 1)));
+    assert!(!directory.announce_leaving(at(200), &incarnation("a", 1)), "it is known");
+    let is_open = |directory: &Directory| directory.get("a").unwrap().is_open();
+    assert!(!is_open(&directory));
+    directory.put(at(1_000), entry("a", 1));
+    assert!(!is_open(&directory));
+    directory.remove_now("a");
+    directory.put(at(60_000), entry("a", 1));
+    assert!(!is_open(&directory));
+    assert!(!directory.get("a").unwrap().serves_keys(at(60_000)));
+}
+
+/// A later process with the id of a target that left is another target. The
+/// departure of an earlier one, heard late, says nothing of it.
+#[test]
+fn restarted_target_is_open() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 2));
+    assert!(directory.announce_leaving(at(100), &incarnation("a", 1)));
+    assert!(directory.get("a").unwrap().is_open());
+    assert!(directory.announce_leaving(at(200), &incarnation("a", 2)));
+    assert!(!directory.announce_leaving(at(300), &incarnation("a", 1)), "a later one has left");
+    directory.put(at(400), entry("a", 3));
+    assert!(directory.get("a").unwrap().is_open());
+}
+
+/// A process that learns of a departure before it knows the entry, and one that
+/// gets a listing, know that the target leaves.
+#[test]
+fn departures_are_listed() {
+    let mut directory = Directory::default();
+    directory.announce_leaving(at(0), &incarnation("a", 1));
+    assert!(directory.leaving().is_empty(), "it is not listed");
+    directory.put(at(100), entry("a", 1));
+    assert!(!directory.get("a").unwrap().is_open());
+    assert_eq!(directory.leaving(), [incarnation("a", 1)]);
+    assert!(directory.listing(at(100))[0].draining);
+}
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -66,8 +66,37 @@
     faults: Cell<ServerFaults>,
     grants: RefCell<Vec<Grant>>,
     limit: RefCell<Option<NamedLimit>>,
+    /// When an answer first said that the server leaves, if it says so.
+    leaving: Cell<Option<Leaving>>,
+    pause: RefCell<Option<Pause>>,
 }
 
+/// That the server says in its answers that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    /// Time after the first such answer from which on no request may arrive.
+    drain_time: Duration,
+    /// When it first answered so.
+    since: Option<Instant>,
+}
+
+/// A time in which the server refuses all requests and says for how long.
+#[derive(Debug)]
+struct Pause {
+    since: Instant,
+    until: Instant,
+    /// Number of callers that it has answered so.
+    callers: usize,
+    /// Requests that arrived later than [`PAUSE_GRACE`] after its start.
+    late: usize,
+}
+
+/// Time after the start of a pause in which requests are on their way.
+const PAUSE_GRACE: Duration = Duration::from_millis(500);
+
+/// Later requests of each caller that are no violation.
+const PAUSE_REQUESTS_MAX: usize = 2;
+
 /// A limit that the server names in its answers.
 #[derive(Debug)]
 struct NamedLimit {
@@ -150,6 +179,8 @@
             faults: Cell::default(),
             grants: RefCell::default(),
             limit: RefCell::default(),
+            leaving: Cell::default(),
+            pause: RefCell::default(),
         };
         Self { inner: Rc::new(inner) }
     }
@@ -203,6 +234,60 @@
         }
     }
 
+    /// Says in all further answers that the server leaves; its entry still says
+    /// `ready`. A request that arrives later than `drain_time` after the first
+    /// such answer is a violation.
+    pub fn announce_leaving(&self, drain_time: Duration) {
+        self.inner.leaving.set(Some(Leaving { drain_time, since: None }));
+    }
+
+    /// Stops saying that the server leaves, as after a restart.
+    pub fn stay(&self) {
+        self.inner.leaving.set(None);
+    }
+
+    /// Refuses all requests for a time with the rest of it as `Retry-After`.
+    /// More than two later requests of each of the `callers` are a violation.
+    pub fn pause(&self, span: Duration, callers: usize) {
+        let now = Instant::now();
+        *self.inner.pause.borrow_mut() = Some(Pause { since: now, until: now + span, callers, late: 0 });
+    }
+
+    /// Returns how many requests arrived in the last pause when it had been
+    /// announced.
+    pub fn late_requests(&self) -> usize {
+        self.inner.pause.borrow().as_ref().map_or(0, |pause| pause.late)
+    }
+
+    /// Returns the rest of the pause, and checks the number of requests in it.
+    fn check_pause(&self) -> Option<Duration> {
+        let mut pause = self.inner.pause.borrow_mut();
+        let pause = pause.as_mut()?;
+        let now = Instant::now();
+        let rest = pause.until.checked_duration_since(now)?;
+        if now - pause.since > PAUSE_GRACE {
+            pause.late += 1;
+            if pause.late > PAUSE_REQUESTS_MAX * pause.callers {
+                let (id, count) = (&self.inner.id, pause.late);
+                self.inner.checker.add_violation(format!("{id} got {count} requests in its pause"));
+            }
+        }
+        Some(rest)
+    }
+
+    /// Checks that no request arrives once the server has left.
+    fn check_leaving(&self) {
+        let Some(leaving) = self.inner.leaving.get() else { return };
+        let since = leaving.since.unwrap_or_else(Instant::now);
+        self.inner.leaving.set(Some(Leaving { since: Some(since), ..leaving }));
+        if since.elapsed() > leaving.drain_time {
+            let (id, late) = (&self.inner.id, since.elapsed());
+            self.inner
+                .checker
+                .add_violation(format!("{id} got a request {late:?} after it said that it leaves"));
+        }
+    }
+
     /// Announces that the server leaves, by the state `draining` in its entry.
     /// It still accepts requests.
     pub fn drain(&self) {
@@ -326,6 +411,11 @@
             limit.arrivals.push(Instant::now());
             limit.per_second.to_string()
         });
+        self.check_leaving();
+        if let Some(rest) = self.check_pause() {
+            let rest = format!("{:.3}", rest.as_secs_f64());
+            return not_run(503).insert_header(("retry-after", rest)).finish().map_into_boxed_body();
+        }
         if inner.running.get() >= SLOTS + EXCESS_MAX || every(faults.shed_every) {
             return not_run(503).finish().map_into_boxed_body();
         }
@@ -349,6 +439,9 @@
         if let Some(limit) = limit {
             response.insert_header(("server-limit", limit));
         }
+        if inner.leaving.get().is_some() {
+            response.insert_header(("server-leaving", "1"));
+        }
         response
             .insert_header(("x-request-id", id.clone()))
             .insert_header(("x-server-stamp", format!("{}.{fence}", inner.id)))
