load: send nothing to a target that asks for a pause

A process sends such a target nothing from that answer on to the end of the time; requests for its keys are refused at once with the rest of it, others go elsewhere. Processes and callers return spread over time, and each process with one request first. Whether a target takes a request, and why not, is decided at one place now, LocalLoads::check, and logged.

paused_target_is_left_alone (28 requests of three processes in the announced part of the pause) and pause_of_all_targets_reaches_the_callers (0.3 s told instead of the rest of 2 s) failed before the change.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -18,17 +18,29 @@
     /// The key has no owner that may serve it, or the service has no known
     /// target.
     NoTarget,
-    /// Each target has as many requests as this process may send to it.
-    NoFreeSlots,
+    /// No target that may get the request takes it now.
+    Denied(Denial),
     /// More requests are queued for the key's owner than it can take in time.
     QueueTooLong,
-    /// The key's owner names a limit, and the share of this process is used up.
-    /// The span is the mean time until any process may send it a request.
-    Limited(Span),
     /// Less than [`TIME_LEFT_MIN`] is left until the deadline.
     TooLate,
 }
 
+impl AdmitError {
+    /// Returns the time until a target wants the request, if it has said so.
+    pub(crate) fn wait(self) -> Option<Span> {
+        match self {
+            Self::Denied(Denial::Paused(wait) | Denial::Limited(wait)) => Some(wait),
+            _ => None,
+        }
+    }
+
+    /// Returns whether waiting would not help.
+    fn is_final(self) -> bool {
+        self == Self::QueueTooLong || self.wait().is_some()
+    }
+}
+
 /// Fraction of the latency objective for which a request may wait for a target.
 /// A later refusal would leave the caller too little time to retry elsewhere.
 const WAIT_FRACTION: f64 = 0.5;
@@ -115,14 +127,14 @@
         let chosen = loads
             .choose(now, &directory, &routed.service, peers, attempts.targets(), size)
             .or_else(|| loads.choose(now, &directory, &routed.service, peers, &[], size));
-        let has_targets = directory.of_service(&routed.service).next().is_some();
-        let reason = if has_targets { AdmitError::NoFreeSlots } else { AdmitError::NoTarget };
-        return chosen.map(|t| Admitted::new(&t.entry)).ok_or(reason);
+        return chosen.map(|t| Admitted::new(&t.entry)).ok_or_else(|| {
+            let denial = loads.denial(now, &directory, &routed.service, peers);
+            denial.map_or(AdmitError::NoTarget, AdmitError::Denied)
+        });
     };
     let owners = node.owners().ok_or(AdmitError::NoTarget)?;
     let row = owners.table.find(&routed.service, key).ok_or(AdmitError::NoTarget)?;
-    let target =
-        directory.current(&row.incarnation()).filter(|t| t.serves_keys(now)).ok_or(AdmitError::NoTarget)?;
+    let target = directory.current(&row.incarnation()).ok_or(AdmitError::NoTarget)?;
     if attempts.misdirected() == Some(&row.incarnation()) && waited < MISDIRECTED_DELAY {
         return Err(AdmitError::NoTarget);
     }
@@ -130,21 +142,23 @@
     place.follow_owner(now, incarnation);
     let (checked, needs_quota) = {
         let mut loads = node.loads.borrow_mut();
-        (loads.check(now, target, peers), loads.is_quota_limited(now, incarnation))
+        (loads.check(now, target, true, peers), loads.is_quota_limited(now, incarnation))
     };
-    match checked {
+    let denial = match checked {
         Ok(()) => return Ok(Admitted::new(&target.entry)),
-        Err(Denial::Limited(wait)) => return Err(AdmitError::Limited(wait)),
-        Err(_) => {}
-    }
-    if needs_quota && place.incarnation.as_ref() != Some(incarnation) {
+        Err(denial) => denial,
+    };
+    if matches!(denial, Denial::NoQuota | Denial::Full)
+        && needs_quota
+        && place.incarnation.as_ref() != Some(incarnation)
+    {
         let wait_max = routed.route.latency_objective.scale(WAIT_FRACTION);
         if node.loads.borrow_mut().is_queue_too_long(now, target, wait_max) {
             return Err(AdmitError::QueueTooLong);
         }
         place.move_to(Some(incarnation));
     }
-    Err(AdmitError::NoFreeSlots)
+    Err(AdmitError::Denied(denial))
 }
 
 /// Returns a target that may get the request now. Waits for one at most until
@@ -169,8 +183,7 @@
             Ok(admitted) => return Ok(admitted),
             Err(error) => error,
         };
-        let is_final = matches!(error, AdmitError::QueueTooLong | AdmitError::Limited(_));
-        if is_final || now >= wait_until {
+        if error.is_final() || now >= wait_until {
             return Err(error);
         }
         let pause = wait_until.since(now).min(RECHECK_INTERVAL);
--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -4,7 +4,10 @@
     crate::{admit::Admitted, node::Node, serve::RoutedRequest},
     actix_http::{
         HttpMessage, RequestHead, ResponseHead, StatusCode,
-        header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE},
+        header::{
+            CONNECTION, CONTENT_LENGTH, DATE, EXPECT, HeaderName, HeaderValue, RETRY_AFTER,
+            TRANSFER_ENCODING, UPGRADE,
+        },
     },
     catkin::types::{Span, Time},
     catkin_net::{Conn, HttpAnswer},
@@ -150,6 +153,7 @@
     }
     if is_from(&reply.head, incarnation) {
         note_leaving(node, incarnation, &reply.head);
+        note_pause(node, incarnation, &reply.head, sent_at);
         note_limit(node, incarnation, &reply.head, sent_at);
     }
     // A late copy of an answer without an id could pass for the next one.
@@ -180,6 +184,24 @@
     }
 }
 
+/// Notes whether a target that turns a request away asks for a pause.
+fn note_pause(node: &Node, incarnation: &Incarnation, head: &ResponseHead, sent_at: Time) {
+    let date = header_text(head, &DATE);
+    let span = header_text(head, &RETRY_AFTER)
+        .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
+        .and_then(|text| name::parse_retry_after(text, date));
+    let is_refusal = head.headers().contains_key(name::NOT_RUN);
+    if span.is_none() && is_refusal {
+        return;
+    }
+    node.loads.borrow_mut().observe_pause(node.now(), incarnation, span, sent_at);
+    if let Some(span) = span
+        && node.log_limiter.allow(node.now(), "target wants no requests")
+    {
+        log::info!(target_id = &*incarnation.id, rest_ms = span.as_millis(); "target wants no requests");
+    }
+}
+
 /// Notes the limit that a target names in an answer. A refusal need not repeat
 /// it.
 fn note_limit(node: &Node, incarnation: &Incarnation, head: &ResponseHead, sent_at: Time) {
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -20,8 +20,13 @@
     catkin_route::{
         attempts::{AttemptEnd, Attempts},
         config::{Config, Route},
+        load::Denial,
+    },
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        rc::Rc,
+        sync::Arc,
     },
-    std::{rc::Rc, sync::Arc},
 };
 
 /// Complete request of a caller.
@@ -160,12 +165,12 @@
 async fn send_with_retries(node: &Rc<Node>, routed: &RoutedRequest<'_>) -> Answer {
     let mut attempts = Attempts::new(&routed.route, routed.deadline);
     let mut failed = None;
-    let mut wait = None;
+    let mut refusal = None;
     let code = loop {
         let target = match admit::admit(node, routed, &attempts).await {
             Ok(target) => target,
             Err(error) => {
-                wait = error.wait();
+                refusal = Some(error);
                 break error.code();
             }
         };
@@ -199,30 +204,45 @@
     };
     match failed {
         Some(reply) => forward(reply),
-        None => local_answer(node, routed, &attempts, code, wait),
+        None => local_answer(node, routed, &attempts, code, refusal),
     }
 }
 
-/// Returns the final answer for a request without an answer of a target. `wait`
-/// is the time until the request may be served, if it is known.
+/// Returns the final answer for a request without an answer of a target.
+/// `refusal` is the reason why it got no further target, if that ended it.
 fn local_answer(
     node: &Node,
     routed: &RoutedRequest<'_>,
     attempts: &Attempts,
     code: Code,
-    wait: Option<Span>,
+    refusal: Option<AdmitError>,
 ) -> Answer {
     let code = attempts.caller_code(code);
     let elapsed = node.now().since(routed.incoming.arrived);
     if node.log_limiter.allow(node.now(), "request failed") {
         log::info!(
             id = &*routed.id, service = &*routed.service, key = routed.key, code:display, attempts = attempts.reached(),
-            may_have_run = attempts.may_have_run(), elapsed_ms = elapsed.as_millis();
+            may_have_run = attempts.may_have_run(), elapsed_ms = elapsed.as_millis(), refusal:?;
             "request failed"
         );
     }
-    let delay = retry_delay(routed.deadline.since(node.now()));
-    answer_for_code(code, wait.map_or(delay, |wait| wait.max(RETRY_AFTER_MIN)))
+    let delay = match refusal.and_then(AdmitError::wait) {
+        Some(wait) => spread(&routed.id, wait),
+        None => retry_delay(routed.deadline.since(node.now())),
+    };
+    answer_for_code(code, delay)
+}
+
+/// Part of a wait over which the callers that are told to wait return.
+const RETURN_SPREAD: f64 = 0.25;
+
+/// Returns a time to wait that differs between requests, so that callers do not
+/// all return at the moment at which a target takes requests again.
+fn spread(id: &str, wait: Span) -> Span {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    let uniform = hasher.finish() as f64 / u64::MAX as f64;
+    wait.max(RETRY_AFTER_MIN).scale(1.0 + RETURN_SPREAD * uniform)
 }
 
 fn answer_for_code(code: Code, retry_after: Span) -> Answer {
@@ -263,17 +283,12 @@
     fn code(self) -> Code {
         match self {
             Self::NoTarget => Code::NoOwner,
-            Self::NoFreeSlots | Self::QueueTooLong => Code::QueueFull,
+            Self::Denied(Denial::Leaving) => Code::NoOwner,
+            Self::Denied(Denial::Paused(_) | Denial::Limited(_)) => Code::TargetLimited,
+            Self::Denied(Denial::Unreachable | Denial::NoQuota | Denial::Full) | Self::QueueTooLong => {
+                Code::QueueFull
+            }
             Self::TooLate => Code::DeadlineTooShort,
-            Self::Limited(_) => Code::TargetLimited,
-        }
-    }
-
-    /// Returns the time until the request may be served, if it is known.
-    fn wait(self) -> Option<Span> {
-        match self {
-            Self::Limited(wait) => Some(wait),
-            _ => None,
         }
     }
 }
--- a/crates/catkin-edge/tests/announced.rs
+++ b/crates/catkin-edge/tests/announced.rs
@@ -133,3 +133,54 @@
     assert!(fleet.table().services["keyed"].iter().any(|row| *row.target == *"s0"));
     fleet.check();
 }
+
+/// Targets turn requests away and say for how long. Each process may send them
+/// two more at most; requests for keys that they own are refused at once, with
+/// the rest of the time, and others go elsewhere.
+#[actix_rt::test]
+async fn paused_target_is_left_alone() {
+    let fleet = Rc::new(Fleet::start(3).await);
+    for server in [&fleet.servers[0], &fleet.servers[3]] {
+        server.pause(Duration::from_secs(3), 3);
+    }
+    let orders = async {
+        for number in 0..40 {
+            let response = fleet.order(&fleet.edges[number % 3]).await;
+            assert_eq!(response.unwrap().status, 200);
+            sleep(50).await;
+        }
+    };
+    let (_, ()) = tokio::join!(load(&fleet, 40, Duration::from_millis(2_500)), orders);
+    let key = fleet.table().services["keyed"].iter().find(|row| *row.target == *"s0").unwrap().from;
+    let response = fleet.get(&fleet.edges[0], key).await.unwrap();
+    let rest: f64 = response.retry_after.unwrap().parse().unwrap();
+    assert_eq!(response.status, 503);
+    assert!((0.05..=0.8).contains(&rest), "{rest}");
+    sleep(1_500).await;
+    let tally = load(&fleet, 40, Duration::from_secs(1)).await;
+    assert!(tally.served_share() > 0.95, "{tally:?}");
+    fleet.check();
+}
+
+/// All targets of a service turn requests away. Their callers get that, and no
+/// process probes them.
+#[actix_rt::test]
+async fn pause_of_all_targets_reaches_the_callers() {
+    let fleet = Rc::new(Fleet::start(2).await);
+    for server in &fleet.servers[3..] {
+        server.pause(Duration::from_secs(2), 2);
+    }
+    for number in 0..20 {
+        fleet.order(&fleet.edges[number % 2]).await;
+        sleep(20).await;
+    }
+    let started = Instant::now();
+    let response = fleet.order(&fleet.edges[0]).await.unwrap();
+    assert_eq!(response.status, 503);
+    assert!(started.elapsed() < Duration::from_millis(100), "the request was held");
+    let rest: f64 = response.retry_after.unwrap().parse().unwrap();
+    assert!((0.5..=2.5).contains(&rest), "{rest}");
+    sleep(2_500).await;
+    assert_eq!(fleet.order(&fleet.edges[0]).await.unwrap().status, 200);
+    fleet.check();
+}
--- a/crates/catkin-route/src/announced.rs
+++ b/crates/catkin-route/src/announced.rs
@@ -9,6 +9,7 @@
     crate::{
         directory::{Directory, Incarnation},
         pace::Pace,
+        pause::Pause,
         rate::RequestRate,
     },
     catkin::types::{Span, Time},
@@ -45,6 +46,9 @@
 /// Announcements of a target that are in force for one process.
 #[derive(Clone, Debug, Default)]
 pub struct Announced {
+    /// Pause that the target asked this process for. Others may have been asked
+    /// for another one or for none.
+    pause: Option<Pause>,
     pace: Option<Pace>,
     /// When the last answer arrived that named a limit or its end.
     observed_at: Time,
@@ -64,6 +68,20 @@
         self.pace
     }
 
+    /// Returns the pause that the target asked this process for.
+    pub fn pause(&self) -> Option<Pause> {
+        self.pause
+    }
+
+    /// Records that an answer asked for a pause, or that it did not; the answered
+    /// request was sent at `sent_at`. For `phase` see [`Pause::new`].
+    pub fn observe_pause(&mut self, now: Time, span: Option<Span>, sent_at: Time, phase: f64) {
+        match span {
+            Some(span) => self.pause = Some(Pause::new(now, span, phase).or_longer(self.pause)),
+            None => self.pause.iter_mut().for_each(|pause| pause.request_answered(sent_at)),
+        }
+    }
+
     /// Counts a request that is sent to the target.
     pub fn begin(&mut self, now: Time, peers: u32) {
         if let Some(pace) = &mut self.pace {
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`load`] | which target gets a request |
 //! | [`pace`] | when a process may send to a target that bounds all processes |
 //! | [`announced`] | which announcements of a target are in force |
+//! | [`pause`] | when a target that wanted no requests gets some again |
 //! | [`peer_count`] | how many processes there are |
 //! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
@@ -40,6 +41,7 @@
 pub mod load;
 pub mod owners;
 pub mod pace;
+pub mod pause;
 pub mod peer_count;
 pub mod peer_view;
 pub mod quotas;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -68,6 +68,10 @@
 /// Why a target gets no further request of this process now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denial {
+    /// It leaves.
+    Leaving,
+    /// It wants no request of this process for the span.
+    Paused(Span),
     /// Connections to it failed a short time ago.
     Unreachable,
     /// It names a limit, and the share of this process is used up. The span is
@@ -193,13 +197,17 @@
         state
     }
 
-    /// Checks whether this process may send one more request to a target.
-    /// `peers` is the number of edge processes.
+    /// Checks whether a target may get one more request of this process, with a
+    /// key that it owns or without a key. `peers` is the number of edge processes.
     ///
     /// # Errors
     ///
     /// The reason why the target gets no request now.
-    pub fn check(&mut self, now: Time, target: &Target, peers: u32) -> Result<(), Denial> {
+    pub fn check(&mut self, now: Time, target: &Target, has_key: bool, peers: u32) -> Result<(), Denial> {
+        let serves = if has_key { target.serves_keys(now) } else { target.is_open() };
+        if !serves {
+            return Err(Denial::Leaving);
+        }
         let slots = target.entry.slots;
         let share = (OWN_SHARE_FACTOR * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
         let quota = self.quota(now, &target.entry.incarnation);
@@ -207,6 +215,14 @@
         if state.backoff_end > now {
             return Err(Denial::Unreachable);
         }
+        if let Some(pause) = state.announced.pause() {
+            if let Some(rest) = pause.rest(now) {
+                return Err(Denial::Paused(rest));
+            }
+            if pause.is_tentative() && state.in_flight > 0 {
+                return Err(Denial::Full);
+            }
+        }
         if let Some(pace) = state.announced.pace()
             && pace.next_slot(now, peers) > now
         {
@@ -220,10 +236,10 @@
         if has_share && total < FILL_FACTOR_MAX * f64::from(slots) { Ok(()) } else { Err(Denial::Full) }
     }
 
-    /// Returns whether this process may send one more request to a target, see
-    /// [`LocalLoads::check`].
+    /// Returns whether a target may get one more request of this process with a
+    /// key that it owns, see [`LocalLoads::check`].
     pub fn has_capacity(&mut self, now: Time, target: &Target, peers: u32) -> bool {
-        self.check(now, target, peers).is_ok()
+        self.check(now, target, true, peers).is_ok()
     }
 
     /// Returns the expected time of one more request with a body of `size`
@@ -261,11 +277,22 @@
         let mut groups = ranked.chunks(subset::width(ranked.len(), peers));
         groups.find_map(|ids| {
             let targets = ids.iter().filter_map(|id| directory.get(id));
-            let candidates = targets.filter(|t| t.is_open() && !avoid.contains(&t.entry.incarnation));
+            let candidates = targets.filter(|t| !avoid.contains(&t.entry.incarnation));
             self.choose_among(now, candidates, peers, size)
         })
     }
 
+    /// Returns why no target of a service gets a request without a key, if none
+    /// does: the reason that ends first, or `None` without a target.
+    pub fn denial(&mut self, now: Time, directory: &Directory, service: &str, peers: u32) -> Option<Denial> {
+        let denials = directory.of_service(service).filter_map(|t| self.check(now, t, false, peers).err());
+        denials.min_by_key(|denial| match denial {
+            Denial::Unreachable | Denial::NoQuota | Denial::Full => Span::ZERO,
+            Denial::Paused(rest) | Denial::Limited(rest) => *rest,
+            Denial::Leaving => Span::from_micros(u64::MAX),
+        })
+    }
+
     fn choose_among<'a>(
         &mut self,
         now: Time,
@@ -275,7 +302,7 @@
     ) -> Option<&'a Target> {
         let mut best: Option<(f64, &Target)> = None;
         for target in candidates {
-            if !self.has_capacity(now, target, peers) {
+            if self.check(now, target, false, peers).is_err() {
                 continue;
             }
             let expected_time = self.expected_time(now, target, peers, size);
@@ -433,6 +460,13 @@
         announced.limit() != last
     }
 
+    /// Records that an answer of a target asked for a pause, or that it did not;
+    /// the answered request was sent at `sent_at`.
+    pub fn observe_pause(&mut self, now: Time, incarnation: &Incarnation, span: Option<Span>, sent_at: Time) {
+        let phase = self.subsets.uniform(&incarnation.id);
+        self.state(incarnation).announced.observe_pause(now, span, sent_at, phase);
+    }
+
     /// Applies what other processes have observed of the limits of targets, as
     /// the leader said it after `sent_after`.
     pub fn learn_limits(
