--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -1,18 +1,15 @@
 //! One attempt: one send of a request to one target.
 
 use {
-    crate::{admit::Admitted, node::Node, serve::RoutedRequest},
+    crate::{admit::Admitted, announcements, node::Node, serve::RoutedRequest},
     actix_http::{
         HttpMessage, RequestHead, ResponseHead, StatusCode,
-        header::{
-            CONNECTION, CONTENT_LENGTH, DATE, EXPECT, HeaderName, HeaderValue, RETRY_AFTER,
-            TRANSFER_ENCODING, UPGRADE,
-        },
+        header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE},
     },
     catkin::types::{Span, Time},
     catkin_net::{Conn, HttpAnswer},
     catkin_platform::name,
-    catkin_route::{directory::Incarnation, load::Completion, rate::RequestRate},
+    catkin_route::{directory::Incarnation, load::Completion},
     std::{rc::Rc, time::Duration},
 };
 
@@ -80,7 +77,8 @@
     Some(head)
 }
 
-fn header_text<'a>(head: &'a ResponseHead, name: &HeaderName) -> Option<&'a str> {
+/// Returns the value of a header that is text.
+pub(crate) fn header_text<'a>(head: &'a ResponseHead, name: &HeaderName) -> Option<&'a str> {
     head.headers().get(name)?.to_str().ok()
 }
 
@@ -151,11 +149,7 @@
         // The answered request is still counted both by the target and here.
         node.loads.borrow_mut().record_report(now, incarnation, running + queued);
     }
-    if is_from(&reply.head, incarnation) {
-        note_leaving(node, incarnation, &reply.head);
-        note_pause(node, incarnation, &reply.head, sent_at);
-        note_limit(node, incarnation, &reply.head, sent_at);
-    }
+    announcements::note(node, incarnation, &reply.head, sent_at);
     // A late copy of an answer without an id could pass for the next one.
     if reply.reusable && reply.head.headers().contains_key(name::REQUEST_ID) {
         let keep_alive = header_text(&reply.head, &name::KEEP_ALIVE).and_then(name::parse_keep_alive);
@@ -164,67 +158,6 @@
     classify(node, incarnation, reply, &mut guard)
 }
 
-/// Returns whether an answer comes from an incarnation. Another target that has
-/// its address refuses the request as misdirected, with its own id.
-fn is_from(head: &ResponseHead, incarnation: &Incarnation) -> bool {
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return header_text(head, &name::INSTANCE) == Some(&*incarnation.id);
-    }
-    head.headers().contains_key(name::STAMP) || head.headers().contains_key(name::NOT_RUN)
-}
-
-/// Notes that a target says that it leaves.
-fn note_leaving(node: &Node, incarnation: &Incarnation, head: &ResponseHead) {
-    if header_text(head, &name::LEAVING).is_none_or(|value| value.trim() != "1") {
-        return;
-    }
-    if node.directory.borrow_mut().announce_leaving(node.now(), incarnation) {
-        log::info!(target_id = &*incarnation.id; "target leaves");
-        node.capacity_changed.notify_waiters();
-    }
-}
-
-/// Notes whether a target that turns a request away asks for a pause.
-fn note_pause(node: &Node, incarnation: &Incarnation, head: &ResponseHead, sent_at: Time) {
-    let date = header_text(head, &DATE);
-    let span = header_text(head, &RETRY_AFTER)
-        .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
-        .and_then(|text| name::parse_retry_after(text, date));
-    let is_refusal = head.headers().contains_key(name::NOT_RUN);
-    if span.is_none() && is_refusal {
-        return;
-    }
-    node.loads.borrow_mut().observe_pause(node.now(), incarnation, span, sent_at);
-    if let Some(span) = span
-        && node.log_limiter.allow(node.now(), "target wants no requests")
-    {
-        log::info!(target_id = &*incarnation.id, rest_ms = span.as_millis(); "target wants no requests");
-    }
-}
-
-/// Notes the limit that a target names in an answer. A refusal need not repeat
-/// it.
-fn note_limit(node: &Node, incarnation: &Incarnation, head: &ResponseHead, sent_at: Time) {
-    let has = |header: &HeaderName| head.headers().contains_key(header);
-    if !has(&name::STAMP) && !has(&name::LIMIT) {
-        return;
-    }
-    let limit = header_text(head, &name::LIMIT).map(str::parse::<RequestRate>);
-    let limit = match limit.transpose() {
-        Ok(limit) => limit,
-        Err(error) => {
-            if node.log_limiter.allow(node.now(), "invalid limit ignored") {
-                log::info!(target_id = &*incarnation.id, error:display; "invalid limit ignored");
-            }
-            return;
-        }
-    };
-    if node.loads.borrow_mut().observe_limit(node.now(), incarnation, limit, sent_at) {
-        let limit = limit.map(|limit| limit.to_string());
-        log::info!(target_id = &*incarnation.id, limit; "limit of a target changed");
-    }
-}
-
 fn classify(
     node: &Node,
     incarnation: &Incarnation,
--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -12,6 +12,7 @@
 //! | `serve` | one request: route, attempts, the final answer |
 //! | `admit` | selects the target of an attempt, and waits for capacity |
 //! | `attempt` | one send of a request to one target |
+//! | `announcements` | what targets announce in the heads of their answers |
 //! | `pool` | idle connections to targets |
 //! | `feed` | read position in a topic, and its recent changes |
 //! | `sync` | reads configuration, directory and owners from the store |
@@ -25,6 +26,7 @@
 mod accept;
 mod admin;
 mod admit;
+mod announcements;
 mod attempt;
 mod feed;
 mod lead;
--- a/crates/catkin-edge/tests/announced.rs
+++ b/crates/catkin-edge/tests/announced.rs
@@ -4,9 +4,8 @@
 
 use {
     catkin_standin::users::StoreMode,
-    common::Fleet,
+    common::{Fleet, Tally},
     std::{
-        cell::Cell,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -21,20 +20,6 @@
     actix_rt::time::sleep(Duration::from_millis(millis)).await;
 }
 
-/// Counts of lookups.
-#[derive(Clone, Debug, Default)]
-struct Tally {
-    served: Rc<Cell<u32>>,
-    unserved: Rc<Cell<u32>>,
-}
-
-impl Tally {
-    /// Returns the share of the lookups that were served.
-    fn served_share(&self) -> f64 {
-        f64::from(self.served.get()) / f64::from(self.served.get() + self.unserved.get()).max(1.0)
-    }
-}
-
 /// Sends lookups of keys all over the range to all processes, at regular
 /// intervals whether they are answered or not.
 async fn load(fleet: &Rc<Fleet>, per_second: u64, span: Duration) -> Tally {
@@ -49,12 +34,7 @@
         let (fleet, tally) = (fleet.clone(), tally.clone());
         lookups.push(actix_rt::spawn(async move {
             let edge = &fleet.edges[usize::from(number) % fleet.edges.len()];
-            let response = fleet.get(edge, key).await;
-            let count = match response.is_some_and(|response| response.status == 200) {
-                true => &tally.served,
-                false => &tally.unserved,
-            };
-            count.set(count.get() + 1);
+            tally.count(fleet.get(edge, key).await.as_ref());
         }));
         sleep(1_000 / per_second).await;
     }
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -152,6 +152,27 @@
     pub(crate) closes: bool,
 }
 
+/// Counts of served and other requests.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) served: Rc<Cell<u32>>,
+    pub(crate) unserved: Rc<Cell<u32>>,
+}
+
+impl Tally {
+    /// Counts a response, or that there was none.
+    pub(crate) fn count(&self, response: Option<&Response>) {
+        let is_served = response.is_some_and(|response| response.status == 200);
+        let count = if is_served { &self.served } else { &self.unserved };
+        count.set(count.get() + 1);
+    }
+
+    /// Returns the share of the requests that were served.
+    pub(crate) fn served_share(&self) -> f64 {
+        f64::from(self.served.get()) / f64::from(self.served.get() + self.unserved.get()).max(1.0)
+    }
+}
+
 /// Store, servers and edge processes of one test.
 pub(crate) struct Fleet {
     pub(crate) store: Store,
--- a/crates/catkin-edge/tests/soak.rs
+++ b/crates/catkin-edge/tests/soak.rs
@@ -13,7 +13,7 @@
     actix_http::Method,
     bytes::Bytes,
     catkin_standin::users::{Config, Route, Server, ServerFaults, StoreMode, put_config},
-    common::{Fleet, ProxyMode, open, plan, send_on},
+    common::{Fleet, ProxyMode, Tally, open, plan, send_on},
     nix::sys::signal::Signal,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -41,13 +41,6 @@
     actix_rt::time::sleep(Duration::from_millis(millis)).await;
 }
 
-/// Counts of served and other requests.
-#[derive(Clone, Debug, Default)]
-struct Tally {
-    served: Rc<Cell<u32>>,
-    unserved: Rc<Cell<u32>>,
-}
-
 /// Sends random requests until `stop` is set. Reuses the connection until it
 /// closes.
 async fn call(fleet: Rc<Fleet>, seed: u64, stop: Rc<Cell<bool>>, tally: Tally) {
@@ -75,11 +68,7 @@
         let body = if size > 0 { vec![Bytes::from(vec![1; size])] } else { Vec::new() };
         let sent = tokio::time::timeout(timeout, send_on(open, method, path, &id, key, body)).await;
         let response = fleet.check_response(&id, sent.ok().flatten(), once);
-        let count = match &response {
-            Some(response) if response.status == 200 => &tally.served,
-            _ => &tally.unserved,
-        };
-        count.set(count.get() + 1);
+        tally.count(response.as_ref());
         if response.is_none_or(|response| response.closes) {
             conn = None;
         }
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -1,31 +1,26 @@
 //! Chooses the target of a request, from what this process knows of the
 //! targets' load.
 
+mod state;
+
+pub use state::Denial;
+
 use {
     crate::{
-        announced::{Announced, LimitReport},
+        announced::LimitReport,
         directory::{Directory, Incarnation, Target},
         quotas::{Counts, TargetQuota},
         rate::RequestRate,
         subset::{self, Subsets},
     },
     catkin::types::{Span, Time},
+    state::{QuotaState, TargetState},
     std::{collections::HashMap, sync::Arc},
 };
 
 /// Weight of a new measurement in the mean service time of a target.
 const SERVICE_TIME_WEIGHT: f64 = 0.15;
 
-/// Service time of a target before it was measured, in seconds.
-const SERVICE_TIME_DEFAULT_S: f64 = 0.1;
-
-/// Half-life of the count of other callers' requests that a target reported.
-const REPORT_HALF_LIFE: Span = Span::from_millis(400);
-
-/// Number of processes up to which that half-life holds; above, it grows in
-/// proportion.
-const HALF_LIFE_PEERS: f64 = 12.0;
-
 /// Weight of a new result in the failure rate of a target.
 const FAILURE_RATE_WEIGHT: f64 = 0.15;
 
@@ -53,97 +48,10 @@
 /// answer nothing any more once it is full.
 pub const FILL_FACTOR_MAX: f64 = 2.5;
 
-/// Requests that one process may have at a target, as a multiple of its even
-/// share of the slots: callers are spread unevenly over the processes, and
-/// reports bound the sum.
-const OWN_SHARE_FACTOR: f64 = 2.5;
-
-/// Requests that one process may have at a target however small its share is.
-const OWN_REQUESTS_MIN: u32 = 2;
-
 /// Time after which a received quota expires. It covers two reports to
 /// the leader.
 const QUOTA_TTL: Span = Span::from_millis(1_200);
 
-/// Why a target gets no further request of this process now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Denial {
-    /// It leaves.
-    Leaving,
-    /// It wants no request of this process for the span.
-    Paused(Span),
-    /// Connections to it failed a short time ago.
-    Unreachable,
-    /// It names a limit, and the share of this process is used up. The span is
-    /// the mean time until any process may send it a request.
-    Limited(Span),
-    /// It is busy, and the quota of this process is used up.
-    NoQuota,
-    /// It has as many requests as it should have.
-    Full,
-}
-
-/// What this process knows of one target.
-#[derive(Clone, Debug)]
-struct TargetState {
-    incarnation: Incarnation,
-    in_flight: u32,
-    /// Mean service time, without queueing, in seconds.
-    service_time: f64,
-    others_reported: f64,
-    reported_at: Time,
-    /// Requests that the target reported with the last answer.
-    reported_load: f64,
-    /// Whether the service time was measured since the last report to the
-    /// leader.
-    measured: bool,
-    failure_rate: f64,
-    backoff: Span,
-    backoff_end: Time,
-    /// Requests of this process that are queued for the target.
-    queued: u32,
-    announced: Announced,
-}
-
-/// This process's quota at a target.
-#[derive(Clone, Copy, Debug)]
-struct QuotaState {
-    expiry: Time,
-    /// Requests that this process may still send.
-    left: u32,
-    /// Queue length: queued requests of all processes for the target.
-    queue_length: u32,
-}
-
-impl TargetState {
-    fn new(incarnation: Incarnation) -> Self {
-        let zero = Time::default();
-        Self {
-            incarnation,
-            in_flight: 0,
-            service_time: SERVICE_TIME_DEFAULT_S,
-            others_reported: 0.0,
-            reported_at: zero,
-            reported_load: 0.0,
-            measured: false,
-            failure_rate: 0.0,
-            backoff: Span::ZERO,
-            backoff_end: zero,
-            queued: 0,
-            announced: Announced::default(),
-        }
-    }
-
-    /// Returns the estimated number of requests of other processes at the
-    /// target. With more processes each receives reports of a target less
-    /// often, so the half-life grows.
-    fn others(&self, now: Time, peers: u32) -> f64 {
-        let half_life = REPORT_HALF_LIFE.as_secs_f64() * (f64::from(peers) / HALF_LIFE_PEERS).max(1.0);
-        let half_lives = now.since(self.reported_at).as_secs_f64() / half_life;
-        self.others_reported * 0.5_f64.powf(half_lives)
-    }
-}
-
 /// How an attempt at a target ended, for the estimates of the target's load,
 /// service time and failure rate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -208,32 +116,8 @@
         if !serves {
             return Err(Denial::Leaving);
         }
-        let slots = target.entry.slots;
-        let share = (OWN_SHARE_FACTOR * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
         let quota = self.quota(now, &target.entry.incarnation);
-        let state = self.state(&target.entry.incarnation);
-        if state.backoff_end > now {
-            return Err(Denial::Unreachable);
-        }
-        if let Some(pause) = state.announced.pause() {
-            if let Some(rest) = pause.rest(now) {
-                return Err(Denial::Paused(rest));
-            }
-            if pause.is_tentative() && state.in_flight > 0 {
-                return Err(Denial::Full);
-            }
-        }
-        if let Some(pace) = state.announced.pace()
-            && pace.next_slot(now, peers) > now
-        {
-            return Err(Denial::Limited(pace.fleet_interval()));
-        }
-        if let Some(quota) = quota {
-            return if quota.left > 0 { Ok(()) } else { Err(Denial::NoQuota) };
-        }
-        let total = f64::from(state.in_flight) + state.others(now, peers);
-        let has_share = state.in_flight < share.max(OWN_REQUESTS_MIN);
-        if has_share && total < FILL_FACTOR_MAX * f64::from(slots) { Ok(()) } else { Err(Denial::Full) }
+        self.state(&target.entry.incarnation).check(now, target.entry.slots, quota, peers)
     }
 
     /// Returns whether a target may get one more request of this process with a
--- a/crates/catkin-standin/src/users/mod.rs
+++ b/crates/catkin-standin/src/users/mod.rs
@@ -7,6 +7,7 @@
 //! that was refused as not run but ran, and work with a fence lower than one that
 //! another server used.
 
+mod announcements;
 mod invariants;
 mod operator;
 mod server;
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -2,7 +2,7 @@
 //! topic `keyed.servers`.
 
 use {
-    super::{invariants::InvariantChecker, store::Store},
+    super::{announcements::Announcements, invariants::InvariantChecker, store::Store},
     crate::body::{self, header_text},
     actix_http::{Request, Response, ResponseBuilder, StatusCode, body::BoxBody},
     catkin_net::{listen, reply_text},
@@ -65,70 +65,7 @@
     received: Cell<u32>,
     faults: Cell<ServerFaults>,
     grants: RefCell<Vec<Grant>>,
-    limit: RefCell<Option<NamedLimit>>,
-    /// When an answer first said that the server leaves, if it says so.
-    leaving: Cell<Option<Leaving>>,
-    pause: RefCell<Option<Pause>>,
-}
-
-/// That the server says in its answers that it leaves.
-#[derive(Clone, Copy, Debug)]
-struct Leaving {
-    /// Time after the first such answer from which on no request may arrive.
-    drain_time: Duration,
-    /// When it first answered so.
-    since: Option<Instant>,
-}
-
-/// A time in which the server refuses all requests and says for how long.
-#[derive(Debug)]
-struct Pause {
-    since: Instant,
-    until: Instant,
-    /// Number of callers that it has answered so.
-    callers: usize,
-    /// Requests that arrived later than [`PAUSE_GRACE`] after its start.
-    late: usize,
-}
-
-/// Time after the start of a pause in which requests are on their way.
-const PAUSE_GRACE: Duration = Duration::from_millis(500);
-
-/// Later requests of each caller that are no violation.
-const PAUSE_REQUESTS_MAX: usize = 2;
-
-/// A limit that the server names in its answers.
-#[derive(Debug)]
-struct NamedLimit {
-    per_second: f64,
-    since: Instant,
-    /// Times of the requests since.
-    arrivals: Vec<Instant>,
-}
-
-/// Time after a server named its limit from which on it is checked.
-const LIMIT_GRACE: Duration = Duration::from_secs(3);
-
-/// Span in which the requests at a server with a limit are counted.
-const LIMIT_WINDOW: Duration = Duration::from_secs(4);
-
-/// Requests in that span, as a multiple of the limit and in addition to it, that
-/// are no violation.
-const LIMIT_FACTOR: f64 = 1.5;
-const LIMIT_SLACK: f64 = 5.0;
-
-impl NamedLimit {
-    /// Returns the most requests in one window, if they are too many.
-    fn excess(&self) -> Option<usize> {
-        let checked = self.arrivals.iter().filter(|at| **at - self.since >= LIMIT_GRACE);
-        let checked: Vec<&Instant> = checked.collect();
-        let in_window = |(i, from): (usize, &&Instant)| {
-            checked[i..].iter().filter(|at| ***at - **from < LIMIT_WINDOW).count()
-        };
-        let most = checked.iter().enumerate().map(in_window).max().unwrap_or(0);
-        let allowed = LIMIT_FACTOR * LIMIT_WINDOW.as_secs_f64() * self.per_second + LIMIT_SLACK;
-        (most as f64 > allowed).then_some(most)
-    }
+    announcements: RefCell<Announcements>,
 }
 
 /// A server. Clones share its state.
@@ -178,9 +115,7 @@
             received: Cell::new(0),
             faults: Cell::default(),
             grants: RefCell::default(),
-            limit: RefCell::default(),
-            leaving: Cell::default(),
-            pause: RefCell::default(),
+            announcements: RefCell::default(),
         };
         Self { inner: Rc::new(inner) }
     }
@@ -218,76 +153,32 @@
     /// Names a limit in requests per second in all further answers, or none. The
     /// limit before ends with a violation if the server got too many requests.
     pub fn set_limit(&self, per_second: Option<f64>) {
-        let limit = per_second.map(|per_second| NamedLimit {
-            per_second,
-            since: Instant::now(),
-            arrivals: Vec::new(),
-        });
-        if let Some(ended) = self.inner.limit.replace(limit)
-            && self.inner.checker.is_calm_since(ended.since)
-            && let Some(count) = ended.excess()
-        {
-            let NamedLimit { per_second, .. } = ended;
-            let id = &self.inner.id;
-            self.inner.checker.add_violation(format!(
-                "{id} got {count} requests in {LIMIT_WINDOW:?} beside a limit of {per_second} per second"
-            ));
-        }
+        let inner = &self.inner;
+        inner.announcements.borrow_mut().set_limit(&inner.id, &inner.checker, per_second);
     }
 
     /// Says in all further answers that the server leaves; its entry still says
     /// `ready`. A request that arrives later than `drain_time` after the first
     /// such answer is a violation.
     pub fn announce_leaving(&self, drain_time: Duration) {
-        self.inner.leaving.set(Some(Leaving { drain_time, since: None }));
+        self.inner.announcements.borrow_mut().set_leaving(Some(drain_time));
     }
 
     /// Stops saying that the server leaves, as after a restart.
     pub fn stay(&self) {
-        self.inner.leaving.set(None);
+        self.inner.announcements.borrow_mut().set_leaving(None);
     }
 
     /// Refuses all requests for a time with the rest of it as `Retry-After`.
     /// More than two later requests of each of the `callers` are a violation.
     pub fn pause(&self, span: Duration, callers: usize) {
-        let now = Instant::now();
-        *self.inner.pause.borrow_mut() = Some(Pause { since: now, until: now + span, callers, late: 0 });
+        self.inner.announcements.borrow_mut().pause(span, callers);
     }
 
     /// Returns how many requests arrived in the last pause when it had been
     /// announced.
     pub fn late_requests(&self) -> usize {
-        self.inner.pause.borrow().as_ref().map_or(0, |pause| pause.late)
-    }
-
-    /// Returns the rest of the pause, and checks the number of requests in it.
-    fn check_pause(&self) -> Option<Duration> {
-        let mut pause = self.inner.pause.borrow_mut();
-        let pause = pause.as_mut()?;
-        let now = Instant::now();
-        let rest = pause.until.checked_duration_since(now)?;
-        if now - pause.since > PAUSE_GRACE {
-            pause.late += 1;
-            let is_excused = !self.inner.checker.is_calm_since(pause.since);
-            if pause.late > PAUSE_REQUESTS_MAX * pause.callers && !is_excused {
-                let (id, count) = (&self.inner.id, pause.late);
-                self.inner.checker.add_violation(format!("{id} got {count} requests in its pause"));
-            }
-        }
-        Some(rest)
-    }
-
-    /// Checks that no request arrives once the server has left.
-    fn check_leaving(&self) {
-        let Some(leaving) = self.inner.leaving.get() else { return };
-        let since = leaving.since.unwrap_or_else(Instant::now);
-        self.inner.leaving.set(Some(Leaving { since: Some(since), ..leaving }));
-        if since.elapsed() > leaving.drain_time && self.inner.checker.is_calm_since(since) {
-            let (id, late) = (&self.inner.id, since.elapsed());
-            self.inner
-                .checker
-                .add_violation(format!("{id} got a request {late:?} after it said that it leaves"));
-        }
+        self.inner.announcements.borrow().late_requests()
     }
 
     /// Announces that the server leaves, by the state `draining` in its entry.
@@ -409,12 +300,8 @@
         let key: u16 = header_text(&request, "x-shard-key").and_then(|k| k.parse().ok()).unwrap_or(0);
         let fence = if inner.keyed { self.fence_of(key) } else { Some(0) };
         let Some(fence) = fence else { return not_run(421).finish().map_into_boxed_body() };
-        let limit = inner.limit.borrow_mut().as_mut().map(|limit| {
-            limit.arrivals.push(Instant::now());
-            limit.per_second.to_string()
-        });
-        self.check_leaving();
-        if let Some(rest) = self.check_pause() {
+        let announced = inner.announcements.borrow_mut().arrive(&inner.id, &inner.checker);
+        if let Some(rest) = announced.rest {
             let rest = format!("{:.3}", rest.as_secs_f64());
             return not_run(503).insert_header(("retry-after", rest)).finish().map_into_boxed_body();
         }
@@ -438,10 +325,10 @@
         let status =
             if every(faults.fail_every) { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
         let mut response = Response::build(status);
-        if let Some(limit) = limit {
-            response.insert_header(("server-limit", limit));
+        if let Some(limit) = announced.limit {
+            response.insert_header(("server-limit", limit.to_string()));
         }
-        if inner.leaving.get().is_some() {
+        if announced.leaves {
             response.insert_header(("server-leaving", "1"));
         }
         response
