--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -120,7 +120,7 @@
     place: &mut QueuePlace<'_>,
 ) -> Result<Admitted, AdmitError> {
     let directory = node.directory.borrow();
-    let peers = node.peer_count.get().get();
+    let peers = node.peers();
     let Some(key) = routed.key else {
         let mut loads = node.loads.borrow_mut();
         let size = routed.incoming.body.iter().map(Bytes::len).sum();
--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -48,7 +48,7 @@
 impl<'a> InFlightGuard<'a> {
     fn new(node: &'a Node, target: &'a Admitted) -> Self {
         let start = node.now();
-        node.loads.borrow_mut().begin(start, &target.incarnation, node.peer_count.get().get());
+        node.loads.borrow_mut().begin(start, &target.incarnation, node.peers());
         Self { node, target, start, completion: Completion::Cancelled }
     }
 }
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -153,7 +153,7 @@
 fn apply_loads(node: &Node, now: Time, levels: Option<&Vec<Levels>>, use_quotas: bool, allotted: &Counts) {
     let (directory, config) = (node.directory.borrow(), node.config.borrow());
     let mut loads = node.loads.borrow_mut();
-    let peers = node.peer_count.get().get();
+    let peers = node.peers();
     let mut quotas = Vec::new();
     let mut is_complete = levels.is_some();
     for levels in levels.into_iter().flatten() {
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -226,10 +226,15 @@
         self.settings.cores >= STRONG_CORES_MIN && self.settings.bandwidth >= STRONG_BANDWIDTH_MIN_MBPS
     }
 
+    /// Returns the number of edge processes, at least 1.
+    pub(crate) fn peers(&self) -> u32 {
+        self.peer_count.get().get()
+    }
+
     /// Returns whether the fleet is large, so that each process reports less
     /// often.
     pub(crate) fn is_large_fleet(&self) -> bool {
-        self.peer_count.get().get() >= LARGE_FLEET_MIN
+        self.peers() >= LARGE_FLEET_MIN
     }
 
     /// Replaces the table of owners unless a newer one is known.
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -146,7 +146,7 @@
     log::info!(
         id = &*routed.id, route = &*routed.route.name, service = &*routed.service, key = routed.key,
         status = answer.status.as_u16(), stamp = header_text(&name::STAMP), took_ms = took.as_millis(),
-        config = config.version, owners, peers = node.peer_count.get().get();
+        config = config.version, owners, peers = node.peers();
         "{message}"
     );
 }
@@ -174,7 +174,7 @@
                 break error.code();
             }
         };
-        let peers = node.peer_count.get().get();
+        let peers = node.peers();
         if attempts.reached() > 0 && !node.budget.borrow_mut().take_retry(node.now(), &routed.service, peers)
         {
             break Code::RetryBudget;
