--- a/crates/catkin-edge/tests/soak.rs
+++ b/crates/catkin-edge/tests/soak.rs
@@ -34,6 +34,9 @@
 /// Number of faults of a run.
 const FAULTS: u32 = 14;
 
+/// Number of faults for each announcement of a server.
+const ANNOUNCEMENT_EVERY: u32 = 3;
+
 /// Number of callers of a run.
 const CALLERS: u64 = 6;
 
@@ -90,9 +93,7 @@
 /// Injects one random fault, and ends it after a random time.
 async fn fault(fleet: Rc<Fleet>, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let (kind, i) = (random.random_range(0..11), random.random_range(0..EDGES));
-    let server = random.random_range(0..fleet.servers.len());
-    let server = &fleet.servers[server];
+    let (kind, i) = (random.random_range(0..8), random.random_range(0..EDGES));
     if kind < 3 {
         fleet.checker.record_disturbance();
     }
@@ -137,14 +138,25 @@
                 unanswered_commands: random.random_bool(0.3),
                 unpublished: random.random_bool(0.3),
             };
+            let server = &fleet.servers[random.random_range(0..fleet.servers.len())];
             server.set_faults(faults);
             sleep(wait).await;
             server.set_faults(ServerFaults::default());
         }
         6 => fleet.servers[random.random_range(0..3)].restart(),
-        7 => fleet.store.compact(["keyed.op", "keyed.servers", "keyed.owners"][i]),
-        8 => server.pause(Duration::from_millis(wait), EDGES),
-        9 => {
+        _ => fleet.store.compact(["keyed.op", "keyed.servers", "keyed.owners"][i]),
+    }
+}
+
+/// Lets a random server announce something in its answers for a random time.
+async fn announce(fleet: Rc<Fleet>, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let (kind, wait) = (random.random_range(0..3), random.random_range(300..4_000));
+    let server = &fleet.servers[random.random_range(0..fleet.servers.len())];
+    println!("  announcement {kind} for {wait} ms");
+    match kind {
+        0 => server.pause(Duration::from_millis(wait), EDGES),
+        1 => {
             server.set_limit(Some(f64::from(random.random_range(1..20))));
             sleep(4_000 + wait).await;
             server.set_limit(None);
@@ -188,6 +200,10 @@
         routes.push(route);
         put_config(&fleet.store, &Config { routes, ..plan(2 + version) });
         faults.push(actix_rt::spawn(fault(fleet.clone(), random.random())));
+        if version % ANNOUNCEMENT_EVERY == 0 {
+            // Seeds of their own keep the faults of earlier regressions.
+            faults.push(actix_rt::spawn(announce(fleet.clone(), seed * 1_000 + u64::from(version))));
+        }
         sleep(random.random_range(0..1_200)).await;
     }
     for fault in faults {
