--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -40,6 +40,8 @@
     answers: Arc<Mutex<HashMap<String, Option<u16>>>>,
     /// Keys that get two of five requests, if there are any.
     busy: Arc<Mutex<Vec<u16>>>,
+    /// When each request was sent and how long it took, also without an answer.
+    times: Arc<Mutex<Vec<(f64, Duration)>>>,
 }
 
 struct Habit {
@@ -55,10 +57,10 @@
     fn start(record: &Record, edges: Vec<SocketAddr>, habit: Habit) -> Self {
         let habit = Arc::new(habit);
         let (stopped, answers) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(HashMap::new())));
-        let busy = Arc::new(Mutex::new(Vec::new()));
+        let (busy, times) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
         let client = |number: u64| {
             let (record, habit, stopped) = (record.clone(), habit.clone(), stopped.clone());
-            let busy: Arc<Mutex<Vec<u16>>> = busy.clone();
+            let (busy, times): (Arc<Mutex<Vec<u16>>>, _) = (busy.clone(), times.clone());
             let (answers, addr) = (answers.clone(), edges[number as usize % edges.len()]);
             thread::spawn(move || {
                 let mut random = Random(number + 1);
@@ -83,8 +85,10 @@
                         deadline: habit.deadline,
                         body: b"",
                     };
+                    let (start, sent_at) = (record.seconds(), Instant::now());
                     let sent = conn.take().map_or_else(|| Conn::open(addr), Ok);
                     let answer = sent.and_then(|mut open| Ok((open.send(&request)?, open)));
+                    times.lock().unwrap().push((start, sent_at.elapsed()));
                     let mut pause = habit.pause;
                     match answer {
                         Ok((answer, open)) => {
@@ -104,7 +108,7 @@
             })
         };
         let threads = (0..habit.count).map(client).collect();
-        Self { stopped, threads, answers, busy }
+        Self { stopped, threads, answers, busy, times }
     }
 
     fn stop(self) -> HashMap<String, Option<u16>> {
@@ -366,3 +370,42 @@
     count(record, &clients.stop());
     Ok(())
 }
+
+/// CONFIG: clients send at an even rate to one process. With the disruption, the
+/// collector of its logs reads nothing for 15 s.
+pub fn logs(record: &Record, trouble: bool) -> io::Result<()> {
+    const TIMEOUT: Duration = Duration::from_millis(800);
+    const LATE: Duration = Duration::from_millis(500);
+    let work = |request: &Message| Duration::from_millis(50 + hash(request) % 100);
+    let specs: Vec<Spec> = (0..4).map(|i| spec(format!("i-{i}"), "planoteca", true, 24, work)).collect();
+    let routes = [Route { prefix: "/leny950/", kind: "idempotent", service: "planoteca", aim_ms: 400, timeout_ms: 800 }];
+    let fleet = Fleet::start(record, 2, &[], &routes, &[("planoteca", true)], &specs, "/leny950/probe")?;
+    let habit = Habit {
+        count: 40,
+        pause: Duration::from_millis(250),
+        method: "GET",
+        path: "/leny950/2f",
+        deadline: Duration::from_millis(2_000),
+    };
+    let clients = Clients::start(record, vec![fleet.edges[0].callers], habit);
+    let start = record.seconds();
+    fleet.sleep_until(start + 8.0);
+    if trouble {
+        record.add("disruption: the collector of the first process's logs stops reading");
+        fleet.edges[0].logs_paused.store(true, Ordering::SeqCst);
+    }
+    fleet.sleep_until(start + 23.0);
+    record.add("disruption ends: the collector reads again");
+    fleet.edges[0].logs_paused.store(false, Ordering::SeqCst);
+    fleet.sleep_until(start + 30.0);
+    let times = clients.times.clone();
+    count(record, &clients.stop());
+    let times = times.lock().unwrap();
+    let unanswered = times.iter().filter(|(_, took)| *took > TIMEOUT).count();
+    let late = times.iter().filter(|(_, took)| *took > TIMEOUT + LATE).count();
+    record.add(format!("{unanswered} requests were unanswered at the route's timeoutMs, {late} of them half a second later"));
+    if unanswered >= 8 && late * 2 > unanswered {
+        record.breaks(format!("CONFIG: {late} of {unanswered} requests that were unanswered at the route's timeoutMs had no answer half a second later"));
+    }
+    Ok(())
+}
--- a/review/standin/edge.rs
+++ b/review/standin/edge.rs
@@ -4,10 +4,15 @@
 use {
     std::{
         fs::{self, File},
-        io,
+        io::{self, Read, Write},
         net::{IpAddr, SocketAddr, TcpListener},
         path::Path,
         process::{Child, Command, Stdio},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
         time::Duration,
     },
 };
@@ -22,6 +27,8 @@
     pub callers: SocketAddr,
     pub admin: SocketAddr,
     child: Child,
+    /// Whether the collector of logs reads nothing.
+    pub logs_paused: Arc<AtomicBool>,
 }
 
 fn free_port(ip: IpAddr) -> io::Result<u16> {
@@ -80,8 +87,13 @@
         let settings = folder.join(format!("{name}.yaml"));
         fs::write(&settings, text)?;
         let log = folder.join(format!("{name}.log"));
-        let child = spawn(&settings, &log)?;
-        Ok(Self { callers, admin, child })
+        let mut child = spawn(&settings)?;
+        let logs_paused = Arc::<AtomicBool>::default();
+        if let Some(stdout) = child.stdout.take() {
+            let (log, paused) = (File::create(log)?, logs_paused.clone());
+            thread::spawn(move || collect(stdout, log, &paused));
+        }
+        Ok(Self { callers, admin, child, logs_paused })
     }
 
     pub fn signal(&self, signal: i32) {
@@ -107,14 +119,27 @@
     }
 }
 
+/// Reads what a process logs, as the platform does, and keeps it in a file.
+fn collect(mut stdout: impl Read, mut log: File, paused: &AtomicBool) {
+    let mut buffer = vec![0; 16 << 10];
+    loop {
+        while paused.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        match stdout.read(&mut buffer) {
+            Ok(0) | Err(_) => return,
+            Ok(count) => drop(log.write_all(&buffer[..count])),
+        }
+    }
+}
+
 /// Starts the command of the deploy file.
-fn spawn(settings: &Path, log: &Path) -> io::Result<Child> {
+fn spawn(settings: &Path) -> io::Result<Child> {
     let deploy = fs::read_to_string("deploy/system.toml")?;
     let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
     let mut words = run.ok_or_else(|| io::Error::other("no command in the deploy file"))?.split(' ');
     let program = words.next().unwrap_or("");
-    let log = File::options().create(true).append(true).open(log)?;
     let mut command = Command::new(program);
     command.args(words).env_clear().env("CATKINHUB_CONFIG", settings);
-    command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn()
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -27,6 +27,7 @@
         "release-copy" => cases::release_copy(&record, trouble),
         "refusal-copy" => cases::refusal_copy(&record, trouble),
         "grace" => cases::grace(&record, trouble),
+        "logs" => cases::logs(&record, trouble),
         "old-entry" => cases::old_entry(&record, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
