--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/standins release-copy review/1
+exec target/review/standins restart review/1
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -120,6 +120,50 @@
     }
 }
 
+/// Time from the end of a server's process to its next start.
+const DOWN_TIME: Duration = Duration::from_millis(150);
+
+/// Time until the entry of a process that has started again is in the store;
+/// the site file has `lag_ms = 800`.
+const ENTRY_LAG: Duration = Duration::from_millis(400);
+
+/// Looks for keys that two servers hold.
+struct Watch {
+    stopped: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Watch {
+    fn start(record: &Record, world: &Arc<World>) -> Self {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let (record, world, end) = (record.clone(), world.clone(), stopped.clone());
+        let thread = thread::spawn(move || {
+            let mut since: HashMap<(u16, u16, String), Instant> = HashMap::new();
+            let mut reported: Vec<(u16, u16, String)> = Vec::new();
+            while !end.load(Ordering::SeqCst) {
+                let now = Instant::now();
+                let held = world.held_twice();
+                since.retain(|range, _| held.contains(range));
+                for range in held {
+                    let first = *since.entry(range.clone()).or_insert(now);
+                    if now - first > Duration::from_millis(500) && !reported.contains(&range) {
+                        let (from, to, text) = &range;
+                        record.breaks(format!("OWNER: keys {from} to {to} are held for over 500 ms by {text}"));
+                        reported.push(range);
+                    }
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+        });
+        Self { stopped, thread }
+    }
+
+    fn stop(self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        let _ = self.thread.join();
+    }
+}
+
 fn callers(fleet: &Fleet) -> Vec<SocketAddr> {
     fleet.edges.iter().map(|edge| edge.callers).collect()
 }
@@ -314,28 +358,7 @@
     };
     let clients = Clients::start(record, callers(&fleet), habit);
     let start = record.seconds();
-    let stopped = Arc::new(AtomicBool::new(false));
-    let watch = {
-        let (record, world, stopped) = (record.clone(), fleet.world.clone(), stopped.clone());
-        thread::spawn(move || {
-            let mut since: HashMap<(u16, u16, String), Instant> = HashMap::new();
-            let mut reported: Vec<(u16, u16, String)> = Vec::new();
-            while !stopped.load(Ordering::SeqCst) {
-                let now = Instant::now();
-                let held = world.held_twice();
-                since.retain(|range, _| held.contains(range));
-                for range in held {
-                    let first = *since.entry(range.clone()).or_insert(now);
-                    if now - first > Duration::from_millis(500) && !reported.contains(&range) {
-                        let (from, to, text) = &range;
-                        record.breaks(format!("OWNER: keys {from} to {to} are held for over 500 ms by {text}"));
-                        reported.push(range);
-                    }
-                }
-                thread::sleep(Duration::from_millis(20));
-            }
-        })
-    };
+    let watch = Watch::start(record, &fleet.world);
     fleet.sleep_until(start + 8.0);
     let late = trouble.then(|| fleet.servers[0].entry("ready"));
     let mut born_at = Instant::now();
@@ -345,7 +368,7 @@
         fleet.sleep_until(start + 8.05);
         server.end();
         fleet.sleep_until(start + 8.55);
-        let next = Server::start(&fleet.world, &store, ip(100), server.addr.port(), &specs[0], unix_millis())?;
+        let next = Server::start(&fleet.world, &store, ip(100), server.addr.port(), &specs[0], unix_millis(), Duration::ZERO)?;
         born_at = Instant::now();
         record.add(format!("server {} has started again (born {})", next.id, next.born));
         fleet.servers.push(next);
@@ -365,8 +388,44 @@
         record.add(format!("server {} writes its entry again (born {})", next.id, next.born));
     }
     fleet.sleep_until(start + 22.0);
-    stopped.store(true, Ordering::SeqCst);
-    let _ = watch.join();
+    watch.stop();
+    count(record, &clients.stop());
+    Ok(())
+}
+
+/// OWNER: with the disruption, servers end one after the other and start again
+/// under their ids a moment later.
+pub fn restart(record: &Record, trouble: bool) -> io::Result<()> {
+    let work = |request: &Message| Duration::from_millis(50 + hash(request) % 100);
+    let specs: Vec<Spec> = (0..8).map(|i| spec(format!("i-{i}"), "planoteca", true, 24, work)).collect();
+    let routes = [Route { prefix: "/leny950/", kind: "idempotent", service: "planoteca", aim_ms: 400, timeout_ms: 1_000 }];
+    let mut fleet = Fleet::start(record, 3, &[], &routes, &[("planoteca", true)], &specs, "/leny950/probe")?;
+    let habit = Habit {
+        count: 30,
+        pause: Duration::from_millis(200),
+        method: "GET",
+        path: "/leny950/2f",
+        deadline: Duration::from_millis(1_000),
+    };
+    let clients = Clients::start(record, callers(&fleet), habit);
+    let watch = Watch::start(record, &fleet.world);
+    let start = record.seconds();
+    for i in 0..4 {
+        fleet.sleep_until(start + 8.0 + 8.0 * i as f64);
+        if trouble {
+            let server = &fleet.servers[i];
+            record.add(format!("disruption: server {} ends and starts again", server.id));
+            server.end();
+            thread::sleep(DOWN_TIME);
+            let port = server.addr.port();
+            let (address, born) = (ip(100 + i as u8), unix_millis());
+            let next = Server::start(&fleet.world, &fleet.store, address, port, &specs[i], born, ENTRY_LAG)?;
+            record.add(format!("server {} has started again (born {})", next.id, next.born));
+            fleet.servers[i] = next;
+        }
+    }
+    fleet.sleep_until(start + 40.0);
+    watch.stop();
     count(record, &clients.stop());
     Ok(())
 }
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -117,7 +117,7 @@
         let mut fleet =
             Self { record: record.clone(), store, world, servers: Vec::new(), edges: Vec::new(), folder };
         for (i, spec) in specs.iter().enumerate() {
-            let server = Server::start(&fleet.world, &fleet.store, ip(100 + i as u8), 0, spec, unix_millis())?;
+            let server = Server::start(&fleet.world, &fleet.store, ip(100 + i as u8), 0, spec, unix_millis(), Duration::ZERO)?;
             fleet.servers.push(server);
         }
         let mut all: Vec<(&'static str, &str)> = BOUNDS.to_vec();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -28,6 +28,7 @@
         "refusal-copy" => cases::refusal_copy(&record, trouble),
         "grace" => cases::grace(&record, trouble),
         "logs" => cases::logs(&record, trouble),
+        "restart" => cases::restart(&record, trouble),
         "old-entry" => cases::old_entry(&record, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -301,8 +301,16 @@
 }
 
 impl Server {
-    /// Starts a process of a server.
-    pub fn start(world: &Arc<World>, store: &Store, ip: IpAddr, port: u16, spec: &Spec, born: u64) -> io::Result<Self> {
+    /// Starts a process of a server. Its entry is in the store after `lag`.
+    pub fn start(
+        world: &Arc<World>,
+        store: &Store,
+        ip: IpAddr,
+        port: u16,
+        spec: &Spec,
+        born: u64,
+        lag: Duration,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, port))?;
         let process = Process { spec: spec.clone(), keys: Keys::new(), running: 0, waiting: 0, answers: 0, copies: 0 };
         world.processes.lock().unwrap().insert(spec.id.clone(), process);
@@ -317,7 +325,15 @@
             spec: spec.clone(),
             streams: Arc::default(),
         };
-        server.put_entry("ready");
+        if lag.is_zero() {
+            server.put_entry("ready");
+        } else {
+            let (store, id, entry) = (store.clone(), spec.id.clone(), server.entry("ready"));
+            thread::spawn(move || {
+                thread::sleep(lag);
+                store.put("keyed.servers", &id, entry.as_bytes());
+            });
+        }
         let (world, id, ended, streams) = (world.clone(), spec.id.clone(), server.ended.clone(), server.streams.clone());
         listener.set_nonblocking(true)?;
         thread::spawn(move || {
