--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -91,7 +91,8 @@
     record: Record,
     processes: Mutex<HashMap<String, Process>>,
     changed: Condvar,
-    copied: Mutex<Copies>,
+    /// Answers that the first few servers send twice, and their number.
+    copied: Mutex<(Copies, usize)>,
     /// Ids of the requests that ran, with the number of runs.
     pub runs: Mutex<HashMap<String, u32>>,
     next: AtomicU64,
@@ -116,15 +117,16 @@
             record: record.clone(),
             processes: Mutex::default(),
             changed: Condvar::new(),
-            copied: Mutex::new(Copies::None),
+            copied: Mutex::new((Copies::None, 0)),
             runs: Mutex::default(),
             next: AtomicU64::new(1),
         })
     }
 
-    /// Sets which answers of the servers are sent twice from now on.
-    pub fn copy(&self, copies: Copies) {
-        *self.copied.lock().unwrap() = copies;
+    /// Sets which answers of the first `count` servers are sent twice from now
+    /// on.
+    pub fn copy(&self, copies: Copies, count: usize) {
+        *self.copied.lock().unwrap() = (copies, count);
         for process in self.processes.lock().unwrap().values_mut() {
             (process.answers, process.copies) = (0, 0);
         }
@@ -224,12 +226,15 @@
 
     /// Counts an answer. Returns whether the fault sends it twice.
     fn is_copied(&self, id: &str, kind: Copies) -> bool {
-        let copied = *self.copied.lock().unwrap();
+        let (copied, count) = *self.copied.lock().unwrap();
+        let is_spoiled = (0..count).any(|i| id == format!("i-{i}"));
         let mut processes = self.processes.lock().unwrap();
         let Some(process) = processes.get_mut(id) else { return false };
         process.answers += 1;
-        let is_copied =
-            kind != Copies::None && kind == copied && (process.copies + 1) as f64 <= SPOILED_SHARE * process.answers as f64;
+        let is_copied = is_spoiled
+            && kind != Copies::None
+            && kind == copied
+            && (process.copies + 1) as f64 <= SPOILED_SHARE * process.answers as f64;
         process.copies += u64::from(is_copied);
         is_copied
     }
