--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,8 +1,8 @@
 //! Cases of the review: the entry program between stand-ins of clients, servers
 //! and the platform, on loopback addresses.
 //!
-//! `standins CASE FOLDER` exits with 1 if the rule was broken, 0 if it held and
-//! 2 if the case could not run. With `TROUBLE=0` there is no disruption.
+//! `standins CASE FOLDER [TROUBLE]` exits with 1 if the rule was broken, 0 if it
+//! held and 2 if the case could not run. If `TROUBLE` is 0, there is no disruption.
 
 mod cases;
 mod client;
@@ -18,10 +18,10 @@
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let (Some(case), Some(folder)) = (args.next(), args.next()) else {
-        eprintln!("usage: standins CASE FOLDER");
+        eprintln!("usage: standins CASE FOLDER [TROUBLE]");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = args.next().is_none_or(|value| value != "0");
     let record = record::Record::new();
     let result = match &*case {
         "release-copy" => cases::release_copy(&record, trouble),
