log connections for commands

The logs could not tell on which connection a renewal reached the new process, as a successful one is not logged. Hypotheses: renewals of the same round open a connection after the first one found it closed; any later renewal under the old fence does; a connection closed after an answer is opened again.

Each connection has a number now (ConnId), and the leader logs when it opens one for commands, with the fence and the incarnation that the command is meant for, and when one is closed after an answer.

--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -287,7 +287,7 @@
 fn complete(node: &Node, granter: &mut Granter, command: &Command, outcome: Outcome) {
     if !matches!(outcome, Outcome::Done(_)) || command.action == Action::Release {
         let (from, to, fence) = (command.from, command.to, command.fence);
-        let action = if command.action == Action::Release { "release" } else { "grant" };
+        let action = command.action.name();
         log::info!(target_id = &*command.incarnation.id, action, from, to, fence, outcome:debug; "command to target ended");
     }
     granter.command_ended(node.now(), command.ticket, outcome);
--- a/crates/catkin-edge/src/lead/command.rs
+++ b/crates/catkin-edge/src/lead/command.rs
@@ -70,7 +70,7 @@
 async fn exchange(node: &Node, kept: &mut Option<Conn>, command: &Command) -> Outcome {
     let is_release = command.action == Action::Release;
     let timeout = if is_release { RELEASE_TIMEOUT } else { GRANT_TIMEOUT };
-    node.metrics.count_command(if is_release { "release" } else { "grant" });
+    node.metrics.count_command(command.action.name());
     let (head, body) = match grant::encode(command) {
         Ok(request) => request,
         Err(error) => {
@@ -84,6 +84,10 @@
     let exchange = conn.exchange(head, vec![body], false, |_| true);
     match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(reply)) => {
+            if !reply.reusable {
+                let target_id = &*command.incarnation.id;
+                log::info!(target_id, conn = conn.id().0; "connection for commands closed after an answer");
+            }
             *kept = reply.reusable.then_some(conn);
             grant::decode(&reply)
         }
@@ -100,6 +104,17 @@
         // A connection that the target has closed may mean that its process has
         // ended.
         Some(conn) => conn.is_idle().then_some(conn),
-        None => Conn::open(command.addr, CONNECT_TIMEOUT, http).await.ok(),
+        None => open(command, http).await,
     }
 }
+
+/// Opens a connection for commands to a target. The process at its other end is
+/// the one that has the address now, which is not always the one that the
+/// command is meant for.
+async fn open(command: &Command, http: ServiceConfig) -> Option<Conn> {
+    let conn = Conn::open(command.addr, CONNECT_TIMEOUT, http).await.ok()?;
+    let action = command.action.name();
+    let (from, to, fence, started) = (command.from, command.to, command.fence, command.incarnation.started);
+    log::info!(target_id = &*command.incarnation.id, started, conn = conn.id().0, action, from, to, fence; "connection for commands opened");
+    Some(conn)
+}
--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -12,8 +12,14 @@
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     },
     bytes::{Bytes, BytesMut},
+    catkin::types::ConnId,
     socket2::{SockRef, TcpKeepalive},
-    std::{io, net::SocketAddr, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::atomic::{AtomicU64, Ordering},
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -40,6 +46,9 @@
 /// connection. A machine that loses power closes no connection itself.
 const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Number of connections that this process has opened.
+static OPENED: AtomicU64 = AtomicU64::new(0);
+
 /// Sets the socket options of a connection: no delay for small writes, and
 /// timeouts that close the connection if the peer's machine is unreachable.
 pub fn set_socket_options(stream: &TcpStream) {
@@ -61,6 +70,7 @@
 /// A persistent connection to a server.
 #[derive(Debug)]
 pub struct Conn {
+    id: ConnId,
     stream: TcpStream,
     buffer: BytesMut,
     config: ServiceConfig,
@@ -143,7 +153,14 @@
     pub async fn open(addr: SocketAddr, within: Duration, config: ServiceConfig) -> io::Result<Self> {
         let stream = tokio::time::timeout(within, TcpStream::connect(addr)).await??;
         set_socket_options(&stream);
-        Ok(Self { stream, buffer: BytesMut::new(), config, busy: false, received: 0 })
+        let id = ConnId(OPENED.fetch_add(1, Ordering::Relaxed) + 1);
+        Ok(Self { id, stream, buffer: BytesMut::new(), config, busy: false, received: 0 })
+    }
+
+    /// Returns the number of the connection, which no other one of this process
+    /// has.
+    pub fn id(&self) -> ConnId {
+        self.id
     }
 
     /// Returns whether the connection is open and has received no unexpected
--- a/crates/catkin-route/src/granter/command.rs
+++ b/crates/catkin-route/src/granter/command.rs
@@ -31,6 +31,16 @@
     Release,
 }
 
+impl Action {
+    /// Returns the name of the action in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Grant { .. } => "grant",
+            Self::Release => "release",
+        }
+    }
+}
+
 /// A command to a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Command {
--- a/crates/catkin/src/types/count.rs
+++ b/crates/catkin/src/types/count.rs
@@ -63,6 +63,12 @@
     u32
 );
 
+counter!(
+    /// Number of a connection among those that this process has opened; 0 for none.
+    ConnId,
+    u64
+);
+
 /// A fencing token: the offset of the accepted record and a step. The step is
 /// above 0 only for a provisional move made while the log is unavailable.
 #[derive(
