bind a fence to the connection that first carried it

Callers' requests ran on two servers: a server that started again under its id took keys under the fences of its earlier process, and some 0.2 s later, when its new entry was read, these keys were given to other servers.

Cause: the leader takes a new entry as proof that nobody holds the keys of the earlier process, unless a connection was opened for their fence. It noted that only for the range whose command failed, but all ranges of a target share one connection.

A command names the connection that carried its fence before, and is not sent on another one (Outcome::Closed); its range gets a higher fence, which may open one. So a later process can get no fence of an earlier one, whatever the order of tasks, also after an answer that closes the connection.

Test: later_process_gets_no_fence_of_the_earlier_one, seen failing before the fix: 'process 2 of a got ... fence 3 ... after ... fence 3'. The exhaustive search closes connections after answers now and finds two holders without the binding.

--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -18,7 +18,7 @@
         link,
         node::{Node, sleep},
     },
-    catkin::types::{Span, Time},
+    catkin::types::{ConnId, Span, Time},
     catkin_route::{
         balance::{self, FleetLoads},
         granter::{Action, Command, Granter, LeaseTimes, Outcome, Step},
@@ -102,8 +102,8 @@
 
 /// Event that a leader waits for.
 enum Event {
-    /// A command has ended.
-    Command(Command, Outcome),
+    /// A command has ended. It went out on the connection, if there is one.
+    Command(Command, Outcome, Option<ConnId>),
     /// The store has answered the write of a table: the offset, the table, and
     /// `true` if the table stands at the offset, `false` if another record does
     /// or the table could not be encoded.
@@ -225,8 +225,8 @@
     fn send(&mut self, command: Command) {
         let (node, conns, events) = (self.node.clone(), self.conns.clone(), self.events.clone());
         self.tasks.spawn_local(async move {
-            let outcome = command::send(&node, &conns, &command).await;
-            let _ = events.send(Event::Command(command, outcome));
+            let (outcome, conn) = command::send(&node, &conns, &command).await;
+            let _ = events.send(Event::Command(command, outcome, conn));
         });
     }
 
@@ -252,7 +252,9 @@
     /// Handles an event. Returns whether this process still leads.
     fn handle(&mut self, event: Event) -> bool {
         match event {
-            Event::Command(command, outcome) => complete(&self.node, &mut self.granter, &command, outcome),
+            Event::Command(command, outcome, conn) => {
+                complete(&self.node, &mut self.granter, &command, outcome, conn);
+            }
             Event::Owners(_, _, false) => return false,
             Event::Owners(offset, table, true) => {
                 let now = self.node.now();
@@ -284,13 +286,18 @@
     }
 }
 
-fn complete(node: &Node, granter: &mut Granter, command: &Command, outcome: Outcome) {
+fn complete(node: &Node, granter: &mut Granter, command: &Command, outcome: Outcome, conn: Option<ConnId>) {
+    let now = node.now();
     if !matches!(outcome, Outcome::Done(_)) || command.action == Action::Release {
         let (from, to, fence) = (command.from, command.to, command.fence);
         let action = command.action.name();
-        log::info!(target_id = &*command.incarnation.id, action, from, to, fence, outcome:debug; "command to target ended");
+        let id = conn.map(|conn| conn.0);
+        log::info!(target_id = &*command.incarnation.id, action, from, to, fence, conn = id, outcome:debug; "command to target ended");
+    }
+    if let Some(conn) = conn {
+        granter.command_sent(command.ticket, conn);
     }
-    granter.command_ended(node.now(), command.ticket, outcome);
+    granter.command_ended(now, command.ticket, outcome);
 }
 
 fn rebalance(node: &Node, granter: &mut Granter, services: &[Arc<str>], now: Time) {
--- a/crates/catkin-edge/src/lead/command.rs
+++ b/crates/catkin-edge/src/lead/command.rs
@@ -3,6 +3,7 @@
 use {
     crate::node::Node,
     actix_http::ServiceConfig,
+    catkin::types::ConnId,
     catkin_net::Conn,
     catkin_platform::grant,
     catkin_route::{
@@ -49,44 +50,54 @@
 }
 
 /// Sends a command once. Skips it if the connection failed while the command
-/// waited for it.
-pub(super) async fn send(node: &Node, conns: &CommandConns, command: &Command) -> Outcome {
+/// waited for it. Returns the connection on which the command went out, if it
+/// did.
+pub(super) async fn send(node: &Node, conns: &CommandConns, command: &Command) -> (Outcome, Option<ConnId>) {
     let is_release = command.action == Action::Release;
     let shared = conns.borrow_mut().entry((command.incarnation.clone(), is_release)).or_default().clone();
     let failures = shared.failures.get();
-    let mut conn = shared.conn.lock().await;
+    let mut kept = shared.conn.lock().await;
     if shared.failures.get() != failures {
-        return Outcome::Skipped;
+        return (Outcome::Skipped, None);
     }
-    let outcome = exchange(node, &mut conn, command).await;
-    if conn.is_none() {
+    if !is_release && is_closed(&kept, command) {
+        return (Outcome::Closed, None);
+    }
+    let (outcome, conn) = exchange(node, &mut kept, command).await;
+    if kept.is_none() {
         shared.failures.set(failures + 1);
     }
-    outcome
+    (outcome, conn)
+}
+
+/// Returns whether the connection that carried the fence of a command is no
+/// longer the kept one.
+fn is_closed(kept: &Option<Conn>, command: &Command) -> bool {
+    command.conn.is_some() && command.conn != kept.as_ref().map(Conn::id)
 }
 
 /// Sends a command on the kept connection, or on a new one if none is kept.
 /// Keeps the connection if it can carry another command.
-async fn exchange(node: &Node, kept: &mut Option<Conn>, command: &Command) -> Outcome {
-    let is_release = command.action == Action::Release;
-    let timeout = if is_release { RELEASE_TIMEOUT } else { GRANT_TIMEOUT };
+async fn exchange(node: &Node, kept: &mut Option<Conn>, command: &Command) -> (Outcome, Option<ConnId>) {
+    let timeout = if command.action == Action::Release { RELEASE_TIMEOUT } else { GRANT_TIMEOUT };
     node.metrics.count_command(command.action.name());
     let (head, body) = match grant::encode(command) {
         Ok(request) => request,
         Err(error) => {
             log::error!(error:display; "failed to encode command");
-            return Outcome::Undelivered;
+            return (Outcome::Undelivered, None);
         }
     };
     let Some(mut conn) = connect(kept.take(), command, node.http.clone()).await else {
-        return Outcome::Undelivered;
+        return (Outcome::Undelivered, None);
     };
+    let id = conn.id();
     let exchange = conn.exchange(head, vec![body], false, |_| true);
-    match tokio::time::timeout(timeout, exchange).await {
+    let outcome = match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(reply)) => {
             if !reply.reusable {
                 let target_id = &*command.incarnation.id;
-                log::info!(target_id, conn = conn.id().0; "connection for commands closed after an answer");
+                log::info!(target_id, conn = id.0; "connection for commands closed after an answer");
             }
             *kept = reply.reusable.then_some(conn);
             grant::decode(&reply)
@@ -95,7 +106,8 @@
         Ok(Err(_)) => Outcome::Disconnected,
         // The connection is closed while a command on it is unanswered.
         Err(_) => Outcome::Unknown,
-    }
+    };
+    (outcome, Some(id))
 }
 
 /// Returns the kept connection to a target, or a new one if none is kept.
--- /dev/null
+++ b/crates/catkin-edge/tests/commands.rs
@@ -0,0 +1,53 @@
+//! Commands of the leader to targets that restart, or answer more than once.
+
+mod common;
+
+use {
+    catkin_standin::users::{Config, put_config},
+    common::{
+        Fleet, plan,
+        target::{ScriptedTarget, check_fences},
+    },
+    std::time::Duration,
+};
+
+/// Service of the scripted targets.
+const SERVICE: &str = "scripted";
+
+async fn sleep(millis: u64) {
+    actix_rt::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Starts a process that leads scripted targets, and waits until they hold all
+/// keys.
+async fn start<const N: usize>(ids: [&'static str; N]) -> (Fleet, Vec<ScriptedTarget>) {
+    let fleet = Fleet::start(1).await;
+    let mut targets = Vec::new();
+    for id in ids {
+        targets.push(ScriptedTarget::start(&fleet, id, SERVICE).await);
+    }
+    let mut services = plan(2).services;
+    services.push((SERVICE, true));
+    put_config(&fleet.store, &Config { services, ..plan(2) });
+    sleep(4_000).await;
+    let table = fleet.table();
+    let keys: u32 = table.services[SERVICE].iter().map(|row| u32::from(row.to - row.from) + 1).sum();
+    assert_eq!(keys, 1 << 16, "keys without an owner");
+    (fleet, targets)
+}
+
+/// A target starts again under its id and is listed a second later. Renewals on
+/// a new connection gave the new process keys under fences of the earlier one.
+/// The leader took the new entry as proof that nobody held these keys, and gave
+/// them to other targets.
+#[actix_rt::test]
+async fn later_process_gets_no_fence_of_the_earlier_one() {
+    let (fleet, targets) = start(["a", "b", "c"]).await;
+    let process = targets[0].restart();
+    sleep(1_000).await;
+    targets[0].publish(&fleet, process, "ready");
+    sleep(4_000).await;
+    let grants = targets[0].received().into_iter().filter(|request| request.is_grant());
+    assert!(grants.filter(|grant| grant.process == process).count() > 0, "no keys for the new process");
+    check_fences(&targets.iter().collect::<Vec<_>>());
+}
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Fleet of real edge processes in front of stand-ins of the users' platform.
 #![allow(dead_code)]
 
+pub(crate) mod target;
+
 use {
     actix_http::{Method, ServiceConfig, header::HeaderName},
     bytes::Bytes,
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -27,7 +27,7 @@
         directory::{Directory, Incarnation, Target},
         owners::{Owners, ProcessId, Row},
     },
-    catkin::types::{Span, Time},
+    catkin::types::{ConnId, Span, Time},
     command::{FAILURE_WEIGHT_MAX, failure_weight},
     range::{Phase, Range, empty_range, merge, split},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
@@ -369,15 +369,22 @@
         range.pending = Some(self.last_ticket);
         range.next_send = now.after(self.lease_times.renew_interval);
         let Row { from, to, fence, .. } = range.row;
-        Some(Command { ticket: self.last_ticket, incarnation, addr, from, to, fence, action })
+        let conn = range.conn;
+        Some(Command { ticket: self.last_ticket, incarnation, addr, from, to, fence, conn, action })
+    }
+
+    /// Records the connection on which a command went out, whatever became of
+    /// it. Must be called before [`command_ended`](Self::command_ended).
+    pub fn command_sent(&mut self, ticket: u64, conn: ConnId) {
+        if let Some(range) = find_pending(&mut self.services, ticket).filter(|s| s.phase == Phase::Held) {
+            range.bind(conn);
+        }
     }
 
     /// Records the outcome of a command.
     pub fn command_ended(&mut self, now: Time, ticket: u64, outcome: Outcome) {
         let expiry = self.lease_times.expiry(now);
-        let Some(range) = self.services.values_mut().flatten().find(|s| s.pending == Some(ticket)) else {
-            return;
-        };
+        let Some(range) = find_pending(&mut self.services, ticket) else { return };
         range.pending = None;
         // A range enters the releasing phase only while no command is in
         // progress.
@@ -398,6 +405,12 @@
                 }
             }
             (Outcome::Fenced, _) => self.is_fenced = true,
+            // The command that found the connection closed counts as failed, if
+            // any did.
+            (Outcome::Closed, _) => {
+                range.next_send = now;
+                range.disconnected_at = Some(now);
+            }
             (outcome, is_release) => {
                 range.failure_weight += failure_weight(&outcome, is_release);
                 range.next_send = now;
@@ -410,8 +423,7 @@
                     range.expiry = range.expiry.max(expiry);
                     range.late_expiry = expiry;
                 }
-                // The next command opens a connection, at whose other end a
-                // later process may run.
+                // The connection that carried the fence is closed.
                 if !matches!(outcome, Outcome::Refused) {
                     range.disconnected_at = Some(now);
                 }
@@ -530,6 +542,11 @@
         }
     }
 }
+/// Returns the range whose command in progress has a ticket.
+fn find_pending(services: &mut BTreeMap<Arc<str>, Vec<Range>>, ticket: u64) -> Option<&mut Range> {
+    services.values_mut().flatten().find(|s| s.pending == Some(ticket))
+}
+
 /// Assigns new owners to ranges that no target may hold, and merges neighbours
 /// of one owner. Returns whether anything changed that must be written.
 fn reassign(
--- a/crates/catkin-route/src/granter/command.rs
+++ b/crates/catkin-route/src/granter/command.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::directory::Incarnation,
-    catkin::types::Span,
+    catkin::types::{ConnId, Span},
     std::{net::SocketAddr, sync::Arc},
 };
 
@@ -57,6 +57,10 @@
     pub to: u16,
     /// Fencing token of the grant.
     pub fence: u64,
+    /// Connection that carried this fence before. A grant must go on no other
+    /// one, as a later process may run at its other end. If there is none, a
+    /// connection may be opened for the command.
+    pub conn: Option<ConnId>,
     /// What the target is asked to do.
     pub action: Action,
 }
@@ -80,12 +84,16 @@
     /// The command was not sent, since an earlier one on the same connection
     /// got no answer.
     Skipped,
+    /// The command was not sent, since the connection that carried its fence is
+    /// closed.
+    Closed,
 }
 /// Returns the weight of a failed command. A target that refuses a grant runs,
 /// and may carry out a later one.
 pub(super) fn failure_weight(outcome: &Outcome, is_release: bool) -> u32 {
     match outcome {
         Outcome::Refused if !is_release => 0,
+        Outcome::Closed => 0,
         Outcome::Unknown | Outcome::Skipped => TIMEOUT_WEIGHT,
         _ => FAILURE_WEIGHT,
     }
--- a/crates/catkin-route/src/granter/range.rs
+++ b/crates/catkin-route/src/granter/range.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{directory::Incarnation, owners::Row},
-    catkin::types::Time,
+    catkin::types::{ConnId, Time},
 };
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,10 +42,13 @@
     pub(super) dest: Option<Incarnation>,
     /// When the keys moved to this owner, if they came by a move.
     pub(super) moved_at: Option<Time>,
-    /// Time of the last failed command after which the next command opens a new
-    /// connection. Another process with the owner's id may run at the other end,
+    /// Since when the connection that carried this fence is closed. Another
+    /// process with the owner's id may run at the other end of the next one,
     /// which must not get this fence, so the range waits for a higher one.
     pub(super) disconnected_at: Option<Time>,
+    /// Connection that carried this fence. The fence goes on no other one: a
+    /// later process with the owner's id may run at the other end of that.
+    pub(super) conn: Option<ConnId>,
     /// When a connection for commands with this fence may last have been
     /// opened, until the owner is known to have run after that. A later process
     /// with the owner's id may hold the keys instead.
@@ -57,6 +60,11 @@
         self.phase == Phase::Held && self.pending.is_none() && self.disconnected_at.is_some()
     }
 
+    /// Binds the fence to the connection on which it goes out.
+    pub(super) fn bind(&mut self, conn: ConnId) {
+        self.conn.get_or_insert(conn);
+    }
+
     /// Raises the fence of the same owner. The new fence may be sent on a new
     /// connection: only the owner or its successor can get it.
     pub(super) fn raise_fence(&mut self, now: Time, fence: u64) {
@@ -64,6 +72,7 @@
         self.phase = Phase::Writing;
         self.granted = false;
         self.disconnected_at = None;
+        self.conn = None;
         self.opened_at = Some(now);
     }
 }
@@ -84,6 +93,7 @@
         dest: None,
         moved_at: None,
         disconnected_at: None,
+        conn: None,
         opened_at: None,
     }
 }
@@ -105,7 +115,8 @@
 }
 /// Merges neighbouring ranges that one target holds. The merged range gets the
 /// higher of their fences: no other target had any of its keys with that one,
-/// so the range is renewed at once, whenever the record is written.
+/// so the range is renewed at once, whenever the record is written. Both fences
+/// went on the same connection.
 pub(super) fn merge(now: Time, ranges: Vec<Range>) -> Vec<Range> {
     let mut merged: Vec<Range> = Vec::with_capacity(ranges.len());
     for range in ranges {
@@ -113,6 +124,7 @@
             |s: &Range| s.pending.is_none() && s.phase == Phase::Held && s.granted && s.failure_weight == 0;
         let can_merge = merged.last().is_some_and(|last| {
             last.row.incarnation() == range.row.incarnation()
+                && last.conn == range.conn
                 && last.row.to.checked_add(1) == Some(range.row.from)
                 && stable(last)
                 && stable(&range)
--- a/crates/catkin-route/tests/explore.rs
+++ b/crates/catkin-route/tests/explore.rs
@@ -10,7 +10,7 @@
 mod common;
 
 use {
-    catkin::types::Time,
+    catkin::types::{ConnId, Time},
     catkin_route::{
         balance::FleetLoads,
         directory::{Directory, Entry},
@@ -55,6 +55,8 @@
     wait: bool,
     /// The store's condition on the offset of a record.
     condition: bool,
+    /// The connection that a fence keeps to.
+    binding: bool,
     /// The check that every last state leads to served keys.
     settling: bool,
 }
@@ -62,9 +64,9 @@
 #[derive(Clone, Debug, Default)]
 struct Server {
     started: u64,
-    /// The incarnation at the other end of each leader's connection; none if
+    /// Each leader's connection and the incarnation at its other end; none if
     /// the next command opens one.
-    conns: [Option<u64>; 2],
+    conns: [Option<(ConnId, u64)>; 2],
     highest_fence: u64,
     lease_end: u64,
 }
@@ -84,6 +86,7 @@
     first: Option<Granter>,
     second: Option<Granter>,
     servers: [Server; 2],
+    last_conn: ConnId,
     draining: bool,
     delayed: Vec<Delayed>,
     faults: u32,
@@ -106,6 +109,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Delivery {
     Answered,
+    /// The command is answered, and the connection is closed after that.
+    Closed,
     AnswerLost,
     Delayed,
     NotSent,
@@ -147,7 +152,8 @@
             services,
         };
         let claim = granter::claim(&leader("x"), LEASE_TIMES.duration, Some(&table), 1);
-        let server = Server { started: 1, conns: [Some(1), Some(1)], ..Server::default() };
+        let conns = [1, 2].map(|id| Some((ConnId(id), 1)));
+        let server = Server { started: 1, conns, ..Server::default() };
         Self {
             now: 0,
             next_offset: 2,
@@ -155,6 +161,7 @@
             second: None,
             table: claim,
             servers: [server.clone(), server],
+            last_conn: ConnId(2),
             draining: false,
             delayed: Vec::new(),
             faults: 0,
@@ -219,7 +226,7 @@
         }
     }
 
-    fn deliver(&mut self, second: bool, command: Command, delivery: Delivery) {
+    fn deliver(&mut self, second: bool, command: Command, delivery: Delivery, disabled: Disabled) {
         {
             self.trace.push(format!(
                 "{} {} {} {:?} {:?} fence {}",
@@ -235,15 +242,25 @@
         // A command for an earlier incarnation finds its connection closed; the
         // next one would reach the new incarnation.
         let started = self.servers[server_index].started;
-        let conn = &mut self.servers[server_index].conns[usize::from(second)];
-        let stale = conn.is_some_and(|end| end != started);
-        // A connection on which no answer came is closed.
-        let is_lost = matches!(delivery, Delivery::AnswerLost | Delivery::Delayed);
-        *conn = (!is_lost || stale).then_some(started);
+        let kept = self.servers[server_index].conns[usize::from(second)];
+        let is_bound = command.conn.is_some() && command.action != Action::Release && !disabled.binding;
+        let is_closed = is_bound && command.conn != kept.map(|(id, _)| id);
+        let is_stale = kept.is_some_and(|(_, end)| end != started);
+        if !is_closed || is_stale {
+            self.last_conn = if kept.is_none() { self.last_conn.next() } else { self.last_conn };
+            let conn = kept.or(Some((self.last_conn, started)));
+            // A connection on which no answer came is closed.
+            let is_lost = matches!(delivery, Delivery::Closed | Delivery::AnswerLost | Delivery::Delayed);
+            self.servers[server_index].conns[usize::from(second)] = conn.filter(|_| !is_lost && !is_stale);
+            if let (Some((id, _)), Some(granter)) = (conn.filter(|_| !is_stale), self.granter(second)) {
+                granter.command_sent(command.ticket, id);
+            }
+        }
         let outcome = match delivery {
-            _ if stale => Outcome::Undelivered,
+            _ if is_stale => Outcome::Undelivered,
+            _ if is_closed => Outcome::Closed,
             Delivery::NotSent => Outcome::Undelivered,
-            Delivery::Answered => self.apply(server_index, &command, self.now),
+            Delivery::Answered | Delivery::Closed => self.apply(server_index, &command, self.now),
             Delivery::AnswerLost => {
                 self.apply(server_index, &command, self.now);
                 Outcome::Unknown
@@ -374,7 +391,13 @@
 
 fn deliveries(world: &World) -> &'static [Delivery] {
     match world.faults < FAULTS_MAX {
-        true => &[Delivery::Answered, Delivery::AnswerLost, Delivery::Delayed, Delivery::NotSent],
+        true => &[
+            Delivery::Answered,
+            Delivery::Closed,
+            Delivery::AnswerLost,
+            Delivery::Delayed,
+            Delivery::NotSent,
+        ],
         false => &[Delivery::Answered],
     }
 }
@@ -409,7 +432,7 @@
                 for delivery in deliveries(&branch) {
                     let mut world = branch.clone();
                     world.faults += u32::from(*delivery != Delivery::Answered);
-                    world.deliver(second, command.clone(), *delivery);
+                    world.deliver(second, command.clone(), *delivery, disabled);
                     next.push(world);
                 }
             }
@@ -480,3 +503,11 @@
     let (_, violations) = search(Disabled { condition: true, settling: true, ..Disabled::default() });
     assert!(!violations.is_empty());
 }
+
+/// Checks that the search detects a missing guard: a later process gets the
+/// fence of the earlier one if a fence may go on any connection.
+#[test]
+fn search_needs_connection_of_fence() {
+    let (_, violations) = search(Disabled { binding: true, settling: true, ..Disabled::default() });
+    assert!(!violations.is_empty());
+}
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use {
+    catkin::types::ConnId,
     catkin_route::{
         directory::Entry,
         granter::{self, Action, Command, Granter, Outcome, OwnedRange, Step},
@@ -499,3 +500,35 @@
     assert!(sim.table.as_ref().unwrap().services["s"].iter().all(|r| &*r.target != "c"));
     assert!(is_served(&mut sim));
 }
+
+/// A fence that went out on a connection reaches no process that a later
+/// connection may lead to: the command names that connection, and once it is
+/// closed the range gets a higher fence, which may open one.
+#[test]
+fn fence_keeps_to_its_connection() {
+    let mut sim = start_granted(&["a"]);
+    let (first, second) = (ConnId(1), ConnId(2));
+    let go_on = |sim: &mut SimulatedLeader, kept: ConnId| {
+        let mut commands = Vec::new();
+        for command in sim.run(1_000, |_| None) {
+            let now = at(sim.now);
+            if command.conn.is_some_and(|conn| conn != kept) {
+                sim.granter.command_ended(now, command.ticket, Outcome::Closed);
+            } else {
+                sim.granter.command_sent(command.ticket, kept);
+                sim.granter.command_ended(now, command.ticket, Outcome::Done(None));
+                commands.push(command);
+            }
+        }
+        commands
+    };
+    let before = go_on(&mut sim, first);
+    assert!(before.iter().all(|command| command.conn.is_none()));
+    assert!(go_on(&mut sim, first).iter().all(|command| command.conn == Some(first)));
+    let highest = before.iter().map(|command| command.fence).max();
+    let after: Vec<Command> = (0..3).flat_map(|_| go_on(&mut sim, second)).collect();
+    assert!(!after.is_empty());
+    assert!(after.iter().all(|command| Some(command.fence) > highest), "{after:?}");
+    assert!(sim.granter.are_all_granted());
+    assert!(!sim.granter.is_suspected(&incarnation("a", 1)));
+}
