confirm a process after the connection of its fence was opened

A higher fence goes out when the store has accepted it, which may take seconds. An entry that was read meanwhile counted as proof that the target ran after the connection for that fence was opened. If the process ended in between, the later one got the fence, and its entry passed for proof that nobody held the keys.

The time of the opening counts from the end of the first command that the connection carried, which is never before the opening.

Test: process_is_confirmed_after_its_connection_was_opened, seen failing without the change: the keys are at 'b' while the new process of 'a' may hold them. Found by reading; no run of real processes has shown it.

--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -295,7 +295,7 @@
         log::info!(target_id = &*command.incarnation.id, action, from, to, fence, conn = id, outcome:debug; "command to target ended");
     }
     if let Some(conn) = conn {
-        granter.command_sent(command.ticket, conn);
+        granter.command_sent(now, command.ticket, conn);
     }
     granter.command_ended(now, command.ticket, outcome);
 }
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -375,9 +375,9 @@
 
     /// Records the connection on which a command went out, whatever became of
     /// it. Must be called before [`command_ended`](Self::command_ended).
-    pub fn command_sent(&mut self, ticket: u64, conn: ConnId) {
+    pub fn command_sent(&mut self, now: Time, ticket: u64, conn: ConnId) {
         if let Some(range) = find_pending(&mut self.services, ticket).filter(|s| s.phase == Phase::Held) {
-            range.bind(conn);
+            range.bind(now, conn);
         }
     }
 
--- a/crates/catkin-route/src/granter/range.rs
+++ b/crates/catkin-route/src/granter/range.rs
@@ -61,8 +61,11 @@
     }
 
     /// Binds the fence to the connection on which it goes out.
-    pub(super) fn bind(&mut self, conn: ConnId) {
-        self.conn.get_or_insert(conn);
+    pub(super) fn bind(&mut self, now: Time, conn: ConnId) {
+        if self.conn.is_none() {
+            self.conn = Some(conn);
+            self.opened_at = Some(now);
+        }
     }
 
     /// Raises the fence of the same owner. The new fence may be sent on a new
--- a/crates/catkin-route/tests/explore.rs
+++ b/crates/catkin-route/tests/explore.rs
@@ -252,8 +252,9 @@
             // A connection on which no answer came is closed.
             let is_lost = matches!(delivery, Delivery::Closed | Delivery::AnswerLost | Delivery::Delayed);
             self.servers[server_index].conns[usize::from(second)] = conn.filter(|_| !is_lost && !is_stale);
+            let now = at(self.now);
             if let (Some((id, _)), Some(granter)) = (conn.filter(|_| !is_stale), self.granter(second)) {
-                granter.command_sent(command.ticket, id);
+                granter.command_sent(now, command.ticket, id);
             }
         }
         let outcome = match delivery {
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -515,7 +515,7 @@
             if command.conn.is_some_and(|conn| conn != kept) {
                 sim.granter.command_ended(now, command.ticket, Outcome::Closed);
             } else {
-                sim.granter.command_sent(command.ticket, kept);
+                sim.granter.command_sent(now, command.ticket, kept);
                 sim.granter.command_ended(now, command.ticket, Outcome::Done(None));
                 commands.push(command);
             }
@@ -532,3 +532,33 @@
     assert!(sim.granter.are_all_granted());
     assert!(!sim.granter.is_suspected(&incarnation("a", 1)));
 }
+
+/// The store takes seconds to accept a higher fence, and the target's entry is
+/// written again meanwhile. The process that wrote it may end before the fence
+/// goes out on a new connection, so the entry says nothing of the process that
+/// gets the fence.
+#[test]
+fn process_is_confirmed_after_its_connection_was_opened() {
+    let mut sim = start_granted(&["a", "b"]);
+    let command = sim.run(800, |_| None).into_iter().find(|c| &*c.incarnation.id == "a").unwrap();
+    sim.granter.command_ended(at(sim.now), command.ticket, Outcome::Disconnected);
+    let keyed = ["s".into()];
+    let is_write = |step: &Step| matches!(step, Step::Write { .. });
+    let mut is_written = false;
+    while !is_written {
+        sim.advance(50);
+        is_written = sim.granter.tick(at(sim.now), &keyed, &sim.directory, &sim.loads).iter().any(is_write);
+    }
+    sim.advance(1_500);
+    sim.directory.put(at(sim.now), Entry { slots: 7, ..entry("a", 1) });
+    sim.granter.tick(at(sim.now), &keyed, &sim.directory, &sim.loads);
+    sim.next_offset += 1;
+    sim.granter.table_accepted(at(sim.now));
+    let raised = sim.round().into_iter().find(|c| c.from == command.from && c.fence > command.fence).unwrap();
+    sim.granter.command_sent(at(sim.now), raised.ticket, ConnId(9));
+    sim.granter.command_ended(at(sim.now), raised.ticket, Outcome::Done(None));
+    sim.directory.put(at(sim.now), Entry { draining: true, ..entry("a", 2) });
+    sim.run(300, accept);
+    let owner = sim.granter.ranges("s").into_iter().find(|range| range.row.from == command.from).unwrap();
+    assert_eq!(&*owner.row.target, "a", "keys moved that the new process may hold");
+}
