--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -116,7 +116,9 @@
     let callers = catkin_net::listen(node.settings.callers).await?;
     let admin = catkin_net::listen(node.settings.admin).await?;
     let peers = catkin_net::listen(node.settings.peers).await?;
-    log::info!(vm = node.settings.vm.as_str(), callers:display = node.settings.callers; "started");
+    let grace_ms = node.bounds.termination_grace.as_millis();
+    let retry_slack = node.bounds.retry_slack;
+    log::info!(vm = node.settings.vm.as_str(), callers:display = node.settings.callers, grace_ms, retry_slack; "started");
     actix_rt::spawn(sync::read_config(node.clone()));
     actix_rt::spawn(sync::read_targets(node.clone()));
     actix_rt::spawn(sync::read_owners(node.clone()));
