log the connection of a refusal

The logs could not tell whether the refusals that ended it came on one connection, on a new one, or without the id of the request.

Each refusal is logged with its connection, whether that was reused, its status and whether it names the request's id.

--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -96,6 +96,7 @@
     let incarnation = &target.incarnation;
     let mut guard = InFlightGuard::new(node, target);
     let pooled = node.pool.take(node.now(), incarnation);
+    let reused = pooled.is_some();
     let conn = match pooled {
         Some(conn) => Ok(conn),
         None => {
@@ -145,6 +146,11 @@
         }
     };
     let now = node.now();
+    if reply.head.headers().contains_key(name::NOT_RUN) && node.log_limiter.allow(now, "target refused") {
+        let (status, names_id) =
+            (reply.head.status.as_u16(), reply.head.headers().contains_key(name::REQUEST_ID));
+        log::info!(id = &*routed.id, target_id = &*incarnation.id, conn = conn.id().0, reused, status, names_id; "target refused");
+    }
     if let Some((running, queued, _)) = header_text(&reply.head, &name::LOAD).and_then(name::parse_load) {
         // The answered request is still counted both by the target and here.
         node.loads.borrow_mut().record_report(now, incarnation, running + queued);
