send each attempt of a request on a connection of its own

Cause: an answer is matched by the id of the request, which all of its attempts share. A refused attempt gave its connection back to the pool, and the next attempt to the same target took it. A late copy of the first refusal then passed for the answer to the second attempt. Ruled out: copies that reach another order, and an order that is sent after its caller was answered; all lines that were read name the own id, and two attempts.

A request remembers the connections of its attempts, and the pool gives it none of them again, also if other requests used it in between.

Tests: repeated_refusal_does_not_answer_the_next_attempt, seen failing before the fix (four of six orders refused as not run after they had run), and connection_carries_one_attempt_of_a_request.

--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -9,7 +9,7 @@
     catkin::types::{Span, Time},
     catkin_net::{Conn, HttpAnswer},
     catkin_platform::name,
-    catkin_route::{directory::Incarnation, load::Completion},
+    catkin_route::{attempts::Attempts, directory::Incarnation, load::Completion},
     std::{rc::Rc, time::Duration},
 };
 
@@ -92,10 +92,15 @@
 }
 
 /// Sends a request to a target and reads the complete answer.
-pub(crate) async fn send(node: &Rc<Node>, routed: &RoutedRequest<'_>, target: &Admitted) -> AttemptOutcome {
+pub(crate) async fn send(
+    node: &Rc<Node>,
+    routed: &RoutedRequest<'_>,
+    attempts: &mut Attempts,
+    target: &Admitted,
+) -> AttemptOutcome {
     let incarnation = &target.incarnation;
     let mut guard = InFlightGuard::new(node, target);
-    let pooled = node.pool.take(node.now(), incarnation);
+    let pooled = node.pool.take(node.now(), incarnation, |conn| attempts.may_send_on(conn));
     let reused = pooled.is_some();
     let conn = match pooled {
         Some(conn) => Ok(conn),
@@ -118,6 +123,7 @@
     let now = node.now();
     let Some(head) = build_head(routed, target, now) else { return AttemptOutcome::Unreachable };
     let body = routed.incoming.body.clone();
+    attempts.sent_on(conn.id());
     let exchange =
         conn.exchange(head, body, routed.incoming.chunked, |head| matches_request(head, &routed.id));
     let sent_at = now;
--- a/crates/catkin-edge/src/pool.rs
+++ b/crates/catkin-edge/src/pool.rs
@@ -1,7 +1,7 @@
 //! Idle connections to targets.
 
 use {
-    catkin::types::{Span, Time},
+    catkin::types::{ConnId, Span, Time},
     catkin_net::Conn,
     catkin_route::directory::{Directory, Incarnation},
     std::{cell::RefCell, collections::HashMap},
@@ -30,11 +30,18 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection that is still usable.
-    pub(crate) fn take(&self, now: Time, incarnation: &Incarnation) -> Option<Conn> {
+    /// Takes the most recently used connection that is still usable, among
+    /// those for which `may_use` returns true.
+    pub(crate) fn take(
+        &self,
+        now: Time,
+        incarnation: &Incarnation,
+        may_use: impl Fn(ConnId) -> bool,
+    ) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(incarnation)?;
-        while let Some(last) = list.pop() {
+        while let Some(i) = list.iter().rposition(|idle| may_use(idle.conn.id())) {
+            let last = list.remove(i);
             if now < last.expires && last.conn.is_idle() {
                 return Some(last.conn);
             }
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -179,7 +179,7 @@
         {
             break Code::RetryBudget;
         }
-        let (end, code) = match attempt::send(node, routed, &target).await {
+        let (end, code) = match attempt::send(node, routed, &mut attempts, &target).await {
             AttemptOutcome::Answered(reply) if reply.head.status.is_server_error() => {
                 failed = Some(reply);
                 (AttemptEnd::Failed, Code::AnswerCut)
--- /dev/null
+++ b/crates/catkin-edge/tests/refusals.rs
@@ -0,0 +1,78 @@
+//! Refusals of targets that must not be taken for a promise that a request did
+//! not run.
+
+mod common;
+
+use {
+    actix_http::Method,
+    bytes::Bytes,
+    catkin_standin::users::{Config, Route, put_config},
+    common::{
+        Fleet, Response, plan, send,
+        target::{Received, Reply, ScriptedTarget},
+    },
+    std::{
+        collections::{HashMap, HashSet},
+        time::Duration,
+    },
+};
+
+/// Service of the scripted target.
+const SERVICE: &str = "scripted";
+
+const REFUSED: &str = "503 Service Unavailable";
+
+const NOT_RUN: &str = "x-not-run: 1\r\n";
+
+async fn sleep(millis: u64) {
+    actix_rt::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Starts a process whose orders to `/scripted/` go to one scripted target.
+async fn start() -> (Fleet, ScriptedTarget) {
+    let fleet = Fleet::start(1).await;
+    let target = ScriptedTarget::start(&fleet, "a", SERVICE).await;
+    let Config { mut routes, mut services, .. } = plan(2);
+    routes.push(Route { prefix: "/scripted/", kind: "non_idempotent", split: vec![(SERVICE, 1)] });
+    services.push((SERVICE, false));
+    put_config(&fleet.store, &Config { routes, services, ..plan(2) });
+    sleep(1_900).await;
+    (fleet, target)
+}
+
+async fn order(fleet: &Fleet) -> Option<Response> {
+    let id = fleet.id();
+    let body = vec![Bytes::from_static(b"order")];
+    let response = send(&fleet.edges[0], Method::POST, "/scripted/x", &id, None, body).await;
+    match response {
+        // The scripted target answers with an empty body.
+        Some(response) if response.status == 200 => Some(response),
+        response => fleet.check_response(&id, response, true),
+    }
+}
+
+/// A target refuses an order, gets it again on the same connection, repeats its
+/// refusal and runs the order. Both refusals have the id of the order, so its
+/// caller was told that it did not run.
+#[actix_rt::test]
+async fn repeated_refusal_does_not_answer_the_next_attempt() {
+    let (fleet, target) = start().await;
+    let checker = fleet.checker.clone();
+    let (mut seen, mut last) = (HashSet::new(), HashMap::new());
+    target.set_script(move |request: &Received| {
+        let copy = last.remove(&request.conn);
+        if seen.insert(request.id.clone()) {
+            let refusal = request.answer(REFUSED, NOT_RUN);
+            last.insert(request.conn, refusal.clone());
+            return refusal.into();
+        }
+        checker.record_run(&request.id, true);
+        Reply { early: copy.unwrap_or_default(), delay: Duration::from_millis(20), answer: request.accept() }
+    });
+    let mut served = 0;
+    for _ in 0..6 {
+        served += u32::from(order(&fleet).await.is_some_and(|response| response.status == 200));
+    }
+    fleet.check();
+    assert!(served > 0);
+}
--- a/crates/catkin-route/src/attempts.rs
+++ b/crates/catkin-route/src/attempts.rs
@@ -3,7 +3,10 @@
 
 use {
     crate::{config::Route, directory::Incarnation},
-    catkin::{Code, types::Time},
+    catkin::{
+        Code,
+        types::{ConnId, Time},
+    },
 };
 
 /// Attempts without a connection after which a request fails.
@@ -36,6 +39,7 @@
     max_attempts: u32,
     deadline: Time,
     targets: Vec<Incarnation>,
+    conns: Vec<ConnId>,
     reached: u32,
     connect_failures: u32,
     may_have_run: bool,
@@ -50,6 +54,7 @@
             max_attempts: route.max_attempts,
             deadline,
             targets: Vec::new(),
+            conns: Vec::new(),
             reached: 0,
             connect_failures: 0,
             may_have_run: false,
@@ -57,6 +62,18 @@
         }
     }
 
+    /// Records the connection on which an attempt is sent.
+    pub fn sent_on(&mut self, conn: ConnId) {
+        self.conns.push(conn);
+    }
+
+    /// Returns whether an attempt may be sent on a connection. All attempts of
+    /// a request have its id, so a late copy of the answer to an earlier one on
+    /// the same connection could not be told from the answer to the next one.
+    pub fn may_send_on(&self, conn: ConnId) -> bool {
+        !self.conns.contains(&conn)
+    }
+
     /// Records the end of an attempt.
     pub fn record(&mut self, incarnation: &Incarnation, end: AttemptEnd) {
         if end == AttemptEnd::Unreachable {
--- a/crates/catkin-route/tests/attempts.rs
+++ b/crates/catkin-route/tests/attempts.rs
@@ -3,7 +3,7 @@
 use {
     catkin::{
         Code,
-        types::{Span, Time},
+        types::{ConnId, Span, Time},
     },
     catkin_route::{
         attempts::{AttemptEnd, Attempts},
@@ -105,3 +105,15 @@
     }
     assert_eq!(attempts.caller_code(Code::AnswerCut), Code::AnswerCut);
 }
+
+/// A late copy of the answer to an earlier attempt has the id of the request, so
+/// a connection carries one attempt of it at most, also after other requests.
+#[test]
+fn connection_carries_one_attempt_of_a_request() {
+    let mut attempts = attempts(RouteKind::Once, 3);
+    attempts.sent_on(ConnId(1));
+    attempts.sent_on(ConnId(2));
+    assert!(!attempts.may_send_on(ConnId(1)));
+    assert!(!attempts.may_send_on(ConnId(2)));
+    assert!(attempts.may_send_on(ConnId(3)));
+}
