skip answers without an id on reused connections

An answer without the id of a request passed for a refusal of that request. On a connection that carried another request before, such bytes may follow the earlier answer: callers were told that an order had not run that ran, or it was sent twice.

On a reused connection an answer must name the id; others are skipped until the own answer comes. A request without an id gets a connection of its own.

Test: nameless_refusal_on_a_used_connection_promises_nothing, seen failing before ('q7 may run at most once but ran 2 times', 'q11 was refused as not run after it had run').

--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -82,12 +82,14 @@
     head.headers().get(name)?.to_str().ok()
 }
 
-fn matches_request(head: &ResponseHead, id: &str) -> bool {
+/// Returns whether an answer is that to a request with an id. `reused` is
+/// whether its connection carried another request before.
+fn matches_request(head: &ResponseHead, id: &str, reused: bool) -> bool {
     match header_text(head, &name::REQUEST_ID) {
         Some(answered) => answered == id,
         // A target that refuses before it has read the request may not name its
-        // id.
-        None => !head.status.is_success(),
+        // id. On a reused connection such bytes may follow an earlier answer.
+        None => !reused && !head.status.is_success(),
     }
 }
 
@@ -100,7 +102,8 @@
 ) -> AttemptOutcome {
     let incarnation = &target.incarnation;
     let mut guard = InFlightGuard::new(node, target);
-    let pooled = node.pool.take(node.now(), incarnation, |conn| attempts.may_send_on(conn));
+    let pooled =
+        node.pool.take(node.now(), incarnation, |conn| !routed.id.is_empty() && attempts.may_send_on(conn));
     let reused = pooled.is_some();
     let conn = match pooled {
         Some(conn) => Ok(conn),
@@ -125,7 +128,7 @@
     let body = routed.incoming.body.clone();
     attempts.sent_on(conn.id());
     let exchange =
-        conn.exchange(head, body, routed.incoming.chunked, |head| matches_request(head, &routed.id));
+        conn.exchange(head, body, routed.incoming.chunked, |head| matches_request(head, &routed.id, reused));
     let sent_at = now;
     let left = routed.deadline.since(sent_at) + ANSWER_SLACK;
     let reply = match tokio::time::timeout(left.as_duration(), exchange).await {
--- a/crates/catkin-edge/tests/refusals.rs
+++ b/crates/catkin-edge/tests/refusals.rs
@@ -76,3 +76,25 @@
     fleet.check();
     assert!(served > 0);
 }
+
+/// A target writes bytes behind a complete answer that look like a refusal and
+/// name no request. On a connection that is used again they may be all that
+/// came before the order runs.
+#[actix_rt::test]
+async fn nameless_refusal_on_a_used_connection_promises_nothing() {
+    let (fleet, target) = start().await;
+    let checker = fleet.checker.clone();
+    target.set_script(move |request: &Received| {
+        checker.record_run(&request.id, true);
+        let early = match request.index {
+            0 => String::new(),
+            _ => format!("HTTP/1.1 {REFUSED}\r\n{NOT_RUN}content-length: 0\r\n\r\n"),
+        };
+        Reply { early, delay: Duration::from_millis(20), answer: request.accept() }
+    });
+    for _ in 0..6 {
+        order(&fleet).await;
+    }
+    fleet.check();
+    assert!(target.received().iter().any(|request| request.index > 0), "no connection was used again");
+}
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -83,8 +83,17 @@
     }
 }
 
-fn not_run(status: u16) -> ResponseBuilder {
+/// Starts an answer to a request, with its id.
+fn reply_to(request: &Request, status: u16) -> ResponseBuilder {
     let mut reply = Response::build(StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE));
+    if let Some(id) = header_text(request, "x-request-id") {
+        reply.insert_header(("x-request-id", id));
+    }
+    reply
+}
+
+fn not_run(request: &Request, status: u16) -> ResponseBuilder {
+    let mut reply = reply_to(request, status);
     reply.insert_header(("x-not-run", "1"));
     reply
 }
@@ -240,7 +249,7 @@
     async fn command(&self, mut request: Request) -> Response<BoxBody> {
         let is_grant = request.path() == "/v1/grant";
         if header_text(&request, "x-expect-instance").is_some_and(|id| id != self.inner.id) {
-            return not_run(421).finish().map_into_boxed_body();
+            return not_run(&request, 421).finish().map_into_boxed_body();
         }
         let Ok(body) = body::read(request.take_payload()).await else { return reply_text(400, "") };
         let Ok(command) = serde_json::from_slice::<Value>(&body) else { return reply_text(400, "") };
@@ -295,18 +304,24 @@
         let every = |n: u32| n > 0 && number.is_multiple_of(n);
         let id = header_text(&request, "x-request-id").unwrap_or("").to_owned();
         if header_text(&request, "x-expect-instance").is_some_and(|expected| expected != inner.id) {
-            return not_run(421).insert_header(("x-instance-id", &*inner.id)).finish().map_into_boxed_body();
+            return not_run(&request, 421)
+                .insert_header(("x-instance-id", &*inner.id))
+                .finish()
+                .map_into_boxed_body();
         }
         let key: u16 = header_text(&request, "x-shard-key").and_then(|k| k.parse().ok()).unwrap_or(0);
         let fence = if inner.keyed { self.fence_of(key) } else { Some(0) };
-        let Some(fence) = fence else { return not_run(421).finish().map_into_boxed_body() };
+        let Some(fence) = fence else { return not_run(&request, 421).finish().map_into_boxed_body() };
         let announced = inner.announcements.borrow_mut().arrive(&inner.id, &inner.checker);
         if let Some(rest) = announced.rest {
             let rest = format!("{:.3}", rest.as_secs_f64());
-            return not_run(503).insert_header(("retry-after", rest)).finish().map_into_boxed_body();
+            return not_run(&request, 503)
+                .insert_header(("retry-after", rest))
+                .finish()
+                .map_into_boxed_body();
         }
         if inner.running.get() >= SLOTS + EXCESS_MAX || every(faults.shed_every) {
-            return not_run(503).finish().map_into_boxed_body();
+            return not_run(&request, 503).finish().map_into_boxed_body();
         }
         let at_most_once = request.method().as_str() != "GET";
         let Ok(body) = body::read(request.take_payload()).await else { return pending().await };
