forward no unmarked 408, 429 or 503 to callers of orders

A target that has run an order and answers 503, 429 or 408 without the mark of a refusal had its answer forwarded, and for the caller these statuses promise that the order has not run and never will.

Attempts::may_forward decides: such an answer to a request that must not run twice ends as an unknown outcome (502, E502). Requests that may run twice get another attempt as before.

--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -154,13 +154,19 @@
 fn outcome_label(status: StatusCode) -> &'static str {
     match status.as_u16() {
         200..=299 => "success",
-        408 | 421 | 429 | 503 => "refused",
+        _ if says_not_run(status) => "refused",
         502 | 504 => "unknown",
         400..=499 => "denied",
         _ => "failed",
     }
 }
 
+/// Returns whether a status tells a caller that its request did not run and
+/// never will.
+fn says_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// Repeats attempts until the request has an answer or may not be sent again.
 async fn send_with_retries(node: &Rc<Node>, routed: &RoutedRequest<'_>) -> Answer {
     let mut attempts = Attempts::new(&routed.route, routed.deadline);
@@ -180,6 +186,9 @@
             break Code::RetryBudget;
         }
         let (end, code) = match attempt::send(node, routed, &mut attempts, &target).await {
+            AttemptOutcome::Answered(reply) if !attempts.may_forward(says_not_run(reply.head.status)) => {
+                (AttemptEnd::Unanswered, Code::AnswerCut)
+            }
             AttemptOutcome::Answered(reply) if reply.head.status.is_server_error() => {
                 failed = Some(reply);
                 (AttemptEnd::Failed, Code::AnswerCut)
--- a/crates/catkin-edge/tests/refusals.rs
+++ b/crates/catkin-edge/tests/refusals.rs
@@ -98,3 +98,21 @@
     fleet.check();
     assert!(target.received().iter().any(|request| request.index > 0), "no connection was used again");
 }
+
+/// A target runs an order and answers with a status that would tell the caller
+/// that it did not run. Only `x-not-run` says that.
+#[actix_rt::test]
+async fn unmarked_refusal_promises_nothing() {
+    let (fleet, target) = start().await;
+    for status in [REFUSED, "429 Too Many Requests", "408 Request Timeout"] {
+        let checker = fleet.checker.clone();
+        target.set_script(move |request: &Received| {
+            checker.record_run(&request.id, true);
+            request.answer(status, "x-server-stamp: s\r\n").into()
+        });
+        for _ in 0..3 {
+            order(&fleet).await;
+        }
+    }
+    fleet.check();
+}
--- a/crates/catkin-route/src/attempts.rs
+++ b/crates/catkin-route/src/attempts.rs
@@ -74,6 +74,13 @@
         !self.conns.contains(&conn)
     }
 
+    /// Returns whether a target's answer may be forwarded. `says_not_run` is
+    /// whether its status tells the caller that the request did not run, which a
+    /// target that has run it may send too.
+    pub fn may_forward(&self, says_not_run: bool) -> bool {
+        self.idempotent || !says_not_run
+    }
+
     /// Records the end of an attempt.
     pub fn record(&mut self, incarnation: &Incarnation, end: AttemptEnd) {
         if end == AttemptEnd::Unreachable {
--- a/crates/catkin-route/tests/attempts.rs
+++ b/crates/catkin-route/tests/attempts.rs
@@ -117,3 +117,13 @@
     assert!(!attempts.may_send_on(ConnId(2)));
     assert!(attempts.may_send_on(ConnId(3)));
 }
+
+/// A target may answer a request that it has run with a status that promises the
+/// contrary. For a request that must not run twice that is never forwarded.
+#[test]
+fn false_promise_is_not_forwarded() {
+    assert!(!attempts(RouteKind::Once, 2).may_forward(true));
+    assert!(!attempts(RouteKind::Upload, 2).may_forward(true));
+    assert!(attempts(RouteKind::Once, 2).may_forward(false));
+    assert!(attempts(RouteKind::Idempotent, 2).may_forward(true));
+}
