refuse late requests that a stopping process cannot finish

Can it happen here that a process that was asked to stop takes requests late in its grace period and cuts them at its end? Yes: an upload whose body was complete 3.6 s after SIGTERM was passed on and answered 504 at 4.4 s, the end of the process, while its target was at work on it.

Cause: whether a request was taken depended on when its head was read, not on when it could be over. Ruled out: idle connections, which are closed 2.6 s after SIGTERM, and new ones, which are not accepted any more.

catkin-route/drain decides: once connections are being closed, a request whose time limit lies behind the end of the process is refused at once with 503 and Retry-After, also while its body arrives. A connection whose last answer was written counts as open until it is closed, so that the end of the process does not discard the answer.

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -53,11 +53,33 @@
     /// A complete request.
     Request(Box<Incoming>),
     /// A request that is refused before its body is read completely.
-    Refused(StatusCode),
+    Refused(Answer),
     /// The caller closed the connection, or did not send in time.
     End,
 }
 
+impl Input {
+    fn refused(status: StatusCode) -> Self {
+        Self::Refused(Answer::local(status, None))
+    }
+}
+
+/// Counts a request as open until it is dropped.
+struct OpenRequest<'a>(&'a Node);
+
+impl<'a> OpenRequest<'a> {
+    fn new(node: &'a Node) -> Self {
+        node.open_requests.set(node.open_requests.get() + 1);
+        Self(node)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
 /// Accepts connections of callers until the process closes.
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
     let mut stage = node.stage.subscribe();
@@ -90,15 +112,13 @@
     loop {
         match conn.read_request(node).await? {
             Input::End => return Ok(()),
-            Input::Refused(status) => {
-                conn.write(Answer::local(status, None), true).await?;
+            Input::Refused(answer) => {
+                conn.write(answer, true).await?;
                 return conn.finish().await;
             }
             Input::Request(incoming) => {
-                node.open_requests.set(node.open_requests.get() + 1);
-                let keep_open = conn.answer(node, *incoming).await;
-                node.open_requests.set(node.open_requests.get() - 1);
-                if !keep_open? {
+                let _open = OpenRequest::new(node);
+                if !conn.answer(node, *incoming).await? {
                     return conn.finish().await;
                 }
             }
@@ -123,9 +143,9 @@
                 Ok(Some(Message::Chunk(_))) => {}
                 Ok(None) => {}
                 Err(ParseError::TooLarge) => {
-                    return Ok(Input::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+                    return Ok(Input::refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
                 }
-                Err(_) => return Ok(Input::Refused(StatusCode::BAD_REQUEST)),
+                Err(_) => return Ok(Input::refused(StatusCode::BAD_REQUEST)),
             }
             if self.buffer.is_empty() {
                 // Frees the buffer of an idle connection.
@@ -133,7 +153,7 @@
             }
             let limit = limits.map_or(usize::MAX, |l| l.head_bytes);
             if self.buffer.len() > limit {
-                return Ok(Input::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+                return Ok(Input::refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
             }
             let is_idle = self.buffer.is_empty();
             let read = tokio::select! {
@@ -151,10 +171,10 @@
             timeout = limits.map_or(STALL_TIMEOUT, |l| l.head_timeout.as_duration());
         };
         let arrived = node.now();
-        self.read_body(head, arrived, limits.map_or(u64::MAX, |l| l.body_bytes)).await
+        self.read_body(node, head, arrived, limits.map_or(u64::MAX, |l| l.body_bytes)).await
     }
 
-    async fn read_body(&mut self, head: Request, arrived: Time, max: u64) -> io::Result<Input> {
+    async fn read_body(&mut self, node: &Node, head: Request, arrived: Time, max: u64) -> io::Result<Input> {
         let mut incoming = Box::new(Incoming { chunked: false, body: Vec::new(), arrived, head });
         if self.codec.message_type() == MessageType::None {
             return Ok(Input::Request(incoming));
@@ -169,21 +189,35 @@
             self.stream.write_all(CONTINUE).await?;
         }
         let mut length = 0;
+        let mut stage = node.stage.subscribe();
+        let mut is_checked = false;
         loop {
             match self.codec.decode(&mut self.buffer) {
                 Ok(Some(Message::Chunk(Some(chunk)))) => {
                     length += chunk.len() as u64;
                     if length > max {
-                        return Ok(Input::Refused(StatusCode::PAYLOAD_TOO_LARGE));
+                        return Ok(Input::refused(StatusCode::PAYLOAD_TOO_LARGE));
                     }
                     append_chunk(&mut incoming.body, chunk);
+                    continue;
                 }
                 Ok(Some(Message::Chunk(None))) => return Ok(Input::Request(incoming)),
-                Ok(Some(Message::Item(_))) | Err(_) => return Ok(Input::Refused(StatusCode::BAD_REQUEST)),
-                Ok(None) => match tokio::time::timeout(STALL_TIMEOUT, self.fill()).await {
-                    Ok(Ok(0)) | Err(_) => return Ok(Input::End),
-                    Ok(read) => drop(read?),
-                },
+                Ok(Some(Message::Item(_))) | Err(_) => return Ok(Input::refused(StatusCode::BAD_REQUEST)),
+                Ok(None) => {}
+            }
+            let read = tokio::select! {
+                read = tokio::time::timeout(STALL_TIMEOUT, self.fill()) => read,
+                _ = stage.wait_for(|s| *s >= Stage::Closing), if !is_checked => {
+                    is_checked = true;
+                    if let Some(answer) = serve::refuse_early(node, &incoming) {
+                        return Ok(Input::Refused(answer));
+                    }
+                    continue;
+                }
+            };
+            match read {
+                Ok(Ok(0)) | Err(_) => return Ok(Input::End),
+                Ok(read) => drop(read?),
             }
         }
     }
@@ -194,6 +228,7 @@
         let served = serve::serve(node, &incoming);
         let mut stage = node.stage.subscribe();
         let answer = tokio::select! {
+            biased;
             answer = served => answer,
             _ = stage.wait_for(|s| *s == Stage::Ending) => {
                 // The request may have run, so the answer must not say
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -17,6 +17,7 @@
         budget::{self, Budget},
         config::Config,
         directory::Directory,
+        drain::Drain,
         load::LocalLoads,
         owners::{Owners, ProcessId},
         peer_count::PeerCount,
@@ -101,7 +102,10 @@
     pub(crate) quota_requested: Notify,
     /// Stage of the graceful shutdown; each change is signalled.
     pub(crate) stage: watch::Sender<Stage>,
-    /// Number of requests in progress.
+    /// Times of the graceful shutdown, once it has begun.
+    pub(crate) drain: Cell<Option<Drain>>,
+    /// Number of requests in progress, including those whose answered connection
+    /// is being closed.
     pub(crate) open_requests: Cell<u32>,
     /// Number of edge processes, as counted by the leader.
     pub(crate) peer_count: Cell<PeerCount>,
@@ -194,6 +198,7 @@
             quota_wanted: Cell::new(false),
             quota_requested: Notify::new(),
             stage: watch::Sender::new(Stage::Serving),
+            drain: Cell::new(None),
             open_requests: Cell::new(0),
             peer_count: Cell::new(PeerCount::new(PEERS_DEFAULT)),
             started_at: BootClock.now(),
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -107,6 +107,19 @@
     Ok(RoutedRequest { incoming, route, service, key, id, deadline: incoming.arrived.after(limit) })
 }
 
+fn may_take(node: &Node, deadline: Time) -> bool {
+    node.drain.get().is_none_or(|drain| drain.may_take(node.now(), deadline))
+}
+
+/// Returns the answer to a request that is refused before its body has arrived,
+/// as this process ends before it could be over.
+pub(crate) fn refuse_early(node: &Node, incoming: &Incoming) -> Option<Answer> {
+    let config = node.config.borrow().clone()?;
+    let routed = route_request(node, &config, incoming).ok()?;
+    let is_refused = !may_take(node, routed.deadline);
+    is_refused.then(|| refuse(node, incoming, &routed.id, Code::Leaving))
+}
+
 /// Serves a request and returns the final answer.
 pub(crate) async fn serve(node: &Rc<Node>, incoming: &Incoming) -> Answer {
     let Some(config) = node.config.borrow().clone() else {
@@ -119,6 +132,9 @@
             return refuse(node, incoming, id, code);
         }
     };
+    if !may_take(node, routed.deadline) {
+        return refuse(node, incoming, &routed.id, Code::Leaving);
+    }
     node.budget.borrow_mut().count_request(incoming.arrived, &routed.service);
     if let Some(key) = routed.key {
         let mut keys = node.key_counts.borrow_mut();
--- a/crates/catkin-edge/src/shutdown.rs
+++ b/crates/catkin-edge/src/shutdown.rs
@@ -3,19 +3,11 @@
 use {
     crate::node::{Node, Stage, sleep},
     catkin::{Code, Error, types::Span},
+    catkin_route::drain::Drain,
     std::rc::Rc,
     tokio::signal::unix::{Signal, SignalKind, signal},
 };
 
-/// Time from the signal until the platform has seen that the process takes no
-/// new connections: two readiness checks, one second apart.
-const READINESS_DELAY: Span = Span::from_millis(2_600);
-
-/// Part of the platform's termination grace period that is reserved for the
-/// last answers and the exit of the process. It lies within the last sixth of
-/// that period, in which work may be aborted.
-const GRACE_RESERVE: Span = Span::from_millis(600);
-
 /// Time for sending the last answers.
 const FINAL_ANSWERS_DELAY: Span = Span::from_millis(200);
 
@@ -49,17 +41,17 @@
 }
 
 async fn drain(node: Rc<Node>) {
-    let start = node.now();
+    let drain = Drain::new(node.now(), node.bounds.termination_grace);
+    node.drain.set(Some(drain));
     node.stage.send_replace(Stage::Draining);
     log::info!(open_requests = node.open_requests.get(); "stopping");
-    let limit = node.bounds.termination_grace.saturating_sub(GRACE_RESERVE);
     loop {
-        let elapsed = node.now().since(start);
-        if elapsed >= READINESS_DELAY {
+        let now = node.now();
+        if now >= drain.closing() {
             node.stage.send_replace(Stage::Closing);
         }
         let idle = node.open_requests.get() == 0 && !node.is_leader.get();
-        if elapsed >= limit || elapsed >= READINESS_DELAY && idle {
+        if now >= drain.end() || now >= drain.closing() && idle {
             break;
         }
         sleep(Span::from_millis(20)).await;
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -492,3 +492,48 @@
     assert_eq!(failed, 0);
     fleet.check();
 }
+
+/// Reads everything that a process writes on a connection.
+async fn read_all(stream: &mut (impl AsyncReadExt + Unpin)) -> String {
+    let mut bytes = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_secs(6), stream.read_to_end(&mut bytes)).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// The body of an upload arrives until shortly before the end of the grace
+/// period. If it were passed on, it would be cut while its target is at work on
+/// it, and its caller must not send it again.
+#[actix_rt::test]
+async fn stopping_process_takes_no_request_that_it_cannot_finish() {
+    let fleet = Fleet::start(1).await;
+    put_config(&fleet.store, &Config { timeout_ms: 20_000, ..plan(2) });
+    sleep(1_900).await;
+    for server in &fleet.servers[3..] {
+        server.set_faults(ServerFaults { unanswered_every: 1, ..ServerFaults::default() });
+    }
+    let edge = &fleet.edges[0];
+    let stream = tokio::net::TcpStream::connect(edge.callers).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    // Another request keeps the process until the end of its grace period.
+    let mut open = tokio::net::TcpStream::connect(edge.callers).await.unwrap();
+    let order = "POST /order/x HTTP/1.1\r\nhost: h\r\nx-request-id: open\r\nx-deadline-ms: 15000\r\ncontent-length: 0\r\n\r\n";
+    open.write_all(order.as_bytes()).await.unwrap();
+    sleep(300).await;
+    edge.signal(Signal::SIGTERM);
+    let head = "POST /scan/x HTTP/1.1\r\nhost: h\r\nx-request-id: slow\r\nx-deadline-ms: 15000\r\ncontent-length: 12\r\n\r\n";
+    writer.write_all(head.as_bytes()).await.unwrap();
+    actix_rt::spawn(async move {
+        for _ in 0..12 {
+            sleep(300).await;
+            // The process may have answered and closed the connection.
+            let _ = writer.write_all(b"x").await;
+        }
+        // Without its writer the caller would count as gone.
+        std::future::pending::<()>().await;
+        drop(writer);
+    });
+    let answer = read_all(&mut reader).await;
+    assert_eq!(fleet.checker.run_count("slow"), 0, "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+}
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`config`] | which route a request takes, and whether a configuration is valid |
 //! | [`split`] | which service of a split route gets the next request |
 //! | [`backlog`] | which records are forwarded to other processes |
+//! | [`drain`] | what a process that is asked to stop still takes |
 //! | [`directory`] | which targets exist and which may get new requests |
 //! | [`owners`] | which target owns a key |
 //! | [`delta`] | the delta between two tables of owners |
@@ -36,6 +37,7 @@
 pub mod config;
 pub mod delta;
 pub mod directory;
+pub mod drain;
 pub mod granter;
 pub mod level;
 pub mod load;
