answer requests that were read ahead before closing a connection

A process that was asked to stop closes each connection with its next answer. A request that the caller had sent ahead was read and never answered.

An answer closes its connection only if nothing was read behind its request.

Test: stopping_process_answers_requests_that_it_has_read_ahead, seen failing before (one answer for two requests).

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -241,7 +241,8 @@
                 return Ok(false);
             }
         };
-        let close = node.is_draining() || !self.codec.keep_alive();
+        // A request that was read ahead must be answered too.
+        let close = node.is_draining() && self.buffer.is_empty() || !self.codec.keep_alive();
         self.write(answer, close).await?;
         Ok(!close)
     }
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -537,3 +537,24 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.contains("retry-after"), "{answer}");
 }
+
+/// A caller has sent a second request before the first is answered. The process
+/// has read both when it is asked to stop, and must answer both.
+#[actix_rt::test]
+async fn stopping_process_answers_requests_that_it_has_read_ahead() {
+    let fleet = Fleet::start(1).await;
+    let edge = &fleet.edges[0];
+    edge.signal(Signal::SIGTERM);
+    sleep(100).await;
+    let mut stream = tokio::net::TcpStream::connect(edge.callers).await.unwrap();
+    let request = |id: &str| {
+        format!(
+            "GET /read/x HTTP/1.1\r\nhost: h\r\nx-request-id: {id}\r\nx-deadline-ms: 1000\r\nx-shard-key: 1\r\n\r\n"
+        )
+    };
+    stream.write_all((request("first") + &request("second")).as_bytes()).await.unwrap();
+    let answers = read_all(&mut stream).await;
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 2, "{answers}");
+    assert_eq!(answers.matches("connection: close").count(), 1, "{answers}");
+    fleet.check();
+}
