give commands an id, and a release an answer of its own

Keys were granted to a server while their owner was at work on them, some 2.9 s before the end of its lease.

Cause: commands had no id, and any answer counted as the answer to the command in progress. A late copy of the answer to a release freed the keys of the next one. Ruled out: an answer before the end of the work, and a lease that had run out.

Commands carry an id. On a connection whose target has named one, other answers are skipped; after an answer to a release that names none the connection is closed, so a copy can meet no other release. The stand-in names the id.

Tests: repeated_release_answer_frees_no_other_keys and nameless_release_answer_frees_no_other_keys, both seen failing before ('grant ... while the work of ... went on').

--- a/crates/catkin-edge/src/lead/command.rs
+++ b/crates/catkin-edge/src/lead/command.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::node::Node,
-    actix_http::ServiceConfig,
+    actix_http::{ResponseHead, ServiceConfig},
     catkin::types::ConnId,
-    catkin_net::Conn,
+    catkin_net::{Conn, HttpAnswer},
     catkin_platform::grant,
     catkin_route::{
         directory::Incarnation,
@@ -32,11 +32,20 @@
 /// separate connection.
 pub(super) type CommandConns = Rc<RefCell<HashMap<(Incarnation, bool), Rc<CommandConn>>>>;
 
+/// A connection that is kept for the next command.
+#[derive(Debug)]
+struct Kept {
+    conn: Conn,
+    /// Whether the target has named the id of a command in an answer. An answer
+    /// without one belongs to no command then.
+    names_ids: bool,
+}
+
 /// Connection that carries one command at a time. There is only one, since a
 /// new connection would wait in the queue of a busy target.
 #[derive(Debug, Default)]
 pub(super) struct CommandConn {
-    conn: Mutex<Option<Conn>>,
+    conn: Mutex<Option<Kept>>,
     /// Number of failed connections so far.
     failures: Cell<u64>,
 }
@@ -72,34 +81,37 @@
 
 /// Returns whether the connection that carried the fence of a command is no
 /// longer the kept one.
-fn is_closed(kept: &Option<Conn>, command: &Command) -> bool {
-    command.conn.is_some() && command.conn != kept.as_ref().map(Conn::id)
+fn is_closed(kept: &Option<Kept>, command: &Command) -> bool {
+    command.conn.is_some() && command.conn != kept.as_ref().map(|kept| kept.conn.id())
+}
+
+/// Returns an id that no other command has, also of another process.
+fn command_id(node: &Node, command: &Command) -> String {
+    format!("{:016x}-{}", node.identity.run_id, command.ticket)
 }
 
 /// Sends a command on the kept connection, or on a new one if none is kept.
 /// Keeps the connection if it can carry another command.
-async fn exchange(node: &Node, kept: &mut Option<Conn>, command: &Command) -> (Outcome, Option<ConnId>) {
+async fn exchange(node: &Node, slot: &mut Option<Kept>, command: &Command) -> (Outcome, Option<ConnId>) {
     let timeout = if command.action == Action::Release { RELEASE_TIMEOUT } else { GRANT_TIMEOUT };
     node.metrics.count_command(command.action.name());
-    let (head, body) = match grant::encode(command) {
+    let id = command_id(node, command);
+    let (head, body) = match grant::encode(command, &id) {
         Ok(request) => request,
         Err(error) => {
             log::error!(error:display; "failed to encode command");
             return (Outcome::Undelivered, None);
         }
     };
-    let Some(mut conn) = connect(kept.take(), command, node.http.clone()).await else {
+    let Some(mut kept) = connect(slot.take(), command, node.http.clone()).await else {
         return (Outcome::Undelivered, None);
     };
-    let id = conn.id();
-    let exchange = conn.exchange(head, vec![body], false, |_| true);
+    let (conn, names_ids) = (kept.conn.id(), kept.names_ids);
+    let is_own = |head: &ResponseHead| grant::answered_id(head).map_or(!names_ids, |other| other == id);
+    let exchange = kept.conn.exchange(head, vec![body], false, is_own);
     let outcome = match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(reply)) => {
-            if !reply.reusable {
-                let target_id = &*command.incarnation.id;
-                log::info!(target_id, conn = id.0; "connection for commands closed after an answer");
-            }
-            *kept = reply.reusable.then_some(conn);
+            *slot = keep(kept, command, &reply);
             grant::decode(&reply)
         }
         Ok(Err(failure)) if !failure.sent => Outcome::Undelivered,
@@ -107,16 +119,29 @@
         // The connection is closed while a command on it is unanswered.
         Err(_) => Outcome::Unknown,
     };
-    (outcome, Some(id))
+    (outcome, Some(conn))
+}
+
+/// Returns the connection after an answer if it can carry another command. After
+/// an answer to a release without its id it can't: a late copy of that answer
+/// would free the keys of the next release while work on them goes on.
+fn keep(kept: Kept, command: &Command, reply: &HttpAnswer) -> Option<Kept> {
+    let names_ids = kept.names_ids || grant::answered_id(&reply.head).is_some();
+    if reply.reusable && (names_ids || command.action != Action::Release) {
+        return Some(Kept { names_ids, ..kept });
+    }
+    let target_id = &*command.incarnation.id;
+    log::info!(target_id, conn = kept.conn.id().0, names_ids; "connection for commands closed after an answer");
+    None
 }
 
 /// Returns the kept connection to a target, or a new one if none is kept.
-async fn connect(kept: Option<Conn>, command: &Command, http: ServiceConfig) -> Option<Conn> {
+async fn connect(kept: Option<Kept>, command: &Command, http: ServiceConfig) -> Option<Kept> {
     match kept {
         // A connection that the target has closed may mean that its process has
         // ended.
-        Some(conn) => conn.is_idle().then_some(conn),
-        None => open(command, http).await,
+        Some(kept) => kept.conn.is_idle().then_some(kept),
+        None => Some(Kept { conn: open(command, http).await?, names_ids: false }),
     }
 }
 
--- a/crates/catkin-edge/tests/commands.rs
+++ b/crates/catkin-edge/tests/commands.rs
@@ -6,9 +6,9 @@
     catkin_standin::users::{Config, put_config},
     common::{
         Fleet, plan,
-        target::{ScriptedTarget, check_fences},
+        target::{Received, Reply, ScriptedTarget, check_fences},
     },
-    std::time::Duration,
+    std::{collections::HashMap, time::Duration},
 };
 
 /// Service of the scripted targets.
@@ -69,3 +69,52 @@
     assert!(fleet.table().services[SERVICE].iter().all(|row| *row.target != *"a"));
     check_fences(&targets.iter().collect::<Vec<_>>());
 }
+
+/// Time from a release to the end of the work in progress.
+const WORK_TIME: Duration = Duration::from_millis(300);
+
+/// Lets a target drain that writes its answer to a release once more when the
+/// next release comes on the connection, and checks that no key is granted to
+/// another target before its work has ended.
+async fn drain_with_repeated_answers(names_ids: bool) {
+    let (fleet, targets) = start(["a", "b", "c"]).await;
+    let mut last = HashMap::new();
+    targets[0].set_script(move |request| {
+        if !request.is_release() {
+            return request.accept().into();
+        }
+        let request = if names_ids { request.clone() } else { request.without_id() };
+        let answer = request.accept();
+        let early = last.insert(request.conn, answer.clone()).unwrap_or_default();
+        Reply { early, delay: WORK_TIME, answer }
+    });
+    targets[0].publish(&fleet, 1, "draining");
+    sleep(6_000).await;
+    let grants: Vec<_> = targets[1..].iter().flat_map(ScriptedTarget::received).collect();
+    let received = targets[0].received();
+    let releases: Vec<_> = received.iter().filter(|request| request.is_release()).collect();
+    assert!(releases.len() > 2, "{} releases", releases.len());
+    for release in releases {
+        let is_early = |grant: &&Received| {
+            let age = grant.at.saturating_duration_since(release.at);
+            grant.is_grant() && grant.overlaps(release) && !age.is_zero() && age < WORK_TIME
+        };
+        if let Some(grant) = grants.iter().find(is_early) {
+            panic!("{grant:?} while the work of {release:?} went on");
+        }
+    }
+}
+
+/// A late copy of the answer to a release was taken for the answer to the next
+/// one, so keys were granted to another target while their owner was at work.
+#[actix_rt::test]
+async fn repeated_release_answer_frees_no_other_keys() {
+    drain_with_repeated_answers(true).await;
+}
+
+/// A target does not name the command that it answers. Only a connection of its
+/// own tells the answer to a release from a copy of an earlier one.
+#[actix_rt::test]
+async fn nameless_release_answer_frees_no_other_keys() {
+    drain_with_repeated_answers(false).await;
+}
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -259,12 +259,12 @@
         let fence = number("fence");
         let duration = Duration::from_millis(number("holdMs"));
         if !self.update_grants(from, to, is_grant.then_some((fence, duration))) {
-            return reply_text(409, "");
+            return reply_to(&request, 409).finish().map_into_boxed_body();
         }
         if self.inner.faults.get().unanswered_commands {
             return pending().await;
         }
-        Response::ok().map_into_boxed_body()
+        reply_to(&request, 200).finish().map_into_boxed_body()
     }
 
     /// Removes a range of keys from all grants and, if `grant` has a fence and
