log entries of another process of a target

The logs did not show which process of a target the directory names. Hypotheses: an entry of an earlier process replaces that of the later one; the later process is taken for gone; its entry is removed meanwhile.

Each entry that names another process than the known one is logged with both starts.

--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -17,7 +17,7 @@
     },
     catkin_route::{
         backlog::{Change, Payload},
-        directory::{Entry, Incarnation, Target},
+        directory::{Directory, Entry, Incarnation, Target},
     },
     std::{collections::HashSet, rc::Rc},
 };
@@ -137,7 +137,10 @@
         return true;
     }
     match entry::decode(key, value) {
-        Ok(entry) => directory.put(now, entry),
+        Ok(entry) => {
+            log_other_process(&directory, &entry);
+            directory.put(now, entry)
+        }
         Err(error) => {
             log::warn!(error:display; "invalid directory entry ignored");
             false
@@ -145,6 +148,15 @@
     }
 }
 
+/// Logs that an entry comes from another process of a target than the known one.
+fn log_other_process(directory: &Directory, entry: &Entry) {
+    let Incarnation { id, started } = &entry.incarnation;
+    let known = directory.get(id).map(|target| target.entry.incarnation.started);
+    if let Some(known) = known.filter(|known| known != started) {
+        log::info!(target_id = &**id, known, started; "entry of another process of a target");
+    }
+}
+
 /// Applies configurations that the leader forwarded.
 pub(crate) fn apply_forwarded_configs(node: &Node, batch: &Batch, at: Time) {
     apply_forwarded(node, &node.config_feed, batch, at, apply_config);
