take no entry of an earlier process for a later one

Keys of a running server were given to others without a release, and both held them for one to three seconds.

Cause: any entry with another start than the owner's counted as the end of the owner, also one of its earlier process, which a late write brings back. Evidence: the log line of the last commit; no release, no failed renewal and no removal stand between that entry and the moves.

The directory ignores entries of an earlier incarnation than the known one. A leader that knows only an earlier one renews the owner as before.

Tests: entry_of_an_earlier_process_is_ignored and earlier_process_in_the_directory_frees_no_keys, both seen failing before. listing_replaces_all_targets asserted that a listing brings an earlier process back, which is the fault itself. It asserts the contrary now, with a target more, and that a listing brings a later one.

--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -172,9 +172,13 @@
     /// ends a grace period. A target writes its entry repeatedly as a
     /// heartbeat, but a reader receives an entry only when more than its
     /// sequence number has changed, so `last_seen` of an unchanged target does
-    /// not advance before the next complete listing.
+    /// not advance before the next complete listing. An entry of an earlier
+    /// incarnation than the known one was written late and is ignored.
     pub fn put(&mut self, now: Time, entry: Entry) -> bool {
         let old = self.targets.get(&entry.incarnation.id);
+        if old.is_some_and(|t| t.entry.incarnation.started > entry.incarnation.started) {
+            return false;
+        }
         let known =
             old.filter(|t| t.entry.incarnation == entry.incarnation && t.entry.service == entry.service);
         let without_cold_left = |e: &Entry| Entry { cold_left: Span::ZERO, ..e.clone() };
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -311,8 +311,9 @@
             _ => return,
         }
         let known = directory.get(&range.row.target);
+        let is_earlier = |t: &Target| t.entry.incarnation.started < range.row.started;
         match known {
-            Some(t) if t.entry.incarnation.started != range.row.started => {
+            Some(t) if t.entry.incarnation.started > range.row.started => {
                 // The process that held the keys has ended, and with it the
                 // commands that it had not yet carried out. A later one may
                 // have carried out those that came on a new connection, so it
@@ -336,10 +337,13 @@
             Some(_) if range.disconnected_at.is_some() && now >= range.expiry => {
                 range.phase = Phase::Unowned(now)
             }
-            Some(t) if t.is_open() => {}
+            Some(t) if t.is_open() && !is_earlier(t) => {}
             _ if !self.addrs.contains_key(&range.row.incarnation()) => {
                 range.phase = Phase::Unowned(range.expiry)
             }
+            // The entry was written before the owner started and says nothing
+            // of it.
+            Some(t) if is_earlier(t) => {}
             // A grant goes first, so that the owner refuses an earlier leader.
             _ if range.earlier_expiry > now => {}
             // The answer to a release would be awaited for longer than the lease.
