keep a target draining for the rest of its process

A late write of a ready entry, of the same process that has said that it drains, made the target open again for requests and keys.

A process that has said that it drains stays draining. Entries without a start may come from another process and are taken as before.

Test: late_ready_entry_does_not_undo_draining, seen failing before.

--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -186,7 +186,13 @@
             without_cold_left(&t.entry) != without_cold_left(&entry) || t.grace_end.is_some()
         });
         self.changes += u64::from(has_changed);
-        let entry_since = entry.draining.then(|| known.and_then(|t| t.draining_since).unwrap_or(now));
+        let known_since = known.and_then(|t| t.draining_since);
+        let entry_since = match entry.draining {
+            true => known_since.or(Some(now)),
+            // A process that drains does not become ready again. Without a start
+            // this may be another process.
+            false => known_since.filter(|_| entry.incarnation.started != 0),
+        };
         let draining_since = self.left_since(&entry.incarnation).or(entry_since);
         let target = Target {
             cold_until: now.after(entry.cold_left),
--- a/crates/catkin-route/tests/directory.rs
+++ b/crates/catkin-route/tests/directory.rs
@@ -229,3 +229,19 @@
     assert_eq!((known.entry.incarnation.started, known.is_open()), (2, true));
     assert!(directory.put(at(6_000), entry("a", 3)));
 }
+
+/// A write of an entry may be carried out seconds late, when the process has
+/// said that it drains. It must not get new requests again. Without starts in
+/// the entries a ready one may come from a later process.
+#[test]
+fn late_ready_entry_does_not_undo_draining() {
+    for (started, is_open) in [(1, false), (0, true)] {
+        let mut directory = Directory::default();
+        directory.put(at(0), entry("a", started));
+        directory.put(at(1_000), Entry { draining: true, ..entry("a", started) });
+        directory.put(at(2_000), entry("a", started));
+        let target = directory.get("a").unwrap();
+        assert_eq!(target.is_open(), is_open);
+        assert_eq!(target.serves_keys(at(2_000)), is_open);
+    }
+}
