soak: servers restart as processes do, and no two hold the same keys

A restart closes the server's connections, its entry is written up to 1.5 s later, and an entry of the earlier process appears some seconds after that. Keys that two servers hold for over half a second are a violation.

--- a/crates/catkin-edge/tests/soak.rs
+++ b/crates/catkin-edge/tests/soak.rs
@@ -17,13 +17,20 @@
     nix::sys::signal::Signal,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    std::{cell::Cell, env, rc::Rc, time::Duration},
+    std::{
+        cell::Cell,
+        collections::{HashMap, HashSet},
+        env,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Seeds that have failed. 18: a process that receives SIGTERM and then SIGSTOP
 /// ends late; a test that restarts processes itself after a fixed wait misses
-/// it, so `supervise` restarts them.
-const REGRESSIONS: [u64; 1] = [18];
+/// it, so `supervise` restarts them. 302: a server starts again, is listed late
+/// and later once more as before, and two servers hold its keys.
+const REGRESSIONS: [u64; 2] = [18, 302];
 
 /// Number of seeds of a run in CI.
 const SEEDS_CI: u64 = 2;
@@ -143,11 +150,47 @@
             sleep(wait).await;
             server.set_faults(ServerFaults::default());
         }
-        6 => fleet.servers[random.random_range(0..3)].restart(),
+        6 => restart_server(&fleet, &mut random).await,
         _ => fleet.store.compact(["keyed.op", "keyed.servers", "keyed.owners"][i]),
     }
 }
 
+/// Restarts a keyed server, which is listed late, and lets an entry of its
+/// earlier process appear after that.
+async fn restart_server(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let server = &fleet.servers[random.random_range(0..3)];
+    server.restart_unlisted(Duration::from_millis(random.random_range(0..1_500)));
+    sleep(random.random_range(2_000..6_000)).await;
+    server.publish_earlier();
+}
+
+/// Longest time for which two servers may hold the same keys.
+const HELD_TWICE_MAX: Duration = Duration::from_millis(500);
+
+/// Records a violation if two servers hold the same keys for too long.
+async fn watch_holders(fleet: Rc<Fleet>, stop: Rc<Cell<bool>>) {
+    let mut since: HashMap<(String, String), Instant> = HashMap::new();
+    while !stop.get() {
+        let held: Vec<_> = fleet.servers[..3].iter().map(|s| (s.id(), s.held_ranges())).collect();
+        let overlap =
+            |a: &[(u16, u16)], b: &[(u16, u16)]| a.iter().any(|a| b.iter().any(|b| a.0 <= b.1 && b.0 <= a.1));
+        let mut twice = HashSet::new();
+        for (i, (a, ranges)) in held.iter().enumerate() {
+            let others = held[..i].iter().filter(|(_, other)| overlap(ranges, other));
+            twice.extend(others.map(|(b, _)| ((*a).to_owned(), (*b).to_owned())));
+        }
+        since.retain(|pair, _| twice.contains(pair));
+        for pair in twice {
+            let first = *since.entry(pair.clone()).or_insert_with(Instant::now);
+            if first.elapsed() > HELD_TWICE_MAX {
+                fleet.checker.add_violation(format!("{} and {} hold the same keys", pair.0, pair.1));
+                return;
+            }
+        }
+        sleep(50).await;
+    }
+}
+
 /// Lets a random server announce something in its answers for a random time.
 async fn announce(fleet: Rc<Fleet>, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -193,6 +236,7 @@
         .map(|i| actix_rt::spawn(call(fleet.clone(), seed * 100 + i, stop.clone(), tally.clone())))
         .collect();
     actix_rt::spawn(supervise(fleet.clone(), stop.clone()));
+    actix_rt::spawn(watch_holders(fleet.clone(), stop.clone()));
     let mut faults = vec![actix_rt::spawn(replace_server(fleet.clone()))];
     for version in 0..FAULTS {
         let route = Route { prefix: "/more/", kind: "idempotent", split: vec![("keyed", 1)] };
--- a/crates/catkin-net/src/http.rs
+++ b/crates/catkin-net/src/http.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Closes all connections, as the end of a process does.
+    pub fn close_all(&self) {
+        self.open.borrow().values().for_each(|close_requested| close_requested.notify_one());
+    }
+
     fn register(&self, peer: SocketAddr) -> Option<ConnectionGuard> {
         (self.count() < self.max).then(|| {
             let close_requested = Rc::<Notify>::default();
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -5,7 +5,7 @@
     super::{announcements::Announcements, invariants::InvariantChecker, store::Store},
     crate::body::{self, header_text},
     actix_http::{Request, Response, ResponseBuilder, StatusCode, body::BoxBody},
-    catkin_net::{listen, reply_text},
+    catkin_net::{Connections, listen, reply_text},
     futures_util::future::pending,
     serde_json::{Value, json},
     std::{
@@ -66,6 +66,9 @@
     faults: Cell<ServerFaults>,
     grants: RefCell<Vec<Grant>>,
     announcements: RefCell<Announcements>,
+    connections: Connections,
+    /// Until when the entry of the running incarnation is not written.
+    unlisted_until: Cell<Option<Instant>>,
 }
 
 /// A server. Clones share its state.
@@ -125,6 +128,8 @@
             faults: Cell::default(),
             grants: RefCell::default(),
             announcements: RefCell::default(),
+            connections: Connections::new(u32::MAX),
+            unlisted_until: Cell::new(None),
         };
         Self { inner: Rc::new(inner) }
     }
@@ -139,7 +144,8 @@
         self.inner.addr.set(listener.local_addr().ok());
         let server = self.clone();
         actix_rt::spawn(async move {
-            let serving = catkin_net::serve(listener, move |request| {
+            let connections = server.inner.connections.clone();
+            let serving = catkin_net::serve_limited(listener, connections, move |request| {
                 let server = server.clone();
                 async move { server.handle(request).await }
             });
@@ -205,15 +211,48 @@
         self.inner.store.put("keyed.servers", &self.inner.id, b"");
     }
 
-    /// Simulates a restart under the same id: the grants are lost and the entry
-    /// shows a new incarnation. Requests in progress go on.
+    /// Simulates a restart under the same id: connections end with the requests
+    /// on them, the grants are lost and the entry shows a new incarnation.
     pub fn restart(&self) {
+        self.restart_unlisted(Duration::ZERO);
+    }
+
+    /// Simulates a restart after which the new incarnation writes its entry only
+    /// after `lag`.
+    pub fn restart_unlisted(&self, lag: Duration) {
         self.inner.incarnation.set(self.inner.incarnation.get() + 1);
         self.inner.grants.borrow_mut().clear();
+        self.inner.connections.close_all();
+        self.inner.unlisted_until.set(Instant::now().checked_add(lag));
         self.publish();
     }
 
+    /// Writes the entry of the incarnation before the running one, as a write
+    /// that is carried out late does.
+    pub fn publish_earlier(&self) {
+        let earlier = self.inner.incarnation.get().saturating_sub(1).max(1);
+        self.publish_as(earlier);
+    }
+
+    /// Returns the ranges of keys that the server holds now.
+    pub fn held_ranges(&self) -> Vec<(u16, u16)> {
+        let now = Instant::now();
+        let grants = self.inner.grants.borrow();
+        grants.iter().filter(|g| now < g.until).map(|g| (g.from, g.to)).collect()
+    }
+
+    /// Returns the id of the server.
+    pub fn id(&self) -> &str {
+        &self.inner.id
+    }
+
     fn publish(&self) {
+        if self.inner.unlisted_until.get().is_none_or(|until| until <= Instant::now()) {
+            self.publish_as(self.inner.incarnation.get());
+        }
+    }
+
+    fn publish_as(&self, incarnation: u64) {
         let inner = &self.inner;
         let (false, Some(addr)) = (inner.faults.get().unpublished || inner.stopped.get(), inner.addr.get())
         else {
@@ -222,7 +261,7 @@
         let state = if inner.draining.get() { "draining" } else { "ready" };
         let entry = json!({
             "address": addr.to_string(),
-            "born": inner.incarnation.get(),
+            "born": incarnation,
             "info": { "service": inner.service, "configVersion": "v1", "zone": "z", "slots": SLOTS },
             "status": { "state": state, "seq": 1, "coldLeftMs": 0 },
         });
