stand-in: a server that starts again announces nothing of before

Traced with EDGE_LOGS: s0 asked for a pause of 2.4 s at 10:05.179 and started again in it; its new process (start 3, listed at 10:07.410) got first requests of each caller at 10:07.478 and refused them with the rest of the old pause.

A restart ends what the server announced; the limit is checked up to then. All other pauses, limits and departures are checked as before.

--- a/crates/catkin-standin/src/users/announcements.rs
+++ b/crates/catkin-standin/src/users/announcements.rs
@@ -107,6 +107,14 @@
         self.leaving = drain_time.map(|drain_time| Leaving { drain_time, since: None });
     }
 
+    /// Ends everything that the server announced: a process that starts again
+    /// knows nothing of before.
+    pub(super) fn restart(&mut self, id: &str, checker: &InvariantChecker) {
+        self.set_limit(id, checker, None);
+        self.set_leaving(None);
+        self.pause = None;
+    }
+
     /// Starts a pause.
     pub(super) fn pause(&mut self, span: Duration, callers: usize) {
         let since = Instant::now();
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -223,6 +223,7 @@
         self.inner.incarnation.set(self.inner.incarnation.get() + 1);
         self.inner.grants.borrow_mut().clear();
         self.inner.connections.close_all();
+        self.inner.announcements.borrow_mut().restart(&self.inner.id, &self.inner.checker);
         self.inner.unlisted_until.set(Instant::now().checked_add(lag));
         self.publish();
     }
