remember the latest process of a target after its entry was removed

What callers saw: after a target's entry was removed (it left, it expired, or another target answered at its address), a write of its earlier process that was carried out late listed it again, and a late ready entry of a process that had drained opened it again. Requests and keys went to a target that had left.

Cause: the order of starts was checked against the listed entry only, and that a process drains was forgotten with it.

Change: the directory remembers the latest start of each target and the departure of a draining one beyond the entry, for a bounded number of targets. A process with an earlier clock is no longer ignored as long as the entry before is known: its entry can't be a late one if it is carried out longer after the later start was heard of than any write is late.

Evidence: late_entry_lists_no_ended_process, late_entry_does_not_undo_leaving and process_with_an_earlier_clock_is_listed fail on the code before.

--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -99,18 +99,30 @@
     since: Time,
 }
 
-/// Most departures that are kept. Above, those of targets that are not listed
-/// are forgotten.
-const DEPARTURES_MAX: usize = 4_096;
+/// Start of the latest known process of a target.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    /// Start of the incarnation.
+    started: u64,
+    /// When the incarnation was first heard of.
+    known_since: Time,
+}
+
+/// Most targets that are not listed whose latest start and departure are
+/// remembered. Above, all of these are forgotten.
+const UNLISTED_MAX: usize = 4_096;
 
 /// All known targets, by id and by service.
 #[derive(Clone, Debug)]
 pub struct Directory {
     targets: HashMap<Arc<str>, Target>,
     services: BTreeMap<Arc<str>, Vec<Arc<str>>>,
-    /// Incarnations that said themselves that they leave, by id, and since when
-    /// this is known. Entries do not change that, nor does their removal.
+    /// Incarnations that said themselves that they leave, or whose entry was
+    /// removed while they drained, by id, and since when this is known. Entries
+    /// do not change that, nor does their removal.
     left: HashMap<Arc<str>, Departure>,
+    /// Latest start of each target, also after its entry was removed.
+    starts: HashMap<Arc<str>, Start>,
     grace_end: Time,
     changes: u64,
     entry_ttl: Span,
@@ -126,6 +138,7 @@
             targets: HashMap::new(),
             services: BTreeMap::new(),
             left: HashMap::new(),
+            starts: HashMap::new(),
             grace_end: Time::default(),
             changes: 0,
             entry_ttl: ENTRY_TTL_DEFAULT,
@@ -198,7 +211,8 @@
     /// heartbeat, but a reader receives an entry only when more than its
     /// sequence number has changed, so `last_seen` of an unchanged target does
     /// not advance before the next complete listing. An entry of an earlier
-    /// incarnation than the known one was written late and is ignored.
+    /// incarnation than the latest known one was written late and is ignored,
+    /// also if none is listed any more.
     pub fn put(&mut self, now: Time, entry: Entry) -> bool {
         // The write was carried out after the last read that did not show it.
         self.update(now, entry, self.read_at)
@@ -211,10 +225,11 @@
     }
 
     fn update(&mut self, now: Time, entry: Entry, written_after: Time) -> bool {
-        let old = self.targets.get(&entry.incarnation.id);
-        if old.is_some_and(|t| t.entry.incarnation.started > entry.incarnation.started) {
+        if self.is_outdated(&entry.incarnation) {
             return false;
         }
+        self.remember_start(now, &entry.incarnation);
+        let old = self.targets.get(&entry.incarnation.id);
         let known =
             old.filter(|t| t.entry.incarnation == entry.incarnation && t.entry.service == entry.service);
         let without_cold_left = |e: &Entry| Entry { cold_left: Span::ZERO, ..e.clone() };
@@ -243,6 +258,31 @@
         has_changed
     }
 
+    /// Returns whether an entry of an incarnation was written before a later one
+    /// started. An earlier start alone does not show that, as the clock of a
+    /// target may be set back between two processes; but a write that is carried
+    /// out longer after the later one was heard of than any write is late comes
+    /// from a process after it.
+    fn is_outdated(&self, incarnation: &Incarnation) -> bool {
+        self.starts.get(&incarnation.id).is_some_and(|latest| {
+            let is_earlier = latest.started > incarnation.started;
+            let may_be_late = self.read_at < latest.known_since.after(LATE_WRITE_MAX);
+            is_earlier && (may_be_late || incarnation.started == 0)
+        })
+    }
+
+    fn remember_start(&mut self, now: Time, incarnation: &Incarnation) {
+        let started = incarnation.started;
+        if self.starts.get(&incarnation.id).is_some_and(|known| known.started == started) {
+            return;
+        }
+        if self.starts.len() >= UNLISTED_MAX + self.targets.len() {
+            let targets = &self.targets;
+            self.starts.retain(|id, _| targets.contains_key(id));
+        }
+        self.starts.insert(incarnation.id.clone(), Start { started, known_since: now });
+    }
+
     fn insert(&mut self, target: Target) {
         let id = target.entry.incarnation.id.clone();
         let service = target.entry.service.clone();
@@ -268,15 +308,9 @@
     /// draining from now on, whatever its entry says. Returns whether that is
     /// new.
     pub fn announce_leaving(&mut self, now: Time, incarnation: &Incarnation) -> bool {
-        let is_newer = |known: &Departure| known.started >= incarnation.started;
-        if self.left.get(&incarnation.id).is_some_and(is_newer) {
+        if !self.remember_departure(now, incarnation) {
             return false;
         }
-        if self.left.len() >= DEPARTURES_MAX {
-            let targets = &self.targets;
-            self.left.retain(|id, _| targets.contains_key(id));
-        }
-        self.left.insert(incarnation.id.clone(), Departure { started: incarnation.started, since: now });
         let known = self.targets.get_mut(&incarnation.id).filter(|t| t.entry.incarnation == *incarnation);
         if let Some(target) = known {
             target.draining_since.get_or_insert(now);
@@ -285,6 +319,20 @@
         true
     }
 
+    /// Remembers since when an incarnation leaves. Returns whether that is new.
+    fn remember_departure(&mut self, since: Time, incarnation: &Incarnation) -> bool {
+        let is_newer = |known: &Departure| known.started >= incarnation.started;
+        if self.left.get(&incarnation.id).is_some_and(is_newer) {
+            return false;
+        }
+        if self.left.len() >= UNLISTED_MAX + self.targets.len() {
+            let targets = &self.targets;
+            self.left.retain(|id, _| targets.contains_key(id));
+        }
+        self.left.insert(incarnation.id.clone(), Departure { started: incarnation.started, since });
+        true
+    }
+
     fn left_since(&self, incarnation: &Incarnation) -> Option<Time> {
         self.left
             .get(&incarnation.id)
@@ -323,9 +371,12 @@
     /// Removes a target without a grace period, as its address may belong to
     /// another service.
     pub fn remove_now(&mut self, id: &str) {
-        if let Some(old) = self.targets.remove(id) {
-            self.unlist(&old.entry.service, id);
-            self.changes += 1;
+        let Some(old) = self.targets.remove(id) else { return };
+        self.unlist(&old.entry.service, id);
+        self.changes += 1;
+        // Without a start, a later process can't be told from this one.
+        if let Some(since) = old.draining_since.filter(|_| old.entry.incarnation.started != 0) {
+            self.remember_departure(since, &old.entry.incarnation);
         }
     }
 
--- a/crates/catkin-route/tests/directory.rs
+++ b/crates/catkin-route/tests/directory.rs
@@ -280,3 +280,47 @@
     directory.put(at(30_000), Entry { slots: 7, ..entry("a", 1) });
     assert!(!directory.has_run_since(&incarnation("a", 1), at(10_000)));
 }
+
+/// A write of an earlier process is carried out after the entry of the later one
+/// was removed. The earlier process has ended, so it must not be listed again.
+#[test]
+fn late_entry_lists_no_ended_process() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 2));
+    directory.remove(at(3_000), "a");
+    assert!(!directory.put(at(5_900), entry("a", 1)));
+    assert!(directory.get("a").is_none());
+    directory.put(at(6_000), entry("a", 2));
+    assert!(directory.current(&incarnation("a", 2)).is_some(), "its entry had only expired");
+}
+
+/// A write of a process that drained is carried out after its entry was removed.
+/// The process leaves, so it must not get requests again.
+#[test]
+fn late_entry_does_not_undo_leaving() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    directory.put(at(1_000), Entry { draining: true, ..entry("a", 1) });
+    directory.remove(at(3_000), "a");
+    directory.put(at(5_900), entry("a", 1));
+    let target = directory.get("a").unwrap();
+    assert!(!target.is_open() && !target.serves_keys(at(5_900)));
+}
+
+/// The clock of a target was set back before it started again, so its process
+/// names an earlier start. Its entry can't be a late one if it is carried out
+/// longer after the known process was heard of than any write is late.
+#[test]
+fn process_with_an_earlier_clock_is_listed() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 5));
+    read(&mut directory, 0, 5_700);
+    assert!(!directory.put(at(5_800), entry("a", 3)));
+    read(&mut directory, 6_000, 6_300);
+    assert!(!directory.put(at(6_400), entry("a", 0)), "an entry without a start is not of this target");
+    assert!(directory.put(at(6_400), entry("a", 3)));
+    assert!(directory.current(&incarnation("a", 3)).is_some());
+    let mut unread = Directory::default();
+    unread.put(at(0), entry("a", 5));
+    assert!(!unread.put(at(60_000), entry("a", 3)), "it may have been carried out at any time");
+}
