compare entries of targets with the processes that the table of owners names

What callers saw: an edge process that lists the directory while a late write of an ended process is the newest record knew only that process: it refused requests for the keys of the running one, or sent them to the old address, for as long as the entry of the running one did not change, since the leader does not forward an unchanged entry. As the next leader it gave the owner's keys away, also if the owner's entry came a moment later.

Cause: whether an entry is late was decided by what this process had read.

Change: the table of owners holds the latest start that a leader has given keys to, so each process compares entries with the newest table. The entry after a late one counts as a change and is forwarded. A leader without an address of an owner leaves it its keys until the lease has expired, as its entry may be on its way.

--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -253,6 +253,7 @@
             self.leader_store_contact.set(self.now());
         }
         log::info!(version = offset, leader = &*table.leader.vm; "table of owners changed");
+        self.directory.borrow_mut().learn_owners(self.now(), &table);
         self.owners.send_replace(Some(VersionedOwners { offset, table }));
         self.capacity_changed.notify_waiters();
     }
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -1,6 +1,7 @@
 //! The targets that the platform's directory lists.
 
 use {
+    crate::owners::Owners,
     catkin::types::{Span, Time},
     serde::{Deserialize, Serialize},
     std::{
@@ -89,6 +90,9 @@
     /// Time after which the store carried out the write of the entry, as far as
     /// is known: a complete listing tells nothing of that.
     pub written_after: Time,
+    /// Whether a late write of an earlier incarnation has replaced the entry in
+    /// the store.
+    pub is_replaced: bool,
 }
 
 /// That an incarnation said in an answer that it leaves.
@@ -212,7 +216,8 @@
     /// sequence number has changed, so `last_seen` of an unchanged target does
     /// not advance before the next complete listing. An entry of an earlier
     /// incarnation than the latest known one was written late and is ignored,
-    /// also if none is listed any more.
+    /// also if none is listed any more. The next entry counts as different then:
+    /// a process that has listed the store meanwhile knows the late one only.
     pub fn put(&mut self, now: Time, entry: Entry) -> bool {
         // The write was carried out after the last read that did not show it.
         self.update(now, entry, self.read_at)
@@ -226,6 +231,9 @@
 
     fn update(&mut self, now: Time, entry: Entry, written_after: Time) -> bool {
         if self.is_outdated(&entry.incarnation) {
+            if let Some(target) = self.targets.get_mut(&entry.incarnation.id) {
+                target.is_replaced = true;
+            }
             return false;
         }
         self.remember_start(now, &entry.incarnation);
@@ -234,7 +242,8 @@
             old.filter(|t| t.entry.incarnation == entry.incarnation && t.entry.service == entry.service);
         let without_cold_left = |e: &Entry| Entry { cold_left: Span::ZERO, ..e.clone() };
         let has_changed = known.is_none_or(|t| {
-            without_cold_left(&t.entry) != without_cold_left(&entry) || t.grace_end.is_some()
+            let is_same = without_cold_left(&t.entry) == without_cold_left(&entry);
+            !is_same || t.grace_end.is_some() || t.is_replaced
         });
         self.changes += u64::from(has_changed);
         let written_after = known.map_or(written_after, |t| t.written_after.max(written_after));
@@ -252,6 +261,7 @@
             grace_end: None,
             last_seen: now,
             written_after,
+            is_replaced: false,
             entry,
         };
         self.insert(target);
@@ -271,6 +281,21 @@
         })
     }
 
+    /// Learns the processes that the table of owners names. An entry of an
+    /// earlier process, which this one may have listed when a late write was the
+    /// newest, is removed.
+    pub fn learn_owners(&mut self, now: Time, owners: &Owners) {
+        for row in owners.services.values().flatten() {
+            if self.starts.get(&row.target).is_some_and(|latest| latest.started >= row.started) {
+                continue;
+            }
+            self.remember_start(now, &row.incarnation());
+            if self.targets.get(&row.target).is_some_and(|t| t.entry.incarnation.started < row.started) {
+                self.remove_now(&row.target);
+            }
+        }
+    }
+
     fn remember_start(&mut self, now: Time, incarnation: &Incarnation) {
         let started = incarnation.started;
         if self.starts.get(&incarnation.id).is_some_and(|known| known.started == started) {
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -310,6 +310,7 @@
             _ => return,
         }
         let known = directory.get(&range.row.target);
+        let has_addr = self.addrs.contains_key(&range.row.incarnation());
         let is_earlier = |t: &Target| t.entry.incarnation.started < range.row.started;
         match known {
             Some(t) if t.entry.incarnation.started > range.row.started => {
@@ -337,9 +338,9 @@
                 range.phase = Phase::Unowned(now)
             }
             Some(t) if t.is_open() && !is_earlier(t) => {}
-            _ if !self.addrs.contains_key(&range.row.incarnation()) => {
-                range.phase = Phase::Unowned(range.expiry)
-            }
+            // The entry of the owner may be on its way to a new leader.
+            _ if !has_addr && now < range.expiry => {}
+            _ if !has_addr => range.phase = Phase::Unowned(now),
             // The entry was written before the owner started and says nothing
             // of it.
             Some(t) if is_earlier(t) => {}
--- a/crates/catkin-route/tests/directory.rs
+++ b/crates/catkin-route/tests/directory.rs
@@ -4,8 +4,11 @@
 
 use {
     catkin::types::Span,
-    catkin_route::directory::{Directory, Entry},
-    common::{at, entry, incarnation},
+    catkin_route::{
+        directory::{Directory, Entry},
+        owners::{Owners, Row},
+    },
+    common::{at, entry, incarnation, leader},
 };
 
 /// A draining target gets no new requests by choice at once, and none for its
@@ -324,3 +327,35 @@
     unread.put(at(0), entry("a", 5));
     assert!(!unread.put(at(60_000), entry("a", 3)), "it may have been carried out at any time");
 }
+
+/// The table of owners names a later process than the entry that a new edge
+/// process has listed: the entry was written late. Requests must not go where it
+/// says, and it must not come back.
+#[test]
+fn owners_outdate_entries_of_earlier_processes() {
+    let row = Row { from: 0, to: u16::MAX, target: "a".into(), started: 2, fence: 1, handover: None };
+    let services = [("s".into(), vec![row])].into();
+    let table =
+        Owners { leader: leader("x"), earlier_leaders: Vec::new(), lease_duration: Span::ZERO, services };
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    directory.learn_owners(at(100), &table);
+    assert!(directory.get("a").is_none());
+    assert!(!directory.put(at(200), entry("a", 1)));
+    assert!(directory.put(at(300), entry("a", 2)));
+    directory.learn_owners(at(400), &table);
+    assert!(directory.current(&incarnation("a", 2)).is_some());
+}
+
+/// A process that lists the directory while a late entry is the newest one knows
+/// only that. The next entry of the later process must reach it, so it counts as
+/// a change also where the late one was ignored.
+#[test]
+fn entry_after_a_late_one_is_a_change() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 2));
+    assert!(!directory.put(at(1_000), entry("a", 2)));
+    directory.put(at(5_900), entry("a", 1));
+    assert!(directory.put(at(6_000), entry("a", 2)));
+    assert!(!directory.put(at(7_000), entry("a", 2)));
+}
--- a/crates/catkin-route/tests/explore/main.rs
+++ b/crates/catkin-route/tests/explore/main.rs
@@ -354,6 +354,8 @@
             return;
         }
         self.next_offset += 1;
+        let reading = usize::from(self.claimed.is_some());
+        self.directories[reading..].iter_mut().for_each(|directory| directory.learn_owners(now, &table));
         self.table = table;
         if let Some(granter) = self.granter(second) {
             granter.table_accepted(now);
@@ -414,6 +416,7 @@
         let wait = if disabled.wait { 0 } else { GIVE_UP_MS };
         let (now, stop_time) = (at(self.now), at(self.now + wait));
         self.second = Some(Granter::new(LEASE_TIMES, now, stop_time, LEASE_TIMES.duration, &claim, offset));
+        self.directories[1].learn_owners(now, &claim);
         (self.next_offset, self.table, self.claimed) = (offset + 1, claim, Some(self.now));
     }
 
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -5,6 +5,7 @@
 use {
     catkin::types::ConnId,
     catkin_route::{
+        balance::FleetLoads,
         directory::{Directory, Entry},
         granter::{self, Action, Command, Granter, Outcome, OwnedRange, Step},
         owners::{Owners, ProcessId, Row},
@@ -657,3 +658,27 @@
     sim.run(50, accept);
     check_kept_by_later_process(sim, &held);
 }
+
+/// A new leader whose directory holds a late entry of an earlier process knows
+/// no address of the owner. The owner's next entry is on its way, so its keys
+/// must not be given away before its lease has expired.
+#[test]
+fn owner_unknown_to_a_new_leader_keeps_its_keys() {
+    let row = Row { from: 0, to: u16::MAX, target: "a".into(), started: 5, fence: 1, handover: None };
+    let mut directory = Directory::default();
+    for (id, started) in [("a", 1), ("b", 1)] {
+        directory.put(at(0), entry(id, started));
+    }
+    let mut table = granter::claim(&leader("x"), LEASE_TIMES.duration, None, 0);
+    table.services.insert("s".into(), vec![row]);
+    let claim = granter::claim(&leader("y"), LEASE_TIMES.duration, Some(&table), 1);
+    let granter = Granter::new(LEASE_TIMES, at(0), at(0), LEASE_TIMES.duration, &claim, 1);
+    let loads = FleetLoads::default();
+    directory.learn_owners(at(0), &claim);
+    let mut sim = SimulatedLeader { granter, directory, loads, now: 0, next_offset: 2, table: Some(claim) };
+    assert!(sim.run(900, accept).is_empty(), "nothing is known of the owner");
+    sim.directory.put(at(sim.now), entry("a", 5));
+    let commands = sim.run(5_000, accept);
+    assert!(commands.iter().all(|command| command.incarnation == incarnation("a", 5)), "{commands:?}");
+    assert!(sim.granter.are_all_granted());
+}
