tests: late entries with real processes, and in the soak

The soak restarts a server twice or more in a run whose entry comes seconds late, with a late write before or after it, from seeds of its own.

--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Fleet of real edge processes in front of stand-ins of the users' platform.
 #![allow(dead_code)]
 
+pub(crate) mod holders;
 pub(crate) mod target;
 
 use {
--- a/crates/catkin-edge/tests/soak.rs
+++ b/crates/catkin-edge/tests/soak.rs
@@ -13,17 +13,11 @@
     actix_http::Method,
     bytes::Bytes,
     catkin_standin::users::{Config, Route, Server, ServerFaults, StoreMode, put_config},
-    common::{Fleet, ProxyMode, Tally, open, plan, send_on},
+    common::{Fleet, ProxyMode, Tally, holders::watch_holders, open, plan, send_on},
     nix::sys::signal::Signal,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    std::{
-        cell::Cell,
-        collections::{HashMap, HashSet},
-        env,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{cell::Cell, env, rc::Rc, time::Duration},
 };
 
 /// Seeds that have failed. 18: a process that receives SIGTERM and then SIGSTOP
@@ -44,6 +38,9 @@
 /// Number of faults for each announcement of a server.
 const ANNOUNCEMENT_EVERY: u32 = 3;
 
+/// Number of faults for each late write of a directory entry.
+const LATE_WRITE_EVERY: u32 = 5;
+
 /// Number of callers of a run.
 const CALLERS: u64 = 6;
 
@@ -164,31 +161,17 @@
     server.publish_earlier();
 }
 
-/// Longest time for which two servers may hold the same keys.
-const HELD_TWICE_MAX: Duration = Duration::from_millis(500);
-
-/// Records a violation if two servers hold the same keys for too long.
-async fn watch_holders(fleet: Rc<Fleet>, stop: Rc<Cell<bool>>) {
-    let mut since: HashMap<(String, String), Instant> = HashMap::new();
-    while !stop.get() {
-        let held: Vec<_> = fleet.servers[..3].iter().map(|s| (s.id(), s.held_ranges())).collect();
-        let overlap =
-            |a: &[(u16, u16)], b: &[(u16, u16)]| a.iter().any(|a| b.iter().any(|b| a.0 <= b.1 && b.0 <= a.1));
-        let mut twice = HashSet::new();
-        for (i, (a, ranges)) in held.iter().enumerate() {
-            let others = held[..i].iter().filter(|(_, other)| overlap(ranges, other));
-            twice.extend(others.map(|(b, _)| ((*a).to_owned(), (*b).to_owned())));
-        }
-        since.retain(|pair, _| twice.contains(pair));
-        for pair in twice {
-            let first = *since.entry(pair.clone()).or_insert_with(Instant::now);
-            if first.elapsed() > HELD_TWICE_MAX {
-                fleet.checker.add_violation(format!("{} and {} hold the same keys", pair.0, pair.1));
-                return;
-            }
-        }
-        sleep(50).await;
-    }
+/// Restarts a keyed server whose entry is written seconds later, and lets a write
+/// of its earlier process be carried out before or after that.
+async fn write_late(fleet: Rc<Fleet>, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let server = &fleet.servers[random.random_range(0..2)];
+    let lag = random.random_range(2_000..6_000);
+    let late = random.random_range(1_500..6_000);
+    println!("  entry after {lag} ms, late write of the earlier process after {late} ms");
+    server.restart_unlisted(Duration::from_millis(lag));
+    sleep(late).await;
+    server.publish_earlier();
 }
 
 /// Lets a random server announce something in its answers for a random time.
@@ -248,6 +231,9 @@
             // Seeds of their own keep the faults of earlier regressions.
             faults.push(actix_rt::spawn(announce(fleet.clone(), seed * 1_000 + u64::from(version))));
         }
+        if version % LATE_WRITE_EVERY == 0 {
+            faults.push(actix_rt::spawn(write_late(fleet.clone(), seed * 1_000 + 500 + u64::from(version))));
+        }
         sleep(random.random_range(0..1_200)).await;
     }
     for fault in faults {
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -228,6 +228,11 @@
         self.publish();
     }
 
+    /// Lets the running incarnation write no entry for a time.
+    pub fn set_unlisted(&self, span: Duration) {
+        self.inner.unlisted_until.set(Instant::now().checked_add(span));
+    }
+
     /// Writes the entry of the incarnation before the running one, as a write
     /// that is carried out late does.
     pub fn publish_earlier(&self) {
