bound the bytes that a process holds together

What callers saw: requests of other clients ended with the process when several servers sent most of a large answer and then almost nothing until the deadline (LOST). One exchange was bounded, their sum was not. The same held for answers to commands, bodies of callers, answers that callers do not read, and messages of other processes.

Change: each exchange, caller's connection and link counts what it holds (buffers by their capacity, bodies, answers being written) under one limit, a share of the process's memory, which the deploy file passes on. Above it the source with the most bytes is taken for the cause, whoever asks for the next byte, and its largest exchange ends: an attempt counts as failed in the load state of its target, a caller whose body has not been sent anywhere gets 503 with Retry-After, one whose request may have run 504. The decision is in catkin::holdings. Head and body of a large answer are written without a copy of the body.

Evidence: tests/memory.rs reads the peak memory of the real process.

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -14,7 +14,7 @@
     },
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
-    catkin_net::set_socket_options,
+    catkin_net::{Held, set_socket_options},
     std::{io, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -39,6 +39,9 @@
 /// answer.
 const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Size of an answer up to which head and body are written together.
+const COPIED_BYTES_MAX: usize = 64 << 10;
+
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// A connection of a caller.
@@ -46,6 +49,10 @@
     stream: TcpStream,
     buffer: BytesMut,
     codec: Codec,
+    /// Counts the bytes of the buffer, of the request and of its answer.
+    held: Rc<Held>,
+    /// Bytes of the request's body that were read.
+    body_bytes: usize,
 }
 
 /// Result of reading a request.
@@ -108,7 +115,9 @@
 }
 
 async fn serve_connection(node: &Rc<Node>, stream: TcpStream) -> io::Result<()> {
-    let mut conn = Connection { stream, buffer: BytesMut::new(), codec: Codec::new(node.http.clone()) };
+    let held = Rc::new(Held::new(stream.peer_addr()?));
+    let codec = Codec::new(node.http.clone());
+    let mut conn = Connection { stream, buffer: BytesMut::new(), codec, held, body_bytes: 0 };
     loop {
         match conn.read_request(node).await? {
             Input::End => return Ok(()),
@@ -129,7 +138,14 @@
 impl Connection {
     async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        self.count_held(0);
+        read
+    }
+
+    /// Counts the bytes of the buffer, of the request and of an answer as held.
+    fn count_held(&self, answer_bytes: usize) {
+        self.held.set(self.buffer.capacity() + self.body_bytes + answer_bytes);
     }
 
     async fn read_request(&mut self, node: &Node) -> io::Result<Input> {
@@ -150,6 +166,7 @@
             if self.buffer.is_empty() {
                 // Frees the buffer of an idle connection.
                 self.buffer = BytesMut::new();
+                self.count_held(0);
             }
             let limit = limits.map_or(usize::MAX, |l| l.head_bytes);
             if self.buffer.len() > limit {
@@ -188,14 +205,14 @@
         {
             self.stream.write_all(CONTINUE).await?;
         }
-        let mut length = 0;
+        let held = self.held.clone();
         let mut stage = node.stage.subscribe();
         let mut is_checked = false;
         loop {
             match self.codec.decode(&mut self.buffer) {
                 Ok(Some(Message::Chunk(Some(chunk)))) => {
-                    length += chunk.len() as u64;
-                    if length > max {
+                    self.body_bytes += chunk.len();
+                    if self.body_bytes as u64 > max {
                         return Ok(Input::refused(StatusCode::PAYLOAD_TOO_LARGE));
                     }
                     append_chunk(&mut incoming.body, chunk);
@@ -206,6 +223,9 @@
                 Ok(None) => {}
             }
             let read = tokio::select! {
+                () = held.ended() => {
+                    return Ok(Input::Refused(serve::refuse_held(node, &incoming)));
+                }
                 read = tokio::time::timeout(STALL_TIMEOUT, self.fill()) => read,
                 _ = stage.wait_for(|s| *s >= Stage::Closing), if !is_checked => {
                     is_checked = true;
@@ -226,6 +246,7 @@
     /// connection first. Returns whether the connection stays open.
     async fn answer(&mut self, node: &Rc<Node>, incoming: Incoming) -> io::Result<bool> {
         let served = serve::serve(node, &incoming);
+        let (held, body_bytes) = (self.held.clone(), self.body_bytes);
         let mut stage = node.stage.subscribe();
         let answer = tokio::select! {
             biased;
@@ -235,7 +256,11 @@
                 // otherwise.
                 Answer::local(StatusCode::GATEWAY_TIMEOUT, None)
             }
-            () = wait_closed(&self.stream, &mut self.buffer) => {
+            () = held.ended() => {
+                // The same holds for a request that ends for its bytes.
+                Answer::local(StatusCode::GATEWAY_TIMEOUT, None)
+            }
+            () = wait_closed(&self.stream, &mut self.buffer, |bytes| held.set(bytes + body_bytes)) => {
                 // Dropping the future closes the connection to the target,
                 // which ends the work there.
                 return Ok(false);
@@ -243,11 +268,15 @@
         };
         // A request that was read ahead must be answered too.
         let close = node.is_draining() && self.buffer.is_empty() || !self.codec.keep_alive();
+        drop(incoming);
+        self.body_bytes = 0;
         self.write(answer, close).await?;
+        self.count_held(0);
         Ok(!close)
     }
 
     async fn write(&mut self, answer: Answer, close: bool) -> io::Result<()> {
+        let length = answer.body.len();
         let mut response = Response::with_body(answer.status, ());
         for (name, value) in answer.headers {
             response.headers_mut().append(name, value);
@@ -258,14 +287,30 @@
         if close {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
-        let mut bytes = BytesMut::with_capacity(512 + answer.body.len());
-        let size = BodySize::Sized(answer.body.len() as u64);
-        self.codec.encode(Message::Item((response, size)), &mut bytes)?;
-        if !answer.body.is_empty() {
-            self.codec.encode(Message::Chunk(Some(answer.body)), &mut bytes)?;
+        let body = answer.body;
+        self.count_held(length);
+        // From now on the bytes are held for the caller.
+        drop(answer.held);
+        let mut bytes = BytesMut::with_capacity(512 + length.min(COPIED_BYTES_MAX));
+        self.codec.encode(Message::Item((response, BodySize::Sized(length as u64))), &mut bytes)?;
+        if length > COPIED_BYTES_MAX {
+            self.write_bytes(&bytes).await?;
+            return self.write_bytes(&body).await;
+        }
+        if !body.is_empty() {
+            self.codec.encode(Message::Chunk(Some(body)), &mut bytes)?;
         }
         self.codec.encode(Message::Chunk(None), &mut bytes)?;
-        tokio::time::timeout(STALL_TIMEOUT, self.stream.write_all(&bytes)).await?
+        self.write_bytes(&bytes).await
+    }
+
+    async fn write_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let held = self.held.clone();
+        tokio::select! {
+            biased;
+            written = tokio::time::timeout(STALL_TIMEOUT, self.stream.write_all(bytes)) => written?,
+            () = held.ended() => Err(Held::error()),
+        }
     }
 
     /// Closes the connection after its last answer. Reads the remaining bytes
@@ -306,7 +351,8 @@
 
 /// Waits until the caller has closed the connection. Buffers the bytes that
 /// arrive meanwhile; waits forever once the buffer is full.
-async fn wait_closed(stream: &TcpStream, buffer: &mut BytesMut) {
+/// `on_read` is called with the size of the buffer.
+async fn wait_closed(stream: &TcpStream, buffer: &mut BytesMut, on_read: impl Fn(usize)) {
     loop {
         if buffer.len() >= READ_AHEAD_BYTES_MAX {
             return std::future::pending().await;
@@ -317,7 +363,7 @@
         buffer.reserve(READ_BYTES);
         match stream.try_read_buf(buffer) {
             Ok(0) => return,
-            Ok(_) => {}
+            Ok(_) => on_read(buffer.capacity()),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             Err(_) => return,
         }
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -4,6 +4,7 @@
     crate::feed::{self, Feed},
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
+    catkin_net::Held,
     catkin_route::{
         announced::LimitReport,
         backlog::{Change, Payload},
@@ -18,7 +19,7 @@
     std::{io, rc::Rc, sync::Arc},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::tcp::OwnedWriteHalf,
+        net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
 };
 
@@ -191,14 +192,16 @@
 }
 
 /// Reader of whole messages. Cancelling a read loses no bytes.
-pub(super) struct MessageReader<R> {
-    stream: R,
+pub(super) struct MessageReader {
+    stream: OwnedReadHalf,
     buffer: BytesMut,
+    held: Held,
 }
 
-impl<R: AsyncReadExt + Unpin> MessageReader<R> {
-    pub(super) fn new(stream: R) -> Self {
-        Self { stream, buffer: BytesMut::new() }
+impl MessageReader {
+    pub(super) fn new(stream: OwnedReadHalf) -> io::Result<Self> {
+        let held = Held::new(stream.peer_addr()?);
+        Ok(Self { stream, buffer: BytesMut::new(), held })
     }
 
     pub(super) async fn next(&mut self) -> io::Result<Bytes> {
@@ -213,7 +216,13 @@
                     return Ok(message.slice(4..));
                 }
             }
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+            self.held.set(self.buffer.capacity());
+            let read = tokio::select! {
+                biased;
+                () = self.held.ended() => return Err(Held::error()),
+                read = self.stream.read_buf(&mut self.buffer) => read?,
+            };
+            if read == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -197,7 +197,7 @@
     let stream = tokio::time::timeout(LINK_TIMEOUT.as_duration(), connect).await??;
     set_socket_options(&stream);
     let (reader, mut writer) = stream.into_split();
-    let mut messages = MessageReader::new(reader);
+    let mut messages = MessageReader::new(reader)?;
     let interval = if node.is_large_fleet() { REPORT_INTERVAL_LARGE } else { REPORT_INTERVAL };
     let mut interval = tokio::time::interval(interval.as_duration());
     let mut last_answer = node.now();
@@ -260,5 +260,5 @@
     set_socket_options(&stream);
     let (reader, mut writer) = stream.into_split();
     write(&mut writer, &Message::Stop(leader.run_id)).await?;
-    MessageReader::new(reader).next().await.map(drop)
+    MessageReader::new(reader)?.next().await.map(drop)
 }
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -122,7 +122,7 @@
 async fn serve_link(node: &Rc<Node>, peers: &Peers, stream: TcpStream) -> io::Result<()> {
     set_socket_options(&stream);
     let (reader, mut writer) = stream.into_split();
-    let mut messages = MessageReader::new(reader);
+    let mut messages = MessageReader::new(reader)?;
     let mut owners = node.owners.subscribe();
     let mut configs = node.config_feed.subscribe();
     let mut targets = node.directory_feed.subscribe();
--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -42,12 +42,19 @@
 
 use {
     bpaf::Bpaf,
-    catkin::{Code, Error, logs},
+    catkin::{Code, Error, logs, types::Size},
     node::Node,
     settings::Settings,
     std::{path::PathBuf, process::ExitCode, rc::Rc},
 };
 
+/// Memory of the smallest VM.
+const MEMORY_MB_DEFAULT: u64 = 260;
+
+/// Share of the memory for the bytes of requests, answers and messages. Freed
+/// parts of the heap and the buffers of sockets need about as much again.
+const HELD_SHARE: f64 = 0.35;
+
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
 
@@ -57,6 +64,9 @@
 struct Options {
     #[bpaf(external)]
     source: Source,
+    /// Memory that the process may use, in MB; 260 if absent
+    #[bpaf(long("memory"), env("CATKIN_MEMORY_MB"), argument("MB"), fallback(MEMORY_MB_DEFAULT))]
+    memory: u64,
     /// Checks the settings and exits
     check: bool,
 }
@@ -99,6 +109,7 @@
         return ExitCode::SUCCESS;
     }
     logs::init_to(settings.logs, logs::Output::Stdout);
+    catkin_net::limit_held(Size::from_bytes((options.memory as f64 * 1e6 * HELD_SHARE) as u64));
     match actix_rt::System::new().block_on(run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -15,7 +15,7 @@
         Code,
         types::{Span, Time},
     },
-    catkin_net::HttpAnswer,
+    catkin_net::{Held, HttpAnswer},
     catkin_platform::name,
     catkin_route::{
         attempts::{AttemptEnd, Attempts},
@@ -51,12 +51,14 @@
     pub(crate) body: Bytes,
     /// Time after which a refused caller should retry, if it is told one.
     pub(crate) retry_after: Option<Span>,
+    /// Counts the body as held.
+    pub(crate) held: Option<Held>,
 }
 
 impl Answer {
     /// Creates an answer of this process, without headers and body.
     pub(crate) fn local(status: StatusCode, retry_after: Option<Span>) -> Self {
-        Self { status, headers: Vec::new(), body: Bytes::new(), retry_after }
+        Self { status, headers: Vec::new(), body: Bytes::new(), retry_after, held: None }
     }
 }
 
@@ -120,6 +122,16 @@
     is_refused.then(|| refuse(node, incoming, &routed.id, Code::Leaving))
 }
 
+/// Returns the answer to a request that ends before its body has arrived, as this
+/// process holds too many bytes.
+pub(crate) fn refuse_held(node: &Node, incoming: &Incoming) -> Answer {
+    refuse(node, incoming, request_id(incoming), Code::QueueFull)
+}
+
+fn request_id(incoming: &Incoming) -> &str {
+    header_text(incoming.head.headers(), &name::REQUEST_ID).unwrap_or("")
+}
+
 /// Serves a request and returns the final answer.
 pub(crate) async fn serve(node: &Rc<Node>, incoming: &Incoming) -> Answer {
     let Some(config) = node.config.borrow().clone() else {
@@ -128,8 +140,7 @@
     let routed = match route_request(node, &config, incoming) {
         Ok(routed) => routed,
         Err(code) => {
-            let id = header_text(incoming.head.headers(), &name::REQUEST_ID).unwrap_or("");
-            return refuse(node, incoming, id, code);
+            return refuse(node, incoming, request_id(incoming), code);
         }
     };
     if !may_take(node, routed.deadline) {
@@ -301,7 +312,7 @@
     let removed = [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, name::KEEP_ALIVE, name::LOAD];
     let kept = reply.head.headers().iter().filter(|(name, _)| !removed.contains(name));
     let headers = kept.map(|(name, value)| (name.clone(), value.clone())).collect();
-    Answer { status: reply.head.status, headers, body: reply.body, retry_after: None }
+    Answer { status: reply.head.status, headers, body: reply.body, retry_after: None, held: Some(reply.held) }
 }
 
 impl AdmitError {
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Returns the peak of the process's resident memory.
+    pub(crate) fn memory_peak_mb(&self) -> u64 {
+        let id = self.child.borrow().as_ref().unwrap().id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse::<u64>().unwrap() / 1_000
+    }
+
     /// Kills the process and waits for its end.
     pub(crate) fn kill(&self) {
         if let Some(mut child) = self.child.borrow_mut().take() {
@@ -260,6 +268,11 @@
         }
     }
 
+    /// Returns the address of the store, without a proxy.
+    pub(crate) fn store_addr(&self) -> SocketAddr {
+        self.store_addr
+    }
+
     /// Returns the newest table of owners.
     pub(crate) fn table(&self) -> Owners {
         let records = self.store.newest("keyed.owners");
--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -5,6 +5,7 @@
 //! before the next request.
 
 use {
+    crate::{body::Body, held::Held},
     actix_http::{
         Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Uri,
         body::BodySize,
@@ -71,6 +72,7 @@
 #[derive(Debug)]
 pub struct Conn {
     id: ConnId,
+    peer: SocketAddr,
     stream: TcpStream,
     buffer: BytesMut,
     config: ServiceConfig,
@@ -99,6 +101,8 @@
     pub body: Bytes,
     /// Whether the connection may carry another request.
     pub reusable: bool,
+    /// Counts the body as held.
+    pub held: Held,
 }
 
 /// Error of an exchange without a complete answer.
@@ -154,7 +158,7 @@
         let stream = tokio::time::timeout(within, TcpStream::connect(addr)).await??;
         set_socket_options(&stream);
         let id = ConnId(OPENED.fetch_add(1, Ordering::Relaxed) + 1);
-        Ok(Self { id, stream, buffer: BytesMut::new(), config, busy: false, received: 0 })
+        Ok(Self { id, peer: addr, stream, buffer: BytesMut::new(), config, busy: false, received: 0 })
     }
 
     /// Returns the number of the connection, which no other one of this process
@@ -176,8 +180,9 @@
     ///
     /// # Errors
     ///
-    /// [`ExchangeError`] if no complete answer arrives. The connection must then
-    /// not be reused.
+    /// [`ExchangeError`] if no complete answer arrives, or if the exchange must
+    /// end since the process holds too many bytes, see [`Held`]. The connection
+    /// must then not be reused.
     pub async fn exchange(
         &mut self,
         head: RequestHead,
@@ -192,14 +197,22 @@
             answered: false,
         })?;
         self.busy = true;
-        let result = self.transfer(codec, &mut out, is_own).await;
+        let held = Held::new(self.peer);
+        let result = tokio::select! {
+            biased;
+            () = held.ended() => Err((Held::error(), true)),
+            result = self.transfer(codec, &mut out, is_own, &held) => result,
+        };
         self.busy = result.is_err() || !out.is_done();
         if self.buffer.is_empty() {
             // An idle connection keeps no buffer, since there may be hundreds.
             self.buffer = BytesMut::new();
         }
         match result {
-            Ok((head, body, reusable)) => Ok(HttpAnswer { head, body, reusable: reusable && out.is_done() }),
+            Ok((head, body, reusable)) => {
+                held.set(body.len());
+                Ok(HttpAnswer { head, body, reusable: reusable && out.is_done(), held })
+            }
             Err((error, answered)) => Err(ExchangeError { error, sent: out.written > 0, answered }),
         }
     }
@@ -209,6 +222,7 @@
         mut codec: ClientCodec,
         out: &mut Outgoing,
         is_own: impl Fn(&ResponseHead) -> bool,
+        held: &Held,
     ) -> Result<(ResponseHead, Bytes, bool), (io::Error, bool)> {
         loop {
             let mut informational = 0;
@@ -228,12 +242,13 @@
                     None => {
                         let answered = !self.buffer.is_empty();
                         self.read_or_write(out).await.map_err(|e| (e, answered))?;
+                        held.set(self.buffer.capacity());
                     }
                 }
             };
             let keep = codec.keep_alive() && !has_close(&head);
             if is_unframed(&head, &codec) {
-                let body = self.read_to_close(out).await.map_err(|e| (e, true))?;
+                let body = self.read_to_close(out, held).await.map_err(|e| (e, true))?;
                 return match is_own(&head) {
                     true => Ok((head, body, false)),
                     false => Err((invalid("answer of another request"), true)),
@@ -246,14 +261,15 @@
                 continue;
             }
             let mut payload = codec.into_payload_codec();
-            let mut body = BytesMut::new();
+            let mut body = Body::default();
             let start = self.received - self.buffer.len();
             loop {
                 match payload.decode(&mut self.buffer).map_err(|e| (invalid(e.to_string()), true))? {
-                    Some(Some(chunk)) => body.extend_from_slice(&chunk),
+                    Some(Some(chunk)) => body.push(&chunk),
                     Some(None) => break,
                     None => self.read_or_write(out).await.map_err(|e| (e, true))?,
                 }
+                held.set(self.buffer.capacity() + body.capacity());
                 if body.len() > ANSWER_BYTES_MAX {
                     return Err((invalid("answer too large"), true));
                 }
@@ -263,21 +279,24 @@
                 }
             }
             if is_own(&head) {
-                return Ok((head, body.freeze(), keep && self.buffer.is_empty()));
+                return Ok((head, body.into_bytes(), keep && self.buffer.is_empty()));
             }
             codec = payload.into_message_codec();
         }
     }
 
     /// Reads a body that ends when its connection closes. A reset is an error.
-    async fn read_to_close(&mut self, out: &mut Outgoing) -> io::Result<Bytes> {
+    async fn read_to_close(&mut self, out: &mut Outgoing, held: &Held) -> io::Result<Bytes> {
+        let mut body = Body::default();
         loop {
+            body.push(&self.buffer.split());
+            held.set(self.buffer.capacity() + body.capacity());
+            if body.len() > ANSWER_BYTES_MAX {
+                return Err(invalid("answer too large"));
+            }
             match self.read_or_write(out).await {
-                Ok(()) if self.buffer.len() > ANSWER_BYTES_MAX => return Err(invalid("answer too large")),
                 Ok(()) => {}
-                Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => {
-                    return Ok(self.buffer.split().freeze());
-                }
+                Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => return Ok(body.into_bytes()),
                 Err(e) => return Err(e),
             }
         }
--- a/crates/catkin/src/lib.rs
+++ b/crates/catkin/src/lib.rs
@@ -19,6 +19,8 @@
 //!   decides on another attempt, [`intent`] checks idempotency keys across VMs.
 //! - [`member`] tracks which entry VMs are alive, [`place`] assigns keepers and
 //!   slices.
+//! - [`holdings`] decides which exchange ends when a process holds too many
+//!   bytes.
 //! - [`api`] names headers and JSON bodies; [`wire`] has the messages between
 //!   gateways; [`admin`] has the JSON bodies of the admin address.
 //! - [`event`] has the events of the timeline and the hybrid logical clock.
@@ -40,6 +42,7 @@
 pub mod error;
 pub mod event;
 pub mod fold;
+pub mod holdings;
 pub mod intent;
 pub mod lease;
 pub mod logs;
--- a/crates/catkin/src/types/count.rs
+++ b/crates/catkin/src/types/count.rs
@@ -107,3 +107,8 @@
         })
     }
 }
+counter!(
+    /// Number of a holder of bytes, which no other one of its process has.
+    HolderId,
+    u64
+);
