take a partial read of a topic for no current one

Cause: the time of a read counted as one at which the store had nothing newer, also if the answer ended before the end of the topic (its size is limited). The proof that a process has run rests on that time, as do the age of the configuration and of forwarded changes. Found by reading.

Change: the time counts only if the read reached the end.

Evidence: partial_read_is_not_current fails with the answer of the code before (every read is current).

--- a/crates/catkin-edge/src/feed.rs
+++ b/crates/catkin-edge/src/feed.rs
@@ -78,8 +78,8 @@
     /// Records that everything before offset `to` was read at time `at`, when
     /// the topic ended at `end`, if that is known.
     pub(crate) fn advance(&self, to: u64, end: Option<u64>, at: Time) {
-        self.copy.borrow_mut().advance(to, end);
-        self.note_checked(to, at);
+        let is_current = self.copy.borrow_mut().advance(to, end);
+        self.note_checked(to, if is_current { at } else { self.checked_at.get() });
     }
 
     /// Sets the position after a complete listing and discards earlier changes.
--- a/crates/catkin-route/src/topic_copy.rs
+++ b/crates/catkin-route/src/topic_copy.rs
@@ -66,12 +66,14 @@
     }
 
     /// Records that everything before offset `to` was read. `end` is the end of
-    /// the topic at that time, if it is known.
-    pub fn advance(&mut self, to: u64, end: Option<u64>) {
+    /// the topic at that time, if it is known. Returns whether the copy was
+    /// current at that time; an answer of the store has a largest size.
+    pub fn advance(&mut self, to: u64, end: Option<u64>) -> bool {
         self.next_offset = Some(to);
         if end.is_some_and(|end| end <= to) {
             self.may_be_ahead = false;
         }
+        end.is_none_or(|end| end <= to)
     }
 
     /// Returns the position and the changes from an offset on, or `None` if some
--- a/crates/catkin-route/tests/topic_copy.rs
+++ b/crates/catkin-route/tests/topic_copy.rs
@@ -86,3 +86,15 @@
     assert_eq!(offsets(&copy, 12), Some(vec![]));
     assert!(copy.newest().is_none());
 }
+
+/// After an outage the store has more records than fit into one answer. The time
+/// of such a read must not count as one at which nothing newer was known:
+/// records that were written before it come with the next one.
+#[test]
+fn partial_read_is_not_current() {
+    let mut copy = TopicCopy::default();
+    copy.list(10);
+    assert!(!copy.advance(12, Some(15)));
+    assert!(copy.advance(15, Some(15)));
+    assert!(copy.advance(16, None), "forwarded changes are complete");
+}
