--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -125,12 +125,21 @@
         }
     }
 
+    /// Returns the resident memory of the process.
+    pub(crate) fn memory_kb(&self) -> u64 {
+        self.status_kb("VmRSS:")
+    }
+
     /// Returns the peak of the process's resident memory.
     pub(crate) fn memory_peak_mb(&self) -> u64 {
+        self.status_kb("VmHWM:") / 1_000
+    }
+
+    fn status_kb(&self, name: &str) -> u64 {
         let id = self.child.borrow().as_ref().unwrap().id();
         let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-        peak.trim().trim_end_matches(" kB").parse::<u64>().unwrap() / 1_000
+        let value = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        value.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
     /// Kills the process and waits for its end.
--- a/crates/catkin-edge/tests/memory.rs
+++ b/crates/catkin-edge/tests/memory.rs
@@ -8,7 +8,12 @@
     bytes::Bytes,
     catkin_standin::users::{Config, Route, put_config},
     common::{Edge, Fleet, free_addr, open, plan, send_on},
-    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpSocket, TcpStream},
@@ -353,3 +358,61 @@
     }
     assert!(unserved * 10 <= served, "{unserved} of {} requests were not served", served + unserved);
 }
+
+/// Callers whose bodies end for the bytes that the process holds are told that
+/// their requests did not run, and when to come back; nothing else ends.
+#[actix_rt::test]
+async fn callers_whose_bodies_end_are_told_when_to_return() {
+    let fleet = Fleet::start(1).await;
+    let answers = Rc::<RefCell<Vec<String>>>::default();
+    for i in 0..300 {
+        let (addr, answers) = (fleet.edges[0].callers, answers.clone());
+        actix_rt::spawn(async move {
+            let Ok(mut stream) = TcpStream::connect(addr).await else { return };
+            let head = format!(
+                "POST /scan/x HTTP/1.1\r\nhost: h\r\nx-request-id: t{i}\r\ncontent-length: 1048576\r\n\r\n"
+            );
+            let mut answer = vec![0; 4 << 10];
+            let sent = stream.write_all(head.as_bytes()).await.is_ok()
+                && stream.write_all(&vec![1; 900_000]).await.is_ok();
+            let read = tokio::time::timeout(Duration::from_secs(3), stream.read(&mut answer)).await;
+            if let (true, Ok(Ok(count))) = (sent, read) {
+                answers.borrow_mut().push(String::from_utf8_lossy(&answer[..count]).to_lowercase());
+            }
+        });
+    }
+    let others = count_served(&fleet, 3_000).await;
+    sleep(1_000).await;
+    check(&fleet.edges[0], "ended bodies", others);
+    let answers = answers.borrow();
+    let is_true = |answer: &String| answer.starts_with("http/1.1 503") && answer.contains("retry-after: ");
+    assert!(answers.iter().all(is_true), "{:?}", answers.iter().find(|answer| !is_true(answer)));
+    assert!(answers.len() > 100, "{} of 300 bodies ended", answers.len());
+}
+
+/// An open request costs its body and little more: buffers that grew with the
+/// body would cost a multiple of it.
+#[actix_rt::test]
+async fn open_requests_cost_little_more_than_their_bodies() {
+    let silent = Flood::new("", "x", 0, "");
+    for (callers, body) in [(100, 0), (100, 60_000), (60, 1_000_000)] {
+        let fleet = start(&vec![silent.clone(); 40], false).await;
+        let before = fleet.edges[0].memory_kb();
+        for i in 0..callers {
+            let addr = fleet.edges[0].callers;
+            actix_rt::spawn(async move {
+                let mut stream = TcpStream::connect(addr).await.unwrap();
+                let head = format!(
+                    "POST /faulty/x HTTP/1.1\r\nhost: h\r\nx-request-id: o{i}\r\ncontent-length: {body}\r\n\r\n"
+                );
+                let _ = stream.write_all(head.as_bytes()).await;
+                let _ = stream.write_all(&vec![1; body]).await;
+                sleep(20_000).await;
+            });
+        }
+        sleep(1_200).await;
+        let each_kb = (fleet.edges[0].memory_kb().saturating_sub(before)) / callers;
+        println!("{callers} open requests with {body} bytes: {each_kb} KB each");
+        assert!(each_kb <= 64 + 2 * body as u64 / 1_000, "{each_kb} KB for a body of {body} bytes");
+    }
+}
