--- a/crates/catkin-edge/tests/late_entries.rs
+++ b/crates/catkin-edge/tests/late_entries.rs
@@ -106,3 +106,43 @@
     })
     .await;
 }
+
+/// The leader is paused while a server starts again and a late write of the
+/// earlier process replaces the entry of the running one. It goes on with what
+/// it knew before, beside the process that has replaced it.
+#[actix_rt::test]
+async fn late_entry_while_the_leader_is_paused() {
+    check(3, async |fleet| {
+        let server = &fleet.servers[0];
+        let leader = &fleet.edges[fleet.leader()];
+        leader.signal(Signal::SIGSTOP);
+        server.restart();
+        sleep(1_000).await;
+        server.set_unlisted(Duration::from_millis(3_500));
+        server.publish_earlier();
+        sleep(1_500).await;
+        leader.signal(Signal::SIGCONT);
+        sleep(5_000).await;
+        fleet.wait_until_serving(Duration::from_secs(15)).await;
+    })
+    .await;
+}
+
+/// A server starts again twice within seconds. Late writes of the process before
+/// the last one follow one another, before its own entry and after it.
+#[actix_rt::test]
+async fn late_entries_around_two_restarts() {
+    check(2, async |fleet| {
+        let server = &fleet.servers[0];
+        server.restart_unlisted(Duration::from_millis(1_000));
+        sleep(2_500).await;
+        server.restart_unlisted(Duration::from_millis(3_000));
+        for _ in 0..4 {
+            sleep(1_000).await;
+            server.publish_earlier();
+        }
+        sleep(3_000).await;
+        fleet.wait_until_serving(Duration::from_secs(15)).await;
+    })
+    .await;
+}
