--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of the process in the Prometheus text format.
 
 use {
-    catkin::types::Span,
+    catkin::types::{Size, Span},
     prometheus_client::{
         encoding::{EncodeLabelSet, text},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -35,6 +35,7 @@
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
     link_delay: Histogram,
+    held: Gauge,
 }
 
 impl Metrics {
@@ -56,7 +57,9 @@
         registry.register("config_age_seconds", help, config_age.clone());
         let link_delay = Histogram::new(LATENCY_BUCKETS_SECONDS);
         registry.register("link_delay_seconds", "Time from a report to its answer", link_delay.clone());
-        Self { registry, answers, attempts, commands, latency, config_version, config_age, link_delay }
+        let held = Gauge::default();
+        registry.register("held_bytes", "Bytes of requests, answers and messages", held.clone());
+        Self { registry, answers, attempts, commands, latency, config_version, config_age, link_delay, held }
     }
 
     /// Sets the version of the configuration in force.
@@ -69,6 +72,11 @@
         self.config_age.set(age.as_secs_f64());
     }
 
+    /// Sets the bytes of requests, answers and messages that are held.
+    pub(crate) fn set_held(&self, held: Size) {
+        self.held.set(i64::try_from(held.as_bytes()).unwrap_or(i64::MAX));
+    }
+
     /// Records the time from a report to the leader to its answer.
     pub(crate) fn record_link_delay(&self, delay: Span) {
         self.link_delay.observe(delay.as_secs_f64());
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -295,6 +295,7 @@
         self.loads.borrow_mut().retain(&directory);
         self.pool.sweep(now, &directory);
         self.metrics.set_config_age(now.since(self.config_feed.checked_at()));
+        self.metrics.set_held(catkin_net::held());
     }
 }
 
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -130,6 +130,10 @@
 /// Returns the answer to a request that ends before its body has arrived, as this
 /// process holds too many bytes.
 pub(crate) fn refuse_held(node: &Node, incoming: &Incoming) -> Answer {
+    if node.log_limiter.allow(node.now(), "body of a request ended") {
+        let held = catkin_net::held().as_bytes();
+        log::info!(id = request_id(incoming), held; "body of a request ended");
+    }
     refuse(node, incoming, request_id(incoming), Code::QueueFull)
 }
 
