write log lines on a thread of their own

Cause: the only thread wrote each line to the stream and waited for its reader. A failed write was reported to the error stream, which panicked in the task of the request.

Change: the library's asynchronous appender writes the lines; at most 1,024 wait, and further ones are dropped. The end of a process waits 100 ms for them.

--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -110,7 +110,9 @@
     }
     logs::init_to(settings.logs, logs::Output::Stdout);
     catkin_net::limit_held(Size::from_bytes((options.memory as f64 * 1e6 * HELD_SHARE) as u64));
-    match actix_rt::System::new().block_on(run(settings)) {
+    let ended = actix_rt::System::new().block_on(run(settings));
+    logs::flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
     }
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -93,14 +93,19 @@
 
     /// Starts the process again if it has ended.
     pub(crate) fn restart(&self) {
+        self.restart_with(self.output(), Stdio::null());
+    }
+
+    /// Starts the process again if it has ended, with its output and errors.
+    pub(crate) fn restart_with(&self, output: Stdio, errors: Stdio) {
         if !self.has_ended() {
             return;
         }
         let child = Command::new(env!("CARGO_BIN_EXE_catkin-edge"))
             .arg("--settings")
             .arg(&self.file)
-            .stdout(self.output())
-            .stderr(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
             .spawn()
             .unwrap();
         *self.child.borrow_mut() = Some(child);
--- a/crates/catkin-gateway/src/main.rs
+++ b/crates/catkin-gateway/src/main.rs
@@ -78,7 +78,9 @@
         return ExitCode::SUCCESS;
     }
     logs::init(settings.logs);
-    match actix_rt::System::new().block_on(run(settings)) {
+    let ended = actix_rt::System::new().block_on(run(settings));
+    logs::flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
     }
--- a/crates/catkin-standin/src/main.rs
+++ b/crates/catkin-standin/src/main.rs
@@ -36,12 +36,14 @@
         return Ok(());
     }
     logs::init(settings.logs);
-    actix_rt::System::new().block_on(async {
+    let ended = actix_rt::System::new().block_on(async {
         let running = catkin_standin::start(&settings).await?;
         log::info!(targets = running.targets.len(); "stand-ins are running");
         wait_signal().await;
         Ok(())
-    })
+    });
+    logs::flush();
+    ended
 }
 
 /// Waits for SIGINT or SIGTERM. Never returns if SIGTERM can't be handled.
--- a/crates/catkin/src/logs.rs
+++ b/crates/catkin/src/logs.rs
@@ -2,13 +2,21 @@
 
 use {
     logforth::{
-        append,
+        Append,
+        append::{self, asynchronous::AsyncBuilder},
         filter::rustlog::RustLogFilterBuilder,
         layout::{JsonLayout, TextLayout},
     },
     serde::{Deserialize, Serialize},
+    std::{sync::mpsc, thread, time::Duration},
 };
 
+/// Most lines that wait for a reader of the stream. Further ones are dropped.
+const PENDING_LINES_MAX: usize = 1_024;
+
+/// Longest time for which the end of a process waits for its last lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Layout of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -39,7 +47,8 @@
     init_to(layout, Output::Stderr);
 }
 
-/// Initializes logging to a stream, with levels as in [`init`].
+/// Initializes logging to a stream, with levels as in [`init`]. Lines are written
+/// by a thread of their own, so a stream that nobody reads does not block.
 ///
 /// # Panics
 ///
@@ -51,13 +60,29 @@
     let (stderr, stdout) = (append::Stderr::default, append::Stdout::default);
     logforth::starter_log::builder()
         .dispatch(|d| {
-            let d = d.filter(filter);
-            match (output, layout) {
-                (Output::Stderr, Layout::Text) => d.append(stderr().with_layout(text())),
-                (Output::Stderr, Layout::Json) => d.append(stderr().with_layout(json())),
-                (Output::Stdout, Layout::Text) => d.append(stdout().with_layout(text())),
-                (Output::Stdout, Layout::Json) => d.append(stdout().with_layout(json())),
-            }
+            let stream: Box<dyn Append> = match (output, layout) {
+                (Output::Stderr, Layout::Text) => stderr().with_layout(text()).into(),
+                (Output::Stderr, Layout::Json) => stderr().with_layout(json()).into(),
+                (Output::Stdout, Layout::Text) => stdout().with_layout(text()).into(),
+                (Output::Stdout, Layout::Json) => stdout().with_layout(json()).into(),
+            };
+            let writer = AsyncBuilder::new("logs")
+                .buffered_lines_limit(Some(PENDING_LINES_MAX))
+                .overflow_drop_incoming()
+                .append(stream)
+                .build();
+            d.filter(filter).append(writer)
         })
         .apply();
 }
+
+/// Writes the lines that wait, unless nobody reads the stream. To be called
+/// before the process ends.
+pub fn flush() {
+    let (done, is_done) = mpsc::channel();
+    thread::spawn(move || {
+        log::logger().flush();
+        let _ = done.send(());
+    });
+    let _ = is_done.recv_timeout(FLUSH_TIMEOUT);
+}
