--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -2,7 +2,11 @@
 //! topic `keyed.servers`.
 
 use {
-    super::{announcements::Announcements, invariants::InvariantChecker, store::Store},
+    super::{
+        announcements::{Announced, Announcements},
+        invariants::InvariantChecker,
+        store::Store,
+    },
     crate::body::{self, header_text},
     actix_http::{Request, Response, ResponseBuilder, StatusCode, body::BoxBody},
     catkin_net::{Connections, listen, reply_text},
@@ -252,8 +256,12 @@
         &self.inner.id
     }
 
+    fn is_listed(&self) -> bool {
+        self.inner.unlisted_until.get().is_none_or(|until| until <= Instant::now())
+    }
+
     fn publish(&self) {
-        if self.inner.unlisted_until.get().is_none_or(|until| until <= Instant::now()) {
+        if self.is_listed() {
             self.publish_as(self.inner.incarnation.get());
         }
     }
@@ -357,7 +365,12 @@
         let key: u16 = header_text(&request, "x-shard-key").and_then(|k| k.parse().ok()).unwrap_or(0);
         let fence = if inner.keyed { self.fence_of(key) } else { Some(0) };
         let Some(fence) = fence else { return not_run(&request, 421).finish().map_into_boxed_body() };
-        let announced = inner.announcements.borrow_mut().arrive(&inner.id, &inner.checker);
+        // A process that is not listed yet announces nothing: callers take its
+        // answers for those of the process before.
+        let announced = match self.is_listed() {
+            true => inner.announcements.borrow_mut().arrive(&inner.id, &inner.checker),
+            false => Announced::default(),
+        };
         if let Some(rest) = announced.rest {
             let rest = format!("{:.3}", rest.as_secs_f64());
             return not_run(&request, 503)
