end the connection of a request that ends for the bytes held

A waiting request that ended for the bytes that the process holds was answered 504 on a connection that stayed open. The holder stays told to end, so the next request on it ended at once as well. Found by reading the change before: waiting_requests_that_end_close_their_connections fails without this one. The connection closes with that answer, and an idle one that must end closes.

The copy that a request with chunks makes of its body counts as held too (no test), and an empty CATKIN_MEMORY_MB, as of a platform that names no memory, means the default instead of a usage error (tried by hand).

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -152,6 +152,7 @@
         let limits = node.config.borrow().as_ref().map(|c| c.limits);
         let idle = limits.map_or(IDLE_TIMEOUT_DEFAULT, |l| l.idle_timeout) + IDLE_MARGIN;
         let mut timeout = idle.as_duration();
+        let held = self.held.clone();
         let mut stage = node.stage.subscribe();
         let head = loop {
             match self.codec.decode(&mut self.buffer) {
@@ -175,6 +176,7 @@
             let is_idle = self.buffer.is_empty();
             let read = tokio::select! {
                 biased;
+                () = held.ended() => return Ok(Input::End),
                 read = tokio::time::timeout(timeout, self.fill()) => read,
                 // A request that arrives while the connection is being closed
                 // is not read, so its caller may send it to another process.
@@ -271,7 +273,8 @@
             }
         };
         // A request that was read ahead must be answered too.
-        let close = node.is_draining() && self.buffer.is_empty() || !self.codec.keep_alive();
+        let is_last = node.is_draining() && self.buffer.is_empty();
+        let close = is_last || !self.codec.keep_alive() || self.held.is_ended();
         drop(incoming);
         self.body_bytes = 0;
         self.write(answer, close).await?;
--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -49,7 +49,7 @@
 };
 
 /// Memory of the smallest VM.
-const MEMORY_MB_DEFAULT: u64 = 260;
+const MEMORY_MB_DEFAULT: f64 = 260.0;
 
 /// Share of the memory for the bytes of requests, answers and messages. Freed
 /// parts of the heap and the buffers of sockets need about as much again.
@@ -65,8 +65,8 @@
     #[bpaf(external)]
     source: Source,
     /// Memory that the process may use, in MB; 260 if absent
-    #[bpaf(long("memory"), env("CATKIN_MEMORY_MB"), argument("MB"), fallback(MEMORY_MB_DEFAULT))]
-    memory: u64,
+    #[bpaf(long("memory"), env("CATKIN_MEMORY_MB"), argument::<String>("MB"), parse(parse_memory), fallback(MEMORY_MB_DEFAULT))]
+    memory: f64,
     /// Checks the settings and exits
     check: bool,
 }
@@ -88,6 +88,15 @@
     },
 }
 
+/// Parses a size in MB. The variable is empty on a platform that names none.
+fn parse_memory(text: String) -> Result<f64, Error> {
+    let invalid = || Error::new(Code::BadValue, format!("{text:?} is not a size in MB"));
+    match text.trim() {
+        "" => Ok(MEMORY_MB_DEFAULT),
+        number => number.parse().ok().filter(|mb: &f64| mb.is_finite() && *mb > 0.0).ok_or_else(invalid),
+    }
+}
+
 fn path(source: &Source) -> Result<PathBuf, Error> {
     match source {
         Source::File { file } => Ok(file.clone()),
@@ -109,7 +118,7 @@
         return ExitCode::SUCCESS;
     }
     logs::init_to(settings.logs, logs::Output::Stdout);
-    catkin_net::limit_held(Size::from_bytes((options.memory as f64 * 1e6 * HELD_SHARE) as u64));
+    catkin_net::limit_held(Size::from_bytes((options.memory * 1e6 * HELD_SHARE) as u64));
     let ended = actix_rt::System::new().block_on(run(settings));
     logs::flush();
     match ended {
--- a/crates/catkin-edge/tests/memory.rs
+++ b/crates/catkin-edge/tests/memory.rs
@@ -416,3 +416,33 @@
         assert!(each_kb <= 64 + 2 * body as u64 / 1_000, "{each_kb} KB for a body of {body} bytes");
     }
 }
+
+/// A waiting request that ends for the bytes that the process holds ends its
+/// connection too: the next request on it would end at once for the same reason.
+#[actix_rt::test]
+async fn waiting_requests_that_end_close_their_connections() {
+    let fleet = start(&vec![Flood::new("", "x", 0, ""); 60], false).await;
+    let answers = Rc::<RefCell<Vec<String>>>::default();
+    for i in 0..160 {
+        let (addr, answers) = (fleet.edges[0].callers, answers.clone());
+        actix_rt::spawn(async move {
+            let Ok(mut stream) = TcpStream::connect(addr).await else { return };
+            let head = format!(
+                "POST /faulty/x HTTP/1.1\r\nhost: h\r\nx-request-id: e{i}\r\ncontent-length: 1000000\r\n\r\n"
+            );
+            let _ = stream.write_all(head.as_bytes()).await;
+            let _ = stream.write_all(&vec![1; 1_000_000]).await;
+            let mut answer = vec![0; 4 << 10];
+            let read = tokio::time::timeout(Duration::from_millis(1_400), stream.read(&mut answer)).await;
+            if let Ok(Ok(count)) = read {
+                answers.borrow_mut().push(String::from_utf8_lossy(&answer[..count]).to_lowercase());
+            }
+        });
+    }
+    sleep(2_000).await;
+    let answers = answers.borrow();
+    let ended: Vec<&String> = answers.iter().filter(|a| a.starts_with("http/1.1 504")).collect();
+    println!("{} requests ended of {} that were answered", ended.len(), answers.len());
+    assert!(!ended.is_empty());
+    assert!(ended.iter().all(|answer| answer.contains("connection: close")), "{ended:?}");
+}
--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -127,6 +127,8 @@
     next: usize,
     offset: usize,
     written: u64,
+    /// Size of an own copy of the body.
+    copied: usize,
 }
 
 impl Outgoing {
@@ -242,7 +244,7 @@
                     None => {
                         let answered = !self.buffer.is_empty();
                         self.read_or_write(out).await.map_err(|e| (e, answered))?;
-                        held.set(self.buffer.capacity());
+                        held.set(out.copied + self.buffer.capacity());
                     }
                 }
             };
@@ -269,7 +271,7 @@
                     Some(None) => break,
                     None => self.read_or_write(out).await.map_err(|e| (e, true))?,
                 }
-                held.set(self.buffer.capacity() + body.capacity());
+                held.set(out.copied + self.buffer.capacity() + body.capacity());
                 if body.len() > ANSWER_BYTES_MAX {
                     return Err((invalid("answer too large"), true));
                 }
@@ -290,7 +292,7 @@
         let mut body = Body::default();
         loop {
             body.push(&self.buffer.split());
-            held.set(self.buffer.capacity() + body.capacity());
+            held.set(out.copied + self.buffer.capacity() + body.capacity());
             if body.len() > ANSWER_BYTES_MAX {
                 return Err(invalid("answer too large"));
             }
@@ -375,5 +377,6 @@
         codec.encode(Message::Chunk(Some(chunk)), &mut bytes)?;
     }
     codec.encode(Message::Chunk(None), &mut bytes)?;
-    Ok(Outgoing { parts: vec![bytes.freeze()], ..Outgoing::default() })
+    let copied = bytes.len();
+    Ok(Outgoing { parts: vec![bytes.freeze()], copied, ..Outgoing::default() })
 }
--- a/crates/catkin-net/src/held.rs
+++ b/crates/catkin-net/src/held.rs
@@ -87,10 +87,15 @@
         });
     }
 
+    /// Returns whether this holder must end.
+    pub fn is_ended(&self) -> bool {
+        self.end.is_due.get()
+    }
+
     /// Waits until this holder must end.
     pub async fn ended(&self) {
         let changed = self.end.changed.notified();
-        if !self.end.is_due.get() {
+        if !self.is_ended() {
             changed.await;
         }
     }
