--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -109,6 +109,8 @@
 pub(crate) enum Source {
     /// This process has read it from the store.
     Store,
+    /// This process has listed the newest record of each key.
+    Listing,
     /// The leader has forwarded it.
     Leader,
 }
@@ -129,7 +131,7 @@
     }
 }
 
-fn apply_target(node: &Node, _: Source, key: &[u8], value: &[u8]) -> bool {
+fn apply_target(node: &Node, source: Source, key: &[u8], value: &[u8]) -> bool {
     let now = node.now();
     let mut directory = node.directory.borrow_mut();
     if value.is_empty() {
@@ -139,7 +141,10 @@
     match entry::decode(key, value) {
         Ok(entry) => {
             log_other_process(&directory, &entry);
-            directory.put(now, entry)
+            match source {
+                Source::Listing => directory.put_listed(now, entry),
+                Source::Store | Source::Leader => directory.put(now, entry),
+            }
         }
         Err(error) => {
             log::warn!(error:display; "invalid directory entry ignored");
@@ -275,7 +280,7 @@
             let live = newest.items.iter().filter(|r| !r.value.is_empty());
             let keys = live.clone().map(|r| r.key.clone()).collect();
             for record in live {
-                (self.apply)(node, Source::Store, &record.key, &record.value);
+                (self.apply)(node, Source::Listing, &record.key, &record.value);
             }
             for KeyedRecord { key, value } in newest.items.into_iter().filter(|r| (self.is_kept)(&r.key)) {
                 self.keep(newest.end.saturating_sub(1), key, &value, true);
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -30,8 +30,12 @@
 /// platform says otherwise.
 const ENTRY_TTL_DEFAULT: Span = Span::from_secs(4);
 
-/// Longest time between the write of an entry and its receipt.
-const ENTRY_DELAY_MAX: Span = Span::from_secs(1);
+/// Usual time between the write of an entry and its receipt.
+const ENTRY_DELAY: Span = Span::from_secs(1);
+
+/// Longest time after which the store carries out a write that it has not
+/// answered; `fleetbench kinds` names it for `platform_lost`.
+const LATE_WRITE_MAX: Span = Span::from_secs(6);
 
 /// Longest time between two reads of the directory in which no removal of an
 /// entry is missed for long.
@@ -82,6 +86,9 @@
     /// When an entry was last received, which rarely happens while it is
     /// unchanged, see [`Directory::put`].
     pub last_seen: Time,
+    /// Time after which the store carried out the write of the entry, as far as
+    /// is known: a complete listing tells nothing of that.
+    pub written_after: Time,
 }
 
 /// That an incarnation said in an answer that it leaves.
@@ -144,16 +151,34 @@
         self.read_at = self.read_at.max(at);
     }
 
-    /// Returns whether a process is known to have run after a time: it has
-    /// written its entry since, or it is still listed although the entry of a
-    /// process that had ended by then would have been removed.
+    /// Returns whether a process seems to have run after a time: its entry was
+    /// received since, or it is still listed although the entry of a process
+    /// that had ended by then would usually have been removed. A late write can
+    /// make this wrong, see [`has_run_since`](Self::has_run_since).
     pub fn is_confirmed(&self, incarnation: &Incarnation, since: Time) -> bool {
-        let is_still_listed = self.read_at >= since.max(self.read_since).after(self.entry_ttl);
         self.current(incarnation).is_some_and(|t| {
-            t.last_seen > since.after(ENTRY_DELAY_MAX) || is_still_listed && t.grace_end.is_none()
+            t.last_seen > since.after(ENTRY_DELAY) || self.is_still_listed(t, since, Span::ZERO)
+        })
+    }
+
+    /// Returns whether a process is proven to have run after a time, however
+    /// late its writes were carried out: one was carried out longer after that
+    /// time than any write is late, or the entry is still listed so long after
+    /// it that the last late one would have been removed.
+    pub fn has_run_since(&self, incarnation: &Incarnation, since: Time) -> bool {
+        self.current(incarnation).is_some_and(|t| {
+            t.written_after >= since.after(LATE_WRITE_MAX) || self.is_still_listed(t, since, LATE_WRITE_MAX)
         })
     }
 
+    /// Returns whether a target is still listed although the entry of a process
+    /// that had ended by a time, and whose last write was carried out by `late`
+    /// after that, would have been removed.
+    fn is_still_listed(&self, target: &Target, since: Time, late: Span) -> bool {
+        let removed_by = since.max(self.read_since).after(late).after(self.entry_ttl);
+        self.read_at >= removed_by && target.grace_end.is_none()
+    }
+
     /// Starts a grace period if so many entries are about to be removed at once
     /// that they expired while the store was unavailable: so many targets never
     /// leave together, and live ones write their entries again. Returns whether
@@ -175,6 +200,17 @@
     /// not advance before the next complete listing. An entry of an earlier
     /// incarnation than the known one was written late and is ignored.
     pub fn put(&mut self, now: Time, entry: Entry) -> bool {
+        // The write was carried out after the last read that did not show it.
+        self.update(now, entry, self.read_at)
+    }
+
+    /// Inserts or replaces an entry of a complete listing, which may have been
+    /// written at any time before. Returns the same as [`put`](Self::put).
+    pub fn put_listed(&mut self, now: Time, entry: Entry) -> bool {
+        self.update(now, entry, Time::default())
+    }
+
+    fn update(&mut self, now: Time, entry: Entry, written_after: Time) -> bool {
         let old = self.targets.get(&entry.incarnation.id);
         if old.is_some_and(|t| t.entry.incarnation.started > entry.incarnation.started) {
             return false;
@@ -186,6 +222,7 @@
             without_cold_left(&t.entry) != without_cold_left(&entry) || t.grace_end.is_some()
         });
         self.changes += u64::from(has_changed);
+        let written_after = known.map_or(written_after, |t| t.written_after.max(written_after));
         let known_since = known.and_then(|t| t.draining_since);
         let entry_since = match entry.draining {
             true => known_since.or(Some(now)),
@@ -199,6 +236,7 @@
             draining_since,
             grace_end: None,
             last_seen: now,
+            written_after,
             entry,
         };
         self.insert(target);
@@ -333,7 +371,7 @@
         let listed: HashSet<Arc<str>> = listing.iter().map(|entry| entry.incarnation.id.clone()).collect();
         self.retain(now, |id| listed.contains(id));
         for entry in listing {
-            self.put(now, entry);
+            self.put_listed(now, entry);
         }
     }
 
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -265,8 +265,7 @@
         });
         for range in self.services.values_mut().flatten() {
             let owner = range.row.incarnation();
-            let is_confirmed = |at: &Time| directory.is_confirmed(&owner, *at);
-            range.opened_at = range.opened_at.filter(|at| !is_confirmed(at));
+            range.opened_at = range.opened_at.filter(|at| !directory.has_run_since(&owner, *at));
         }
         if self.addrs.len() > 4 * directory.len() + 64 {
             self.addrs.retain(|incarnation, _| directory.current(incarnation).is_some());
--- a/crates/catkin-route/tests/directory.rs
+++ b/crates/catkin-route/tests/directory.rs
@@ -245,3 +245,38 @@
         assert_eq!(target.serves_keys(at(2_000)), is_open);
     }
 }
+
+/// Reads the directory without a gap from one time to another.
+fn read(directory: &mut Directory, from: u64, to: u64) {
+    (from..=to).step_by(300).for_each(|millis| directory.note_read(at(millis)));
+}
+
+/// A write of a process may be carried out seconds after the process has ended,
+/// and its entry is removed that much later. Neither proves that it has run
+/// since a moment before.
+#[test]
+fn late_writes_prove_nothing() {
+    let mut directory = Directory::default().with_entry_ttl(Span::from_secs(4));
+    let process = incarnation("a", 1);
+    directory.put(at(0), entry("a", 1));
+    read(&mut directory, 0, 12_000);
+    directory.put(at(12_100), Entry { slots: 7, ..entry("a", 1) });
+    assert!(!directory.has_run_since(&process, at(10_000)));
+    read(&mut directory, 12_100, 19_900);
+    assert!(!directory.has_run_since(&process, at(10_000)));
+    read(&mut directory, 19_900, 20_200);
+    assert!(directory.has_run_since(&process, at(10_000)));
+    directory.put(at(20_300), Entry { slots: 8, ..entry("a", 1) });
+    assert!(directory.has_run_since(&process, at(14_000)), "carried out longer after that than any write");
+    assert!(!directory.has_run_since(&process, at(15_000)));
+}
+
+/// An entry that is read after a gap may have been written at any time in it.
+#[test]
+fn entry_after_a_gap_proves_nothing() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    read(&mut directory, 0, 9_900);
+    directory.put(at(30_000), Entry { slots: 7, ..entry("a", 1) });
+    assert!(!directory.has_run_since(&incarnation("a", 1), at(10_000)));
+}
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -587,3 +587,73 @@
     }
     assert!(sent.iter().any(|command| command.incarnation == incarnation("a", 5)));
 }
+
+/// Starts a leader whose target `a` has restarted, unknown to it: a command has
+/// found its connection closed, and the later process has got a range as the
+/// earlier one, on a new connection. Returns that command.
+fn start_with_unlisted_restart() -> (SimulatedLeader, Command) {
+    let mut sim = start_granted(&["a", "b"]);
+    let first = sim.run(800, |_| None).into_iter().find(|c| &*c.incarnation.id == "a").unwrap();
+    sim.granter.command_ended(at(sim.now), first.ticket, Outcome::Undelivered);
+    let raised = loop {
+        sim.advance(50);
+        sim.directory.note_read(at(sim.now));
+        let command = sim.round().into_iter().find(|c| c.from == first.from && c.fence > first.fence);
+        if let Some(command) = command {
+            break command;
+        }
+    };
+    sim.granter.command_sent(at(sim.now), raised.ticket, ConnId(9));
+    sim.granter.command_ended(at(sim.now), raised.ticket, Outcome::Done(None));
+    (sim, raised)
+}
+
+/// Lists the later process of `a`, which gets no further keys as it drains, and
+/// checks that a range that it may hold goes to no other target before its lease
+/// has expired.
+fn check_kept_by_later_process(mut sim: SimulatedLeader, held: &Command) {
+    sim.directory.put(at(sim.now), Entry { draining: true, ..entry("a", 2) });
+    sim.run(300, accept);
+    let owner = sim.granter.ranges("s").into_iter().find(|range| range.row.from == held.from).unwrap();
+    assert_eq!(&*owner.row.target, "a", "keys moved that the later process holds");
+}
+
+/// A write of a target that has ended is carried out seconds late, after a
+/// connection was opened to the later process. It must not count as a proof that
+/// the earlier process ran at that time: the keys of the later one would move
+/// without a release.
+#[test]
+fn late_entry_frees_no_keys_of_an_unlisted_process() {
+    let (mut sim, held) = start_with_unlisted_restart();
+    sim.run(2_000, accept);
+    sim.directory.note_read(at(sim.now));
+    sim.directory.put(at(sim.now), Entry { slots: 7, ..entry("a", 1) });
+    sim.run(50, accept);
+    check_kept_by_later_process(sim, &held);
+}
+
+/// A complete listing holds the entry of an ended process until that is removed.
+/// It must not count as a proof that the process has run a moment ago.
+#[test]
+fn listing_frees_no_keys_of_an_unlisted_process() {
+    let (mut sim, held) = start_with_unlisted_restart();
+    sim.run(2_000, accept);
+    sim.directory.note_read(at(sim.now));
+    let listing = sim.directory.listing(at(sim.now));
+    sim.directory.replace(at(sim.now), listing);
+    sim.run(50, accept);
+    check_kept_by_later_process(sim, &held);
+}
+
+/// A write that is carried out late makes an ended process listed for longer, so
+/// the time for which it is listed shows only then that it has run.
+#[test]
+fn listed_entry_frees_no_keys_of_an_unlisted_process() {
+    let (mut sim, held) = start_with_unlisted_restart();
+    for _ in 0..40 {
+        sim.run(200, accept);
+        sim.directory.note_read(at(sim.now));
+    }
+    sim.run(50, accept);
+    check_kept_by_later_process(sim, &held);
+}
