--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -196,6 +196,10 @@
         if self.codec.message_type() == MessageType::None {
             return Ok(Input::Request(incoming));
         }
+        if let Some(answer) = serve::refuse_unconfigured(node, &incoming) {
+            // Without a configuration there is no limit on the body.
+            return Ok(Input::Refused(answer));
+        }
         incoming.chunked = incoming.head.chunked().unwrap_or(false);
         if incoming
             .head
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -122,6 +122,11 @@
     is_refused.then(|| refuse(node, incoming, &routed.id, Code::Leaving))
 }
 
+/// Returns the answer to a request that arrives before the first configuration.
+pub(crate) fn refuse_unconfigured(node: &Node, incoming: &Incoming) -> Option<Answer> {
+    node.config.borrow().is_none().then(|| refuse(node, incoming, request_id(incoming), Code::Starting))
+}
+
 /// Returns the answer to a request that ends before its body has arrived, as this
 /// process holds too many bytes.
 pub(crate) fn refuse_held(node: &Node, incoming: &Incoming) -> Answer {
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -35,7 +35,7 @@
 const ENTRY_DELAY: Span = Span::from_secs(1);
 
 /// Longest time after which the store carries out a write that it has not
-/// answered; `fleetbench kinds` names it for `platform_lost`.
+/// answered, as the platform states it.
 const LATE_WRITE_MAX: Span = Span::from_secs(6);
 
 /// Longest time between two reads of the directory in which no removal of an
