Keep a configuration with an unknown kind of route in force

A kind that the decoder did not know put the whole configuration out of force, so neither of two new deployments, whose routes have the kind "download", served any request. An unknown kind now runs at most once, which is right for any kind, with a log line and the metric unknown_route_kinds; "download" may run more than once.

Load headers with a fourth figure (how slow the machine is) were rejected whole, so processes knew no load of such targets. They are read now; the figure itself is not used yet.

The configuration's terms of cold targets and the bounds for them are decoded.

Tests changed: an unknown kind was asserted to be refused, the fault itself; a kind that is no text is refused instead, and what happens to an unknown one is asserted. A load header with four figures was asserted to be invalid; its values are asserted now, and those of malformed fourth figures.

--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -160,9 +160,10 @@
             (reply.head.status.as_u16(), reply.head.headers().contains_key(name::REQUEST_ID));
         log::info!(id = &*routed.id, target_id = &*incarnation.id, conn = conn.id().0, reused, status, names_id; "target refused");
     }
-    if let Some((running, queued, _)) = header_text(&reply.head, &name::LOAD).and_then(name::parse_load) {
+    if let Some(load) = header_text(&reply.head, &name::LOAD).and_then(name::parse_load) {
         // The answered request is still counted both by the target and here.
-        node.loads.borrow_mut().record_report(now, incarnation, running + queued);
+        let requests = load.running.saturating_add(load.queued);
+        node.loads.borrow_mut().record_report(now, incarnation, requests);
     }
     announcements::note(node, incarnation, &reply.head, sent_at);
     // A late copy of an answer without an id could pass for the next one.
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -34,6 +34,7 @@
     latency: Histogram,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
+    unknown_kinds: Gauge,
     link_delay: Histogram,
     held: Gauge,
 }
@@ -55,16 +56,32 @@
         let config_age = Gauge::default();
         let help = "Time since the configuration was known to be the newest, in seconds";
         registry.register("config_age_seconds", help, config_age.clone());
+        let unknown_kinds = Gauge::default();
+        let help = "Routes in force whose kind is unknown and whose requests run at most once";
+        registry.register("unknown_route_kinds", help, unknown_kinds.clone());
         let link_delay = Histogram::new(LATENCY_BUCKETS_SECONDS);
         registry.register("link_delay_seconds", "Time from a report to its answer", link_delay.clone());
         let held = Gauge::default();
         registry.register("held_bytes", "Bytes of requests, answers and messages", held.clone());
-        Self { registry, answers, attempts, commands, latency, config_version, config_age, link_delay, held }
+        Self {
+            registry,
+            answers,
+            attempts,
+            commands,
+            latency,
+            config_version,
+            config_age,
+            unknown_kinds,
+            link_delay,
+            held,
+        }
     }
 
-    /// Sets the version of the configuration in force.
-    pub(crate) fn set_config_version(&self, version: u64) {
+    /// Sets the version of the configuration in force and the number of its routes
+    /// whose kind is unknown.
+    pub(crate) fn set_config(&self, version: u64, unknown_kinds: usize) {
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.unknown_kinds.set(i64::try_from(unknown_kinds).unwrap_or(i64::MAX));
     }
 
     /// Sets the time since the configuration was known to be the newest.
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -267,7 +267,7 @@
         }
         let position = self.config_feed.next_offset();
         log::info!(version = config.version, previous = known, source:debug, position; "configuration in force");
-        self.metrics.set_config_version(config.version);
+        self.metrics.set_config(config.version, config.unknown_kinds);
         let names: std::collections::HashSet<Arc<str>> = config.routes().map(|r| r.name.clone()).collect();
         self.split.borrow_mut().retain(|name| names.contains(name));
         *self.config.borrow_mut() = Some(Rc::new(config));
--- a/crates/catkin-route/src/config.rs
+++ b/crates/catkin-route/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration of the fleet: routes, services and limits.
 
 use {
+    crate::rate::RequestRate,
     catkin::{Code, Error, types::Span},
     std::{
         collections::{HashMap, HashSet},
@@ -17,12 +18,14 @@
     Once,
     /// A request with a large body; it runs at most once.
     Upload,
+    /// A request with a large answer; it may run more than once.
+    Download,
 }
 
 impl RouteKind {
     /// Returns whether a request may run again after it may have run.
     pub fn is_idempotent(self) -> bool {
-        self == Self::Idempotent
+        matches!(self, Self::Idempotent | Self::Download)
     }
 }
 
@@ -69,11 +72,22 @@
     pub max_attempts: u32,
 }
 
+/// How a target of a service starts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdSpec {
+    /// Time for which a target is cold after its start.
+    pub duration: Span,
+    /// Requests that a cold target takes from all processes together.
+    pub rate: RequestRate,
+}
+
 /// Settings of a service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ServiceSpec {
     /// Whether each key has exactly one owner among the targets.
     pub keyed: bool,
+    /// How its targets start, if the requests to a cold one are limited.
+    pub cold: Option<ColdSpec>,
 }
 
 /// One version of the configuration.
@@ -87,6 +101,8 @@
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
     /// Services by name.
     pub services: HashMap<Arc<str>, ServiceSpec>,
+    /// Number of routes whose kind this version of the program does not know.
+    pub unknown_kinds: usize,
 }
 
 /// Returns the error for a route that does not fit the rest of its
@@ -144,7 +160,13 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Ok(Self { version, limits, hosts, services })
+        Ok(Self { version, limits, hosts, services, unknown_kinds: 0 })
+    }
+
+    /// Sets the number of routes whose kind is unknown.
+    #[must_use]
+    pub fn with_unknown_kinds(self, unknown_kinds: usize) -> Self {
+        Self { unknown_kinds, ..self }
     }
 
     /// Finds the route of a request: the one of its host with the longest
