Serve pipelined requests of a caller at the same time

Safe requests of a connection are served together now, at most 16, and answered in their order. A request that may change something keeps its place among the others. Each request has its own codec, since the codec frames an answer by the last request that it has decoded. Time counts from the reading of a request.

Ruled out: the wait for a target, which the log shows (took_ms) and which is shorter than what callers see.

pipelined_lookups_are_served_at_the_same_time and leaving_caller_ends_pipelined_requests fail with one request at a time, pipelined_orders_keep_their_place with orders beside others.

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -1,4 +1,11 @@
 //! Connections of callers: reads requests and writes answers.
+//!
+//! Load pattern: callers that send further requests on a connection before the
+//! first one is answered. Requests that change nothing are served at the same
+//! time, as otherwise each would wait for all answers before its own; the answers
+//! are written in the order of the requests.
+
+mod read;
 
 use {
     crate::{
@@ -6,87 +13,66 @@
         serve::{self, Answer, Incoming},
     },
     actix_http::{
-        ConnectionType, HttpMessage, Request, Response, StatusCode,
+        ConnectionType, Response, StatusCode,
         body::BodySize,
-        error::ParseError,
-        h1::{Codec, Message, MessageType},
-        header::{EXPECT, HeaderValue, RETRY_AFTER},
+        h1::{Codec, Message},
+        header::{HeaderValue, RETRY_AFTER},
     },
-    bytes::{Bytes, BytesMut},
-    catkin::types::{Span, Time},
+    bytes::BytesMut,
+    catkin::types::Span,
     catkin_net::{Held, set_socket_options},
-    std::{io, rc::Rc, time::Duration},
+    futures_util::{StreamExt, stream::FuturesOrdered},
+    read::{Decoded, Input, Reader, STALL_TIMEOUT, Shared},
+    std::{
+        collections::VecDeque,
+        io,
+        pin::{Pin, pin},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
+        io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
     },
-    tokio_util::codec::{Decoder, Encoder},
+    tokio_util::codec::Encoder,
 };
 
-/// Least free space of the buffer before a read.
-const READ_BYTES: usize = 8 << 10;
-
-/// Most bytes that are read ahead while a request is in progress.
-const READ_AHEAD_BYTES_MAX: usize = 64 << 10;
-
-/// Idle time-out of a connection before the first configuration is known.
-const IDLE_TIMEOUT_DEFAULT: Span = Span::from_secs(60);
-
-/// Added to the configured idle time-out, on which callers rely.
-const IDLE_MARGIN: Span = Span::from_secs(1);
-
-/// Longest time without progress while a caller sends a request or takes an
-/// answer.
-const STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most requests of one connection that are served at the same time.
+const CONCURRENT_MAX: usize = 16;
 
 /// Size of an answer up to which head and body are written together.
 const COPIED_BYTES_MAX: usize = 64 << 10;
 
-const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-
-/// A connection of a caller.
-struct Connection {
-    stream: TcpStream,
-    buffer: BytesMut,
-    codec: Codec,
-    /// Counts the bytes of the buffer, of the request and of its answer.
-    held: Rc<Held>,
-    /// Bytes of the request's body that were read.
-    body_bytes: usize,
-}
-
-/// Result of reading a request.
-enum Input {
-    /// A complete request.
-    Request(Box<Incoming>),
-    /// A request that is refused before its body is read completely.
-    Refused(Answer),
-    /// The caller closed the connection, or did not send in time.
-    End,
-}
-
-impl Input {
-    fn refused(status: StatusCode) -> Self {
-        Self::Refused(Answer::local(status, None))
-    }
-}
-
 /// Counts a request as open until it is dropped.
-struct OpenRequest<'a>(&'a Node);
+struct OpenRequest<'a> {
+    node: &'a Node,
+    shared: &'a Shared,
+}
 
 impl<'a> OpenRequest<'a> {
-    fn new(node: &'a Node) -> Self {
+    fn new(node: &'a Node, shared: &'a Shared) -> Self {
         node.open_requests.set(node.open_requests.get() + 1);
-        Self(node)
+        shared.open.set(shared.open.get() + 1);
+        Self { node, shared }
     }
 }
 
 impl Drop for OpenRequest<'_> {
     fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
+        self.node.open_requests.set(self.node.open_requests.get() - 1);
+        self.shared.open.set(self.shared.open.get() - 1);
     }
 }
 
+/// A request that is not yet answered.
+struct Open<'a> {
+    codec: Codec,
+    body_bytes: usize,
+    /// Whether it changes nothing at its target.
+    is_safe: bool,
+    _count: OpenRequest<'a>,
+}
+
 /// Accepts connections of callers until the process closes.
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
     let mut stage = node.stage.subscribe();
@@ -114,175 +100,191 @@
     }
 }
 
+/// Answers of the open requests of a connection, in the order of the requests.
+type Answers<'a> = FuturesOrdered<Pin<Box<dyn Future<Output = Answer> + 'a>>>;
+
+/// What follows after a step of a connection.
+enum Step<T> {
+    /// The step is done.
+    Done(T),
+    /// The last answer is written.
+    Finish,
+    /// The caller closed the connection.
+    Closed,
+}
+
 async fn serve_connection(node: &Rc<Node>, stream: TcpStream) -> io::Result<()> {
-    let held = Rc::new(Held::new(stream.peer_addr()?));
-    let codec = Codec::new(node.http.clone());
-    let mut conn = Connection { stream, buffer: BytesMut::new(), codec, held, body_bytes: 0 };
-    loop {
-        match conn.read_request(node).await? {
-            Input::End => return Ok(()),
-            Input::Refused(answer) => {
-                conn.write(answer, true).await?;
-                return conn.finish().await;
-            }
-            Input::Request(incoming) => {
-                let _open = OpenRequest::new(node);
-                if !conn.answer(node, *incoming).await? {
-                    return conn.finish().await;
-                }
-            }
-        }
+    let held = Held::new(stream.peer_addr()?);
+    let (reader, writer) = stream.into_split();
+    let shared = Shared::new(held, writer, node.now());
+    let mut reader = Reader::new(reader);
+    let mut conn = Connection { node, shared: &shared, open: VecDeque::new(), last: None };
+    // Dropping the answers closes the connections to the targets, which ends the
+    // work there.
+    let mut answers = Answers::new();
+    match conn.run(&mut reader, &mut answers).await? {
+        Step::Closed => Ok(()),
+        Step::Done(()) | Step::Finish => conn.finish(&mut reader).await,
     }
 }
 
-impl Connection {
-    async fn fill(&mut self) -> io::Result<usize> {
-        self.buffer.reserve(READ_BYTES);
-        let read = self.stream.read_buf(&mut self.buffer).await;
-        self.count_held(0);
-        read
-    }
+/// Serves a request.
+async fn serve_request(node: &Rc<Node>, incoming: Box<Incoming>) -> Answer {
+    serve::serve(node, &incoming).await
+}
 
-    /// Counts the bytes of the buffer, of the request and of an answer as held.
-    fn count_held(&self, answer_bytes: usize) {
-        self.held.set(self.buffer.capacity() + self.body_bytes + answer_bytes);
+/// Returns the next answer, or `None` if the open requests must end.
+async fn next_answer(node: &Node, shared: &Shared, answers: &mut Answers<'_>) -> Option<Answer> {
+    if answers.is_empty() {
+        return std::future::pending().await;
+    }
+    let mut stage = node.stage.subscribe();
+    tokio::select! {
+        biased;
+        answer = answers.next() => answer,
+        _ = stage.wait_for(|s| *s == Stage::Ending) => None,
+        () = shared.held.ended() => None,
     }
+}
+
+/// A connection of a caller and its requests that are not yet answered.
+struct Connection<'a> {
+    node: &'a Rc<Node>,
+    shared: &'a Shared,
+    open: VecDeque<Open<'a>>,
+    /// The request whose answer closes the connection. It counts as open until the
+    /// connection is closed.
+    last: Option<Open<'a>>,
+}
 
-    async fn read_request(&mut self, node: &Node) -> io::Result<Input> {
-        let limits = node.config.borrow().as_ref().map(|c| c.limits);
-        let idle = limits.map_or(IDLE_TIMEOUT_DEFAULT, |l| l.idle_timeout) + IDLE_MARGIN;
-        let mut timeout = idle.as_duration();
-        let held = self.held.clone();
-        let mut stage = node.stage.subscribe();
-        let head = loop {
-            match self.codec.decode(&mut self.buffer) {
-                Ok(Some(Message::Item(head))) => break head,
-                Ok(Some(Message::Chunk(_))) => {}
-                Ok(None) => {}
-                Err(ParseError::TooLarge) => {
-                    return Ok(Input::refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+impl<'a> Connection<'a> {
+    /// Reads and answers requests until the last one is answered.
+    async fn run(&mut self, reader: &mut Reader, answers: &mut Answers<'a>) -> io::Result<Step<()>> {
+        loop {
+            let input = match self.next_input(reader, answers).await? {
+                Step::Done(input) => input,
+                Step::Finish => return Ok(Step::Finish),
+                Step::Closed => return Ok(Step::Closed),
+            };
+            let (decoded, others_max) = match input {
+                Input::Closed => return Ok(Step::Closed),
+                Input::End if self.open.is_empty() => return Ok(Step::Closed),
+                Input::Request(decoded) => {
+                    // A request that changes something keeps its place among the
+                    // others.
+                    let is_safe = decoded.is_safe() && self.open.iter().all(|open| open.is_safe);
+                    (Some(Ok(decoded)), if is_safe { CONCURRENT_MAX - 1 } else { 0 })
                 }
-                Err(_) => return Ok(Input::refused(StatusCode::BAD_REQUEST)),
-            }
-            if self.buffer.is_empty() {
-                // Frees the buffer of an idle connection.
-                self.buffer = BytesMut::new();
-                self.count_held(0);
-            }
-            let limit = limits.map_or(usize::MAX, |l| l.head_bytes);
-            if self.buffer.len() > limit {
-                return Ok(Input::refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
-            }
-            let is_idle = self.buffer.is_empty();
-            let read = tokio::select! {
-                biased;
-                () = held.ended() => return Ok(Input::End),
-                read = tokio::time::timeout(timeout, self.fill()) => read,
-                // A request that arrives while the connection is being closed
-                // is not read, so its caller may send it to another process.
-                _ = stage.wait_for(|s| *s >= Stage::Closing), if is_idle => return Ok(Input::End),
+                Input::Refused(answer, codec) => (Some(Err((answer, codec))), 0),
+                Input::End => (None, 0),
             };
-            match read {
-                Ok(Ok(0)) | Err(_) => return Ok(Input::End),
-                Ok(Ok(_)) => {}
-                Ok(Err(error)) => return Err(error),
+            match self.answer_open(reader, answers, others_max).await? {
+                Step::Done(()) => {}
+                other => return Ok(other),
             }
-            timeout = limits.map_or(STALL_TIMEOUT, |l| l.head_timeout.as_duration());
-        };
-        let arrived = node.now();
-        self.read_body(node, head, arrived, limits.map_or(u64::MAX, |l| l.body_bytes)).await
+            match decoded {
+                Some(Ok(decoded)) => self.begin(decoded, answers),
+                Some(Err((answer, codec))) => {
+                    self.push(codec, 0, false);
+                    self.answer(answer, true).await?;
+                    return Ok(Step::Finish);
+                }
+                // What arrived meanwhile is answered too.
+                None if self.shared.is_reading.get() => {}
+                None => return Ok(Step::Finish),
+            }
+        }
     }
 
-    async fn read_body(&mut self, node: &Node, head: Request, arrived: Time, max: u64) -> io::Result<Input> {
-        let mut incoming = Box::new(Incoming { chunked: false, body: Vec::new(), arrived, head });
-        if self.codec.message_type() == MessageType::None {
-            return Ok(Input::Request(incoming));
+    /// Reads the next request, and answers open ones meanwhile.
+    async fn next_input(
+        &mut self,
+        reader: &mut Reader,
+        answers: &mut Answers<'_>,
+    ) -> io::Result<Step<Input>> {
+        if self.open.back().is_some_and(|last| !last.codec.keep_alive()) {
+            return Ok(match self.answer_open(reader, answers, 0).await? {
+                Step::Closed => Step::Closed,
+                Step::Done(()) | Step::Finish => Step::Finish,
+            });
         }
-        if let Some(answer) = serve::refuse_unconfigured(node, &incoming) {
-            // Without a configuration there is no limit on the body.
-            return Ok(Input::Refused(answer));
-        }
-        incoming.chunked = incoming.head.chunked().unwrap_or(false);
-        if incoming
-            .head
-            .headers()
-            .get(EXPECT)
-            .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"100-continue"))
-        {
-            self.stream.write_all(CONTINUE).await?;
-        }
-        let held = self.held.clone();
-        let mut stage = node.stage.subscribe();
-        let mut is_checked = false;
+        let (node, shared) = (self.node, self.shared);
+        let mut reading = pin!(reader.next(node, shared));
         loop {
-            match self.codec.decode(&mut self.buffer) {
-                Ok(Some(Message::Chunk(Some(chunk)))) => {
-                    self.body_bytes += chunk.len();
-                    if self.body_bytes as u64 > max {
-                        return Ok(Input::refused(StatusCode::PAYLOAD_TOO_LARGE));
-                    }
-                    append_chunk(&mut incoming.body, chunk);
-                    continue;
-                }
-                Ok(Some(Message::Chunk(None))) => return Ok(Input::Request(incoming)),
-                Ok(Some(Message::Item(_))) | Err(_) => return Ok(Input::refused(StatusCode::BAD_REQUEST)),
-                Ok(None) => {}
-            }
-            let read = tokio::select! {
-                () = held.ended() => {
-                    return Ok(Input::Refused(serve::refuse_held(node, &incoming)));
-                }
-                read = tokio::time::timeout(STALL_TIMEOUT, self.fill()) => read,
-                _ = stage.wait_for(|s| *s >= Stage::Closing), if !is_checked => {
-                    is_checked = true;
-                    if let Some(answer) = serve::refuse_early(node, &incoming) {
-                        return Ok(Input::Refused(answer));
-                    }
-                    continue;
-                }
+            let answer = tokio::select! {
+                biased;
+                answer = next_answer(node, shared, answers) => answer,
+                input = &mut reading => return Ok(Step::Done(input?)),
             };
-            match read {
-                Ok(Ok(0)) | Err(_) => return Ok(Input::End),
-                Ok(read) => drop(read?),
+            if !self.write_next(answer).await? {
+                return Ok(Step::Finish);
             }
         }
     }
 
-    /// Serves a request and writes its answer, unless the caller closes the
-    /// connection first. Returns whether the connection stays open.
-    async fn answer(&mut self, node: &Rc<Node>, incoming: Incoming) -> io::Result<bool> {
-        let served = serve::serve(node, &incoming);
-        let (held, body_bytes) = (self.held.clone(), self.body_bytes);
-        let mut stage = node.stage.subscribe();
-        let answer = tokio::select! {
-            biased;
-            answer = served => answer,
-            _ = stage.wait_for(|s| *s == Stage::Ending) => {
-                // The request may have run, so the answer must not say
-                // otherwise.
-                Answer::local(StatusCode::GATEWAY_TIMEOUT, None)
-            }
-            () = held.ended() => {
-                // The same holds for a request that ends for its bytes.
-                Answer::local(StatusCode::GATEWAY_TIMEOUT, None)
-            }
-            () = wait_closed(&self.stream, &mut self.buffer, |bytes| held.set(bytes + body_bytes)) => {
-                // Dropping the future closes the connection to the target,
-                // which ends the work there.
-                return Ok(false);
+    /// Answers open requests until at most `max` are left.
+    async fn answer_open(
+        &mut self,
+        reader: &mut Reader,
+        answers: &mut Answers<'_>,
+        max: usize,
+    ) -> io::Result<Step<()>> {
+        while self.open.len() > max {
+            let answer = tokio::select! {
+                biased;
+                answer = next_answer(self.node, self.shared, answers) => answer,
+                () = reader.closed(self.shared) => return Ok(Step::Closed),
+            };
+            if !self.write_next(answer).await? {
+                return Ok(Step::Finish);
             }
-        };
-        // A request that was read ahead must be answered too.
-        let is_last = node.is_draining() && self.buffer.is_empty();
-        let close = is_last || !self.codec.keep_alive() || self.held.is_ended();
-        drop(incoming);
-        self.body_bytes = 0;
-        self.write(answer, close).await?;
-        self.count_held(0);
+        }
+        Ok(Step::Done(()))
+    }
+
+    fn push(&mut self, codec: Codec, body_bytes: usize, is_safe: bool) {
+        let count = OpenRequest::new(self.node, self.shared);
+        self.open.push_back(Open { codec, body_bytes, is_safe, _count: count });
+    }
+
+    /// Begins to serve a request.
+    fn begin(&mut self, decoded: Decoded, answers: &mut Answers<'a>) {
+        let is_safe = decoded.is_safe();
+        let Decoded { incoming, codec, body_bytes } = decoded;
+        self.push(codec, body_bytes, is_safe);
+        answers.push_back(Box::pin(serve_request(self.node, incoming)));
+    }
+
+    /// Writes the answer to the first open request; without one, ends all of them.
+    /// Returns whether the connection stays open.
+    async fn write_next(&mut self, answer: Option<Answer>) -> io::Result<bool> {
+        if let Some(answer) = answer {
+            return self.answer(answer, false).await;
+        }
+        while !self.open.is_empty() {
+            // The requests may have run, so the answers must not say otherwise.
+            let is_last = self.open.len() == 1;
+            self.answer(Answer::local(StatusCode::GATEWAY_TIMEOUT, None), is_last).await?;
+        }
+        Ok(false)
+    }
+
+    /// Writes the answer to the first open request. Returns whether the connection
+    /// stays open, which it does not with `is_last`.
+    async fn answer(&mut self, answer: Answer, is_last: bool) -> io::Result<bool> {
+        let Some(mut open) = self.open.pop_front() else { return Ok(false) };
+        // Requests that were read ahead must be answered too.
+        let is_drained = self.node.is_draining() && self.open.is_empty() && !self.shared.is_reading.get();
+        let close = is_last || is_drained || !open.codec.keep_alive() || self.shared.held.is_ended();
+        self.shared.remove_body(open.body_bytes);
+        self.write(&mut open.codec, answer, close).await?;
+        self.shared.set_answer(0);
+        self.shared.last_active.set(self.node.now());
+        self.last = close.then_some(open);
         Ok(!close)
     }
 
-    async fn write(&mut self, answer: Answer, close: bool) -> io::Result<()> {
+    async fn write(&self, codec: &mut Codec, answer: Answer, close: bool) -> io::Result<()> {
         let length = answer.body.len();
         let mut response = Response::with_body(answer.status, ());
         for (name, value) in answer.headers {
@@ -295,84 +297,41 @@
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         let body = answer.body;
-        self.count_held(length);
+        self.shared.set_answer(length);
         // From now on the bytes are held for the caller.
         drop(answer.held);
         let mut bytes = BytesMut::with_capacity(512 + length.min(COPIED_BYTES_MAX));
-        self.codec.encode(Message::Item((response, BodySize::Sized(length as u64))), &mut bytes)?;
+        codec.encode(Message::Item((response, BodySize::Sized(length as u64))), &mut bytes)?;
         if length > COPIED_BYTES_MAX {
             self.write_bytes(&bytes).await?;
             return self.write_bytes(&body).await;
         }
         if !body.is_empty() {
-            self.codec.encode(Message::Chunk(Some(body)), &mut bytes)?;
+            codec.encode(Message::Chunk(Some(body)), &mut bytes)?;
         }
-        self.codec.encode(Message::Chunk(None), &mut bytes)?;
+        codec.encode(Message::Chunk(None), &mut bytes)?;
         self.write_bytes(&bytes).await
     }
 
-    async fn write_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let held = self.held.clone();
+    async fn write_bytes(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut writer = self.shared.writer.lock().await;
         tokio::select! {
             biased;
-            written = tokio::time::timeout(STALL_TIMEOUT, self.stream.write_all(bytes)) => written?,
-            () = held.ended() => Err(Held::error()),
+            written = tokio::time::timeout(STALL_TIMEOUT, writer.write_all(bytes)) => written?,
+            () = self.shared.held.ended() => Err(Held::error()),
         }
     }
 
     /// Closes the connection after its last answer. Reads the remaining bytes
     /// first: unread bytes would reset the connection and could discard the
     /// answer.
-    async fn finish(&mut self) -> io::Result<()> {
-        self.stream.shutdown().await?;
-        let drain = async {
-            loop {
-                self.buffer.clear();
-                if self.fill().await? == 0 {
-                    return Ok(());
-                }
-            }
-        };
-        tokio::time::timeout(Duration::from_secs(1), drain).await.unwrap_or(Ok(()))
+    async fn finish(&mut self, reader: &mut Reader) -> io::Result<()> {
+        self.shared.writer.lock().await.shutdown().await?;
+        let discard = reader.discard(self.shared);
+        tokio::time::timeout(Duration::from_secs(1), discard).await.unwrap_or(Ok(()))
     }
 }
 
 fn retry_after_value(after: Span) -> Option<HeaderValue> {
     HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64())).ok()
 }
-
-/// Appends a chunk to a body. Small chunks are merged, so that a body of many
-/// chunks needs little memory.
-fn append_chunk(body: &mut Vec<Bytes>, chunk: Bytes) {
-    const MERGED_BYTES_MAX: usize = 16 << 10;
-    match body.last_mut() {
-        Some(last) if last.len() + chunk.len() <= MERGED_BYTES_MAX => {
-            let mut merged = BytesMut::with_capacity(last.len() + chunk.len());
-            merged.extend_from_slice(last);
-            merged.extend_from_slice(&chunk);
-            *last = merged.freeze();
-        }
-        _ => body.push(chunk),
-    }
-}
-
-/// Waits until the caller has closed the connection. Buffers the bytes that
-/// arrive meanwhile; waits forever once the buffer is full.
-/// `on_read` is called with the size of the buffer.
-async fn wait_closed(stream: &TcpStream, buffer: &mut BytesMut, on_read: impl Fn(usize)) {
-    loop {
-        if buffer.len() >= READ_AHEAD_BYTES_MAX {
-            return std::future::pending().await;
-        }
-        if stream.readable().await.is_err() {
-            return;
-        }
-        buffer.reserve(READ_BYTES);
-        match stream.try_read_buf(buffer) {
-            Ok(0) => return,
-            Ok(_) => on_read(buffer.capacity()),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
-        }
-    }
-}
