Let a key that must stay hold up no other moves of keys

A round of balancing ended when the most used target had no keys to move, as one whose hot key no other target would serve better.

Such a target is left out for the rest of the round now.

--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -274,8 +274,12 @@
     let mut moves = Vec::new();
     let moves_max = ROUND_MOVES_MIN.max(open.len() / TARGETS_PER_MOVE);
     while moves.len() < moves_max {
-        let Some(next) = next_move(now, &mut loads, &mut ranges) else { break };
-        moves.push(next);
+        let Some((src, low)) = next_pair(&loads) else { break };
+        match next_move(now, &mut loads, &mut ranges, src, low) {
+            Some(next) => moves.push(next),
+            // Its hot key can't move now. Less used targets may have keys that can.
+            None => loads.list[src].movable = false,
+        }
     }
     moves
 }
@@ -297,7 +301,9 @@
     (hottest.rate > HOT_SHARE_MIN * load.rate).then_some(hottest)
 }
 
-fn next_move(now: Time, loads: &mut TargetLoads<'_>, ranges: &mut Vec<OwnedRange>) -> Option<Move> {
+/// Returns the most used target that has keys that may move, and the least used
+/// one, if the former is so much used that keys should move.
+fn next_pair(loads: &TargetLoads<'_>) -> Option<(usize, usize)> {
     let mean = loads.list.iter().map(TargetLoad::usage).sum::<f32>() / loads.list.len().max(1) as f32;
     let by_usage = |a: &usize, b: &usize| loads.list[*a].usage().total_cmp(&loads.list[*b].usage());
     let indexes = 0..loads.list.len();
@@ -307,9 +313,17 @@
     // A target without keys gets some whatever the load.
     let usage_min =
         if loads.list[low].range_count == 0 { 0.0 } else { MOVE_USAGE_MIN.max(MOVE_MEAN_FACTOR * mean) };
-    if low == src || loads.list[src].usage() <= usage_min {
-        return None;
-    }
+    (low != src && loads.list[src].usage() > usage_min).then_some((src, low))
+}
+
+/// Chooses keys of a target to move, mostly to the least used one.
+fn next_move(
+    now: Time,
+    loads: &mut TargetLoads<'_>,
+    ranges: &mut Vec<OwnedRange>,
+    src: usize,
+    low: usize,
+) -> Option<Move> {
     let hot = find_hot_key(loads, ranges, &loads.list[src]);
     let (i, from, to, rate, dest) = match hot {
         None => row_move(loads, ranges, src, low, None)?,
