Keep a departure that a target announced before it was listed

A target that has restarted may say Server-Leaving: 1 before its entry is listed.

An incarnation that becomes listed within 20 s after such an answer is now in doubt: no requests and no new keys. The leader sends it one health check, on a connection opened after the listing, and the answers to reports tell every process the result. Without a leader, or after a second without news, about three processes check it themselves. A doubt ends after 3 s whatever fails. The departure of the listed process is also no longer ignored if its clock is earlier than that of one that left before. The stand-in server answers health checks.

Test changed: restarted_target_is_open asserted that a process listed 200 ms after the announcement is open at once, which is the fault; it must be closed until it is known to stay, and open then.

--- a/crates/catkin-edge/src/announcements.rs
+++ b/crates/catkin-edge/src/announcements.rs
@@ -16,11 +16,21 @@
 /// its address refuses the request as misdirected, with its own id.
 fn is_from(head: &ResponseHead, incarnation: &Incarnation) -> bool {
     if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return header_text(head, &name::INSTANCE) == Some(&*incarnation.id);
+        return names(head, incarnation);
     }
     head.headers().contains_key(name::STAMP) || head.headers().contains_key(name::NOT_RUN)
 }
 
+/// Returns whether an answer names the target of an incarnation.
+pub(crate) fn names(head: &ResponseHead, incarnation: &Incarnation) -> bool {
+    header_text(head, &name::INSTANCE) == Some(&*incarnation.id)
+}
+
+/// Returns whether an answer says that its target leaves.
+pub(crate) fn says_leaving(head: &ResponseHead) -> bool {
+    header_text(head, &name::LEAVING).is_some_and(|value| value.trim() == "1")
+}
+
 /// Notes what a target announces in an answer to a request that was sent at a
 /// time.
 pub(crate) fn note(node: &Node, incarnation: &Incarnation, head: &ResponseHead, sent_at: Time) {
@@ -33,7 +43,7 @@
 
 /// Notes that a target says that it leaves.
 fn note_leaving(node: &Node, incarnation: &Incarnation, head: &ResponseHead) {
-    if header_text(head, &name::LEAVING).is_none_or(|value| value.trim() != "1") {
+    if !says_leaving(head) {
         return;
     }
     if node.directory.borrow_mut().announce_leaving(node.now(), incarnation) {
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -103,6 +103,9 @@
     /// Listed targets that said in an answer that they leave; present in an answer
     /// to a report.
     pub(super) leaving: Vec<Incarnation>,
+    /// Listed targets that were in doubt and stay; present in an answer to a
+    /// report.
+    pub(super) staying: Vec<Incarnation>,
     /// Whether busy targets with keys accept requests within quotas only.
     pub(super) use_quotas: bool,
     /// Newer table of owners.
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -128,6 +128,7 @@
     if let Some(allotted) = state.quotas {
         apply_loads(node, now, state.levels.as_deref(), state.use_quotas, &allotted);
         sync::apply_leaving(node, &state.leaving);
+        sync::apply_staying(node, &state.staying);
         let directory = node.directory.borrow();
         node.loads.borrow_mut().learn_limits(now, &directory, &state.limits, sent_after);
         node.capacity_changed.notify_waiters();
--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -13,6 +13,7 @@
 //! | `admit` | selects the target of an attempt, and waits for capacity |
 //! | `attempt` | one send of a request to one target |
 //! | `announcements` | what targets announce in the heads of their answers |
+//! | `probe` | health checks of targets that may be leaving |
 //! | `pool` | idle connections to targets |
 //! | `feed` | read position in a topic, and its recent changes |
 //! | `sync` | reads configuration, directory and owners from the store |
@@ -35,6 +36,7 @@
 mod metrics;
 mod node;
 mod pool;
+mod probe;
 mod serve;
 mod settings;
 mod shutdown;
@@ -148,6 +150,7 @@
     actix_rt::spawn(lead::run(node.clone()));
     actix_rt::spawn(link::listen(node.clone(), peers));
     actix_rt::spawn(link::report(node.clone()));
+    actix_rt::spawn(probe::run(node.clone()));
     actix_rt::spawn(admin::serve(node.clone(), admin));
     if let Some(addr) = node.settings.metrics {
         let listener = catkin_net::listen(addr).await?;
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -31,6 +31,7 @@
     answers: Family<EndLabel, Counter>,
     attempts: Family<EndLabel, Counter>,
     commands: Family<KindLabel, Counter>,
+    probes: Family<EndLabel, Counter>,
     latency: Histogram,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
@@ -49,6 +50,8 @@
         registry.register("sends", "Sends to targets by how they ended", attempts.clone());
         let commands = Family::default();
         registry.register("commands", "Commands to targets about keys", commands.clone());
+        let probes = Family::default();
+        registry.register("health_checks", "Health checks of targets by how they ended", probes.clone());
         let latency = Histogram::new(LATENCY_BUCKETS_SECONDS);
         registry.register("latency_seconds", "Time from request to answer", latency.clone());
         let config_version = Gauge::default();
@@ -68,6 +71,7 @@
             answers,
             attempts,
             commands,
+            probes,
             latency,
             config_version,
             config_age,
@@ -115,6 +119,11 @@
         self.commands.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a health check of a target.
+    pub(crate) fn count_probe(&self, end: &'static str) {
+        self.probes.get_or_create(&EndLabel { end }).inc();
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -330,9 +330,8 @@
             Self::NoTarget => Code::NoOwner,
             Self::Denied(Denial::Leaving) => Code::NoOwner,
             Self::Denied(Denial::Paused(_) | Denial::Limited(_)) => Code::TargetLimited,
-            Self::Denied(Denial::Unreachable | Denial::NoQuota | Denial::Full) | Self::QueueTooLong => {
-                Code::QueueFull
-            }
+            Self::Denied(Denial::Doubted | Denial::Unreachable | Denial::NoQuota | Denial::Full)
+            | Self::QueueTooLong => Code::QueueFull,
             Self::TooLate => Code::DeadlineTooShort,
         }
     }
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -51,7 +51,7 @@
 /// current, above which it reads the store itself. Together with a read it
 /// stays well within the bounds of 2 s for configurations and for leaving
 /// targets.
-const FORWARD_AGE_MAX: Span = Span::from_millis(1_400);
+pub(crate) const FORWARD_AGE_MAX: Span = Span::from_millis(1_400);
 
 /// Time for which a process without a position waits for the state that the
 /// leader forwards. Reads by hundreds of processes that start together would
@@ -184,6 +184,15 @@
     }
 }
 
+/// Applies that targets do not leave, as the leader has found out.
+pub(crate) fn apply_staying(node: &Node, staying: &[Incarnation]) {
+    for incarnation in staying {
+        if node.directory.borrow_mut().note_staying(node.now(), incarnation) {
+            log::info!(target_id = &*incarnation.id; "target does not leave, as the leader has found out");
+        }
+    }
+}
+
 /// Returns whether a state from the leader may be the first one of a topic. A
 /// leader that was paused sends an old one.
 fn is_recent(node: &Node, at: Time) -> bool {
--- a/crates/catkin-edge/tests/announced.rs
+++ b/crates/catkin-edge/tests/announced.rs
@@ -5,6 +5,7 @@
 use {
     catkin_standin::users::StoreMode,
     common::{Fleet, Tally},
+    futures_util::future::join_all,
     std::{
         net::SocketAddr,
         rc::Rc,
@@ -116,6 +117,42 @@
     fleet.check();
 }
 
+/// Each health check of a restarted target costs one of its slots. The leader alone
+/// checks it, once, and tells the others, so that the target is in use again about
+/// a second after it is listed.
+#[actix_rt::test]
+async fn restarted_target_is_checked_once() {
+    let fleet = Rc::new(Fleet::start(3).await);
+    let server = &fleet.servers[3];
+    server.announce_leaving(Duration::from_secs(60));
+    // Each process needs all three targets for so many orders at once.
+    let orders = async |millis: u64| {
+        let mut reached = vec![false; 3];
+        let until = Instant::now() + Duration::from_millis(millis);
+        while Instant::now() < until && !reached.iter().all(|reached| *reached) {
+            let order = async |edge: usize| {
+                let response = fleet.order(&fleet.edges[edge]).await;
+                response.is_some_and(|response| response.body.contains(" s3 ")).then_some(edge)
+            };
+            let responses = join_all((0..42).map(|number| order(number % 3))).await;
+            responses.into_iter().flatten().for_each(|edge| reached[edge] = true);
+        }
+        reached
+    };
+    orders(500).await;
+    sleep(700).await;
+    assert_eq!(orders(500).await, [false; 3]);
+    server.stay();
+    server.restart();
+    let started = Instant::now();
+    assert_eq!(orders(3_000).await, [true; 3]);
+    let took = started.elapsed();
+    println!("in use by all processes after {took:?}");
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+    assert_eq!(server.health_checks(), 1);
+    fleet.check();
+}
+
 /// Targets turn requests away and say for how long. Each process may send them
 /// two more at most; requests for keys that they own are refused at once, with
 /// the rest of the time, and others go elsewhere.
--- a/crates/catkin-route/src/config.rs
+++ b/crates/catkin-route/src/config.rs
@@ -88,6 +88,8 @@
     pub keyed: bool,
     /// How its targets start, if the requests to a cold one are limited.
     pub cold: Option<ColdSpec>,
+    /// Path of the health checks of its targets.
+    pub health_path: Option<Arc<str>>,
 }
 
 /// One version of the configuration.
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -38,6 +38,20 @@
 /// answered, as the platform states it.
 const LATE_WRITE_MAX: Span = Span::from_secs(6);
 
+/// Time after an announcement of a departure in which an incarnation that becomes
+/// listed may be the one that made it: an entry may be as late as the longest
+/// announced outage of the store (9 s), a late write (6 s), a heartbeat and two
+/// reads together.
+const ANNOUNCED_BEFORE_MAX: Span = Span::from_secs(20);
+
+/// Longest time for which a target is in doubt. One that leaves has ended by then:
+/// its drain time of 2 s began before it was listed.
+const DOUBT_TIME_MAX: Span = Span::from_secs(3);
+
+/// Time for which the end of a doubt is told to other processes. It covers several
+/// reports of each.
+const STAYING_TIME: Span = Span::from_secs(5);
+
 /// Longest time between two reads of the directory in which no removal of an
 /// entry is missed for long.
 const READ_GAP_MAX: Span = Span::from_secs(1);
@@ -93,14 +107,30 @@
     /// Whether a late write of an earlier incarnation has replaced the entry in
     /// the store.
     pub is_replaced: bool,
+    /// Whether a departure that was counted for an earlier incarnation may have
+    /// been announced by this one. It gets nothing new meanwhile.
+    pub is_doubted: bool,
 }
 
-/// That an incarnation said in an answer that it leaves.
+/// That an incarnation leaves.
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     /// Start of the incarnation.
     started: u64,
     since: Time,
+    /// When an answer last said so that was counted for this incarnation; `None`
+    /// if only its entry did. Answers name no process.
+    announced_at: Option<Time>,
+}
+
+/// Doubt whether a listed incarnation has announced that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    /// Start of the incarnation.
+    started: u64,
+    since: Time,
+    /// Since when the incarnation is known not to leave.
+    stays_since: Option<Time>,
 }
 
 /// Start of the latest known process of a target.
@@ -125,6 +155,8 @@
     /// removed while they drained, by id, and since when this is known. Entries
     /// do not change that, nor does their removal.
     left: HashMap<Arc<str>, Departure>,
+    /// Doubts by id, also those that have ended a short time ago.
+    doubts: HashMap<Arc<str>, Doubt>,
     /// Latest start of each target, also after its entry was removed.
     starts: HashMap<Arc<str>, Start>,
     grace_end: Time,
@@ -142,6 +174,7 @@
             targets: HashMap::new(),
             services: BTreeMap::new(),
             left: HashMap::new(),
+            doubts: HashMap::new(),
             starts: HashMap::new(),
             grace_end: Time::default(),
             changes: 0,
@@ -255,6 +288,12 @@
             false => known_since.filter(|_| entry.incarnation.started != 0),
         };
         let draining_since = self.left_since(&entry.incarnation).or(entry_since);
+        let is_doubted = draining_since.is_none()
+            && known.map_or_else(|| self.is_doubtful(now, &entry.incarnation), |t| t.is_doubted);
+        if is_doubted {
+            let doubt = Doubt { started: entry.incarnation.started, since: now, stays_since: None };
+            self.doubts.entry(entry.incarnation.id.clone()).or_insert(doubt);
+        }
         let target = Target {
             cold_until: now.after(entry.cold_left),
             draining_since,
@@ -262,6 +301,7 @@
             last_seen: now,
             written_after,
             is_replaced: false,
+            is_doubted,
             entry,
         };
         self.insert(target);
@@ -330,23 +370,105 @@
     }
 
     /// Records that an incarnation said in an answer that it leaves. It counts as
-    /// draining from now on, whatever its entry says. Returns whether that is
-    /// new.
+    /// draining from now on, whatever its entry says; if it was in doubt, since the
+    /// first announcement. Returns whether that is new.
     pub fn announce_leaving(&mut self, now: Time, incarnation: &Incarnation) -> bool {
-        if !self.remember_departure(now, incarnation) {
+        let target = self.current(incarnation);
+        let first = target.filter(|t| t.is_doubted).and_then(|_| self.left.get(&incarnation.id));
+        let since = first.map_or(now, |first| first.since);
+        let is_new = self.remember_departure(since, incarnation);
+        if let Some(left) = self.left.get_mut(&incarnation.id).filter(|l| l.started == incarnation.started) {
+            left.announced_at = Some(now);
+        }
+        if !is_new {
             return false;
         }
         let known = self.targets.get_mut(&incarnation.id).filter(|t| t.entry.incarnation == *incarnation);
         if let Some(target) = known {
-            target.draining_since.get_or_insert(now);
+            target.draining_since.get_or_insert(since);
+            target.is_doubted = false;
             self.changes += 1;
+            self.doubts.remove(&incarnation.id);
         }
         true
     }
 
-    /// Remembers since when an incarnation leaves. Returns whether that is new.
+    /// Returns whether an incarnation that becomes listed may have made an
+    /// announcement that was counted for another one.
+    fn is_doubtful(&self, now: Time, incarnation: &Incarnation) -> bool {
+        let is_recent = |at: Time| now.since(at) < ANNOUNCED_BEFORE_MAX;
+        let stays = |doubt: &Doubt| doubt.started == incarnation.started && doubt.stays_since.is_some();
+        let other = self.left.get(&incarnation.id).filter(|left| left.started != incarnation.started);
+        other.and_then(|left| left.announced_at).is_some_and(is_recent)
+            && !self.doubts.get(&incarnation.id).is_some_and(stays)
+    }
+
+    /// Records that an incarnation that was in doubt does not leave, as an answer
+    /// on a connection opened after its listing has shown. Returns whether that
+    /// ended the doubt.
+    pub fn note_staying(&mut self, now: Time, incarnation: &Incarnation) -> bool {
+        let started = incarnation.started;
+        let known = self.doubts.get(&incarnation.id).filter(|doubt| doubt.started == started);
+        if known.is_none_or(|doubt| doubt.stays_since.is_none()) {
+            // Its entry may be on its way to this process.
+            let doubt = Doubt { started, since: now, stays_since: Some(now) };
+            self.doubts.insert(incarnation.id.clone(), doubt);
+        }
+        let target = self.targets.get_mut(&incarnation.id).filter(|t| t.entry.incarnation == *incarnation);
+        let has_ended = target.is_some_and(|t| std::mem::take(&mut t.is_doubted));
+        self.changes += u64::from(has_ended);
+        has_ended
+    }
+
+    /// Returns the targets in doubt, and since when they are.
+    pub fn doubted(&self) -> Vec<(&Target, Time)> {
+        let target = |(id, doubt): (&Arc<str>, &Doubt)| {
+            let target = self.targets.get(id).filter(|t| t.is_doubted)?;
+            Some((target, doubt.since))
+        };
+        self.doubts.iter().filter_map(target).collect()
+    }
+
+    /// Returns the incarnations whose doubt ended a short time ago since they stay.
+    pub fn staying(&self) -> Vec<Incarnation> {
+        let stays = self.doubts.iter().filter(|(_, doubt)| doubt.stays_since.is_some());
+        stays.map(|(id, doubt)| Incarnation { id: id.clone(), started: doubt.started }).collect()
+    }
+
+    /// Ends doubts that nothing has resolved in time. Returns the targets that
+    /// count as staying from now on.
+    pub fn end_doubts(&mut self, now: Time) -> Vec<Incarnation> {
+        let mut ended = Vec::new();
+        let targets = &mut self.targets;
+        self.doubts.retain(|id, doubt| {
+            if let Some(since) = doubt.stays_since {
+                return now.since(since) < STAYING_TIME;
+            }
+            let target = targets.get_mut(id).filter(|t| t.is_doubted);
+            let Some(target) = target.filter(|t| t.entry.incarnation.started == doubt.started) else {
+                return false;
+            };
+            let lasts = now.since(doubt.since) < DOUBT_TIME_MAX;
+            if !lasts {
+                target.is_doubted = false;
+                ended.push(target.entry.incarnation.clone());
+            }
+            lasts
+        });
+        self.changes += ended.len() as u64;
+        ended
+    }
+
+    /// Remembers since when an incarnation leaves. Returns whether that is new. The
+    /// departure of the listed one counts more than those of others; among these
+    /// the latest start does.
     fn remember_departure(&mut self, since: Time, incarnation: &Incarnation) -> bool {
-        let is_newer = |known: &Departure| known.started >= incarnation.started;
+        let listed = self.targets.get(&incarnation.id).map(|t| t.entry.incarnation.started);
+        let is_newer = |known: &Departure| {
+            known.started == incarnation.started
+                || listed == Some(known.started)
+                || known.started > incarnation.started && listed != Some(incarnation.started)
+        };
         if self.left.get(&incarnation.id).is_some_and(is_newer) {
             return false;
         }
@@ -354,7 +476,8 @@
             let targets = &self.targets;
             self.left.retain(|id, _| targets.contains_key(id));
         }
-        self.left.insert(incarnation.id.clone(), Departure { started: incarnation.started, since });
+        let departure = Departure { started: incarnation.started, since, announced_at: None };
+        self.left.insert(incarnation.id.clone(), departure);
         true
     }
 
@@ -481,12 +604,12 @@
 impl Target {
     /// Returns whether new requests and keys may be assigned to this target.
     pub fn is_open(&self) -> bool {
-        self.draining_since.is_none()
+        self.draining_since.is_none() && !self.is_doubted
     }
 
     /// Returns whether requests for keys that the target owns may go to it. A
-    /// draining target serves them for a short time.
+    /// draining target serves them for a short time, one in doubt does not.
     pub fn serves_keys(&self, now: Time) -> bool {
-        self.draining_since.is_none_or(|since| now.since(since) < DRAIN_SERVE_TIME)
+        !self.is_doubted && self.draining_since.is_none_or(|since| now.since(since) < DRAIN_SERVE_TIME)
     }
 }
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -320,6 +320,8 @@
                 // keeps the keys.
                 match range.opened_at {
                     None => range.phase = Phase::Unowned(now),
+                    // Whether the later one leaves is not known yet.
+                    Some(_) if t.is_doubted => {}
                     Some(_) if t.is_open() && t.entry.service == *service => {
                         range.row.started = t.entry.incarnation.started;
                         range.failure_weight = 0;
@@ -337,7 +339,7 @@
             Some(_) if range.disconnected_at.is_some() && now >= range.expiry => {
                 range.phase = Phase::Unowned(now)
             }
-            Some(t) if t.is_open() && !is_earlier(t) => {}
+            Some(t) if t.draining_since.is_none() && !is_earlier(t) => {}
             // The entry of the owner may be on its way to a new leader.
             _ if !has_addr && now < range.expiry => {}
             _ if !has_addr => range.phase = Phase::Unowned(now),
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -112,6 +112,9 @@
     ///
     /// The reason why the target gets no request now.
     pub fn check(&mut self, now: Time, target: &Target, has_key: bool, peers: u32) -> Result<(), Denial> {
+        if target.is_doubted {
+            return Err(Denial::Doubted);
+        }
         let serves = if has_key { target.serves_keys(now) } else { target.is_open() };
         if !serves {
             return Err(Denial::Leaving);
@@ -375,6 +378,12 @@
         self.targets.values().filter_map(|state| state.announced.report(now, &state.incarnation)).collect()
     }
 
+    /// Returns a number between 0 and 1 that is random for each process and
+    /// target.
+    pub fn uniform(&self, id: &Arc<str>) -> f64 {
+        self.subsets.uniform(id)
+    }
+
     /// Returns this process's requests in flight at each target that has some.
     pub fn in_flight(&self) -> Vec<(Arc<str>, u32)> {
         let some = self.targets.iter().filter(|(_, state)| state.in_flight > 0);
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -29,6 +29,8 @@
 pub enum Denial {
     /// It leaves.
     Leaving,
+    /// It may be leaving, which is being found out.
+    Doubted,
     /// It wants no request of this process for the span.
     Paused(Span),
     /// Connections to it failed a short time ago.
@@ -49,7 +51,7 @@
         match self {
             Self::Leaving => Some(Span::from_micros(u64::MAX)),
             Self::Paused(rest) | Self::Limited(rest) => Some(rest),
-            Self::Unreachable | Self::NoQuota | Self::Full => None,
+            Self::Doubted | Self::Unreachable | Self::NoQuota | Self::Full => None,
         }
     }
 }
--- a/crates/catkin-route/tests/directory.rs
+++ b/crates/catkin-route/tests/directory.rs
@@ -6,6 +6,7 @@
     catkin::types::Span,
     catkin_route::{
         directory::{Directory, Entry},
+        load::{Denial, LocalLoads},
         owners::{Owners, Row},
     },
     common::{at, entry, incarnation, leader},
@@ -205,9 +206,118 @@
     assert!(directory.announce_leaving(at(200), &incarnation("a", 2)));
     assert!(!directory.announce_leaving(at(300), &incarnation("a", 1)), "a later one has left");
     directory.put(at(400), entry("a", 3));
+    assert!(!directory.get("a").unwrap().is_open(), "it may be the one that said so");
+    assert!(directory.note_staying(at(450), &incarnation("a", 3)));
+    directory.put(at(800), entry("a", 3));
     assert!(directory.get("a").unwrap().is_open());
 }
 
+/// Returns a directory with a target whose process 1 is listed and process 2 says
+/// at 700 ms that it leaves, before its entry arrives at 3 s. Answers name no
+/// process, so that counts for process 1.
+fn unlisted_announcement() -> Directory {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    assert!(directory.announce_leaving(at(700), &incarnation("a", 1)));
+    directory.put(at(3_000), entry("a", 2));
+    directory
+}
+
+/// A target says that it leaves before its entry is listed. It must get no request
+/// once it is listed, also not for keys, which it serves for a short time after
+/// the announcement only.
+#[test]
+fn announcement_before_the_entry_counts() {
+    let mut directory = unlisted_announcement();
+    let target = directory.get("a").unwrap();
+    assert!(!target.is_open() && !target.serves_keys(at(3_000)));
+    let mut loads = LocalLoads::new("z".into());
+    assert_eq!(loads.check(at(3_000), target, false, 1), Err(Denial::Doubted));
+    let doubted: Vec<_> = directory.doubted().iter().map(|(t, at)| (t.entry.clone(), *at)).collect();
+    assert_eq!(doubted, [(entry("a", 2), at(3_000))]);
+    assert!(directory.announce_leaving(at(3_050), &incarnation("a", 2)));
+    let target = directory.get("a").unwrap();
+    assert_eq!((target.draining_since, target.is_open()), (Some(at(700)), false));
+    assert!(!target.serves_keys(at(3_050)));
+    assert!(directory.doubted().is_empty());
+    assert_eq!(directory.leaving(), [incarnation("a", 2)]);
+    assert!(directory.end_doubts(at(60_000)).is_empty());
+    assert!(!directory.get("a").unwrap().is_open());
+}
+
+/// A target that has restarted and stays must be used as soon as that is known,
+/// whether its entry or the news of the health check arrives first. Other
+/// processes are told for a while.
+#[test]
+fn staying_target_is_open() {
+    let mut directory = unlisted_announcement();
+    assert!(directory.note_staying(at(3_050), &incarnation("a", 2)));
+    assert!(!directory.note_staying(at(3_100), &incarnation("a", 2)), "it is known");
+    assert!(directory.get("a").unwrap().is_open());
+    directory.put(at(3_400), entry("a", 2));
+    assert!(directory.get("a").unwrap().is_open());
+    assert_eq!(directory.staying(), [incarnation("a", 2)]);
+    assert!(directory.end_doubts(at(8_050)).is_empty() && directory.staying().is_empty());
+
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    directory.announce_leaving(at(700), &incarnation("a", 1));
+    assert!(!directory.note_staying(at(2_900), &incarnation("a", 2)), "it is not listed");
+    directory.put(at(3_000), entry("a", 2));
+    assert!(directory.get("a").unwrap().is_open());
+}
+
+/// No health check is answered, and no other process knows more. The target must
+/// not stay unused for that.
+#[test]
+fn doubt_ends_by_itself() {
+    let mut directory = unlisted_announcement();
+    directory.put(at(4_000), entry("a", 2));
+    assert!(directory.end_doubts(at(5_900)).is_empty());
+    assert!(!directory.get("a").unwrap().is_open());
+    assert_eq!(directory.end_doubts(at(6_000)), [incarnation("a", 2)]);
+    assert!(directory.get("a").unwrap().is_open());
+    directory.put(at(6_100), entry("a", 2));
+    assert!(directory.get("a").unwrap().is_open());
+}
+
+/// Health checks cost a slot each. There is no doubt long after an announcement,
+/// nor after an entry that said that its own process drains.
+#[test]
+fn only_recent_answers_raise_doubt() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    directory.announce_leaving(at(700), &incarnation("a", 1));
+    directory.announce_leaving(at(1_300), &incarnation("a", 1));
+    for (listed_at, is_open) in [(20_900, false), (21_300, true)] {
+        let mut directory = directory.clone();
+        directory.put(at(listed_at), entry("a", 2));
+        assert_eq!(directory.get("a").unwrap().is_open(), is_open);
+    }
+    let mut directory = Directory::default();
+    directory.put(at(0), Entry { draining: true, ..entry("a", 1) });
+    directory.remove_now("a");
+    directory.put(at(1_000), entry("a", 2));
+    assert!(directory.get("a").unwrap().is_open());
+}
+
+/// A target's clock is set back between two processes, and both say that they
+/// leave. The departure of the listed one counts, whatever their order.
+#[test]
+fn departure_with_an_earlier_clock_counts() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 9));
+    directory.announce_leaving(at(100), &incarnation("a", 9));
+    read(&mut directory, 0, 7_000);
+    directory.put(at(7_000), entry("a", 3));
+    assert!(!directory.get("a").unwrap().is_open());
+    assert!(directory.announce_leaving(at(7_050), &incarnation("a", 3)));
+    assert!(!directory.announce_leaving(at(7_100), &incarnation("a", 9)), "it is not listed");
+    directory.remove_now("a");
+    directory.put(at(8_000), entry("a", 3));
+    assert!(!directory.get("a").unwrap().is_open());
+}
+
 /// A process that learns of a departure before it knows the entry, and one that
 /// gets a listing, know that the target leaves.
 #[test]
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -313,6 +313,25 @@
     assert!(!of_a(&sim));
 }
 
+/// A target that restarted may be leaving. It gets no keys until that is known.
+#[test]
+fn target_in_doubt_gets_no_keys() {
+    let mut sim = SimulatedLeader::new(&["a", "b", "c"]);
+    sim.run(3_000, accept);
+    sim.directory.announce_leaving(at(sim.now), &incarnation("a", 1));
+    sim.run(2_000, accept);
+    sim.directory.put(at(sim.now), entry("a", 2));
+    sim.directory.announce_leaving(at(sim.now), &incarnation("b", 1));
+    let is_for_a = |command: &Command| command.incarnation == incarnation("a", 2);
+    let commands = sim.run(2_000, accept);
+    assert!(!commands.iter().any(is_for_a), "{commands:?}");
+    assert!(sim.granter.ranges("s").iter().all(|range| *range.row.target == *"c"));
+    sim.directory.note_staying(at(sim.now), &incarnation("a", 2));
+    sim.directory.announce_leaving(at(sim.now), &incarnation("c", 1));
+    let commands = sim.run(2_000, accept);
+    assert!(commands.iter().any(is_for_a), "{commands:?}");
+}
+
 /// A restarted target holds no keys and is granted them with a higher fence.
 #[test]
 fn restarted_target_gets_higher_fence() {
--- a/crates/catkin-standin/src/users/announcements.rs
+++ b/crates/catkin-standin/src/users/announcements.rs
@@ -126,6 +126,11 @@
         self.pause.as_ref().map_or(0, |pause| pause.late)
     }
 
+    /// Returns whether answers say that the server leaves.
+    pub(super) fn leaves(&self) -> bool {
+        self.leaving.is_some()
+    }
+
     /// Checks a request that arrives, and returns what its answer announces.
     pub(super) fn arrive(&mut self, id: &str, checker: &InvariantChecker) -> Announced {
         let now = Instant::now();
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -63,6 +63,7 @@
     stopped: Cell<bool>,
     running: Cell<u32>,
     received: Cell<u32>,
+    health_checks: Cell<u32>,
     faults: Cell<ServerFaults>,
     grants: RefCell<Vec<Grant>>,
     announcements: RefCell<Announcements>,
@@ -125,6 +126,7 @@
             stopped: Cell::new(false),
             running: Cell::new(0),
             received: Cell::new(0),
+            health_checks: Cell::new(0),
             faults: Cell::default(),
             grants: RefCell::default(),
             announcements: RefCell::default(),
@@ -292,10 +294,28 @@
         }
         match request.path() {
             "/v1/grant" | "/v1/release" => self.command(request).await,
+            "/health" => self.report_health(),
             _ => self.run(request).await,
         }
     }
 
+    /// Answers a health check. It counts as no request, and its answer announces
+    /// what all answers do.
+    fn report_health(&self) -> Response<BoxBody> {
+        let mut reply = Response::build(StatusCode::OK);
+        reply.insert_header(("x-instance-id", &*self.inner.id));
+        self.inner.health_checks.set(self.inner.health_checks.get() + 1);
+        if self.inner.announcements.borrow().leaves() {
+            reply.insert_header(("server-leaving", "1"));
+        }
+        reply.finish().map_into_boxed_body()
+    }
+
+    /// Returns the number of health checks so far.
+    pub fn health_checks(&self) -> u32 {
+        self.inner.health_checks.get()
+    }
+
     async fn command(&self, mut request: Request) -> Response<BoxBody> {
         let is_grant = request.path() == "/v1/grant";
         if header_text(&request, "x-expect-instance").is_some_and(|id| id != self.inner.id) {
