Take announcements in answers to commands into account

A target says that it leaves in all its answers, also in those to grants and releases, which the leader did not read. One without requests kept its keys until a request showed it. The leader now reads them; a refusal of another target at the address does not count.

Evidence: answers_to_commands_announce_departures failed before (target "a" still had keys after 1.5 s) and passes; its second half failed with the check of the target's name taken out.

--- a/crates/catkin-edge/src/announcements.rs
+++ b/crates/catkin-edge/src/announcements.rs
@@ -41,6 +41,14 @@
     }
 }
 
+/// Notes whether a target says in the answer to a command that it leaves. Another
+/// target that has its address refuses the command as misdirected.
+pub(crate) fn note_command(node: &Node, incarnation: &Incarnation, head: &ResponseHead) {
+    if head.status != StatusCode::MISDIRECTED_REQUEST || names(head, incarnation) {
+        note_leaving(node, incarnation, head);
+    }
+}
+
 /// Notes that a target says that it leaves.
 fn note_leaving(node: &Node, incarnation: &Incarnation, head: &ResponseHead) {
     if !says_leaving(head) {
--- a/crates/catkin-edge/src/lead/command.rs
+++ b/crates/catkin-edge/src/lead/command.rs
@@ -1,7 +1,7 @@
 //! Sends commands to targets.
 
 use {
-    crate::node::Node,
+    crate::{announcements, node::Node},
     actix_http::{ResponseHead, ServiceConfig},
     catkin::types::ConnId,
     catkin_net::{Conn, HttpAnswer},
@@ -111,6 +111,7 @@
     let exchange = kept.conn.exchange(head, vec![body], false, is_own);
     let outcome = match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(reply)) => {
+            announcements::note_command(node, &command.incarnation, &reply.head);
             *slot = keep(kept, command, &reply);
             grant::decode(&reply)
         }
--- a/crates/catkin-edge/tests/commands.rs
+++ b/crates/catkin-edge/tests/commands.rs
@@ -70,6 +70,26 @@
     check_fences(&targets.iter().collect::<Vec<_>>());
 }
 
+/// A target without requests says in its answers to commands that it leaves, and one
+/// passes on a refusal of another target. The first one kept its keys until a
+/// request showed it; the second one must keep them.
+#[actix_rt::test]
+async fn answers_to_commands_announce_departures() {
+    let (fleet, targets) = start(["a", "b", "c"]).await;
+    targets[0].set_script(|request| request.answer("200 OK", "server-leaving: 1\r\n").into());
+    targets[1].set_script(|request| match request.is_grant() {
+        true => {
+            let other = "x-not-run: 1\r\nx-instance-id: other\r\nserver-leaving: 1\r\n";
+            request.answer("421 Misdirected Request", other).into()
+        }
+        false => request.accept().into(),
+    });
+    sleep(1_500).await;
+    let rows = fleet.table().services[SERVICE].clone();
+    assert!(rows.iter().all(|row| *row.target != *"a"), "{rows:?}");
+    assert!(rows.iter().any(|row| *row.target == *"b"), "{rows:?}");
+}
+
 /// Time from a release to the end of the work in progress.
 const WORK_TIME: Duration = Duration::from_millis(300);
 
