Report a target that turns cold as changed

The rest of the slow start never counted as a difference between entries, so the leader did not forward the entry of a target that turned cold, and other processes learned of it seconds later or not at all. Entries that repeat the same end of the slow start still don't count.

--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -112,6 +112,13 @@
     known_since: Time,
 }
 
+/// Difference from the known end of the slow start above which an entry says
+/// another one. Entries that repeat the same one are read with other delays.
+const COLD_DIFFERENCE_MIN: Span = Span::from_secs(1);
+
+/// Rest of a slow start that is over before other processes hear of it.
+const COLD_LEFT_MIN: Span = Span::from_millis(20);
+
 /// Most targets that are not listed whose latest start and departure are
 /// remembered. Above, all of these are forgotten.
 const UNLISTED_MAX: usize = 4_096;
@@ -210,8 +217,8 @@
     }
 
     /// Inserts or replaces the entry of a target. Returns whether the entry
-    /// differs from the known one in more than the rest of the slow start, or
-    /// ends a grace period. A target writes its entry repeatedly as a
+    /// differs from the known one in more than the rest of the same slow start, or
+    /// ends a grace period: a target that turns cold has changed. A target writes its entry repeatedly as a
     /// heartbeat, but a reader receives an entry only when more than its
     /// sequence number has changed, so `last_seen` of an unchanged target does
     /// not advance before the next complete listing. An entry of an earlier
@@ -243,7 +250,7 @@
         let without_cold_left = |e: &Entry| Entry { cold_left: Span::ZERO, ..e.clone() };
         let has_changed = known.is_none_or(|t| {
             let is_same = without_cold_left(&t.entry) == without_cold_left(&entry);
-            !is_same || t.grace_end.is_some() || t.is_replaced
+            !is_same || t.is_other_start(now, entry.cold_left) || t.grace_end.is_some() || t.is_replaced
         });
         self.changes += u64::from(has_changed);
         let written_after = known.map_or(written_after, |t| t.written_after.max(written_after));
@@ -484,6 +491,17 @@
         self.draining_since.is_none()
     }
 
+    /// Returns whether the rest of the slow start that an entry says belongs to
+    /// another one than the known.
+    fn is_other_start(&self, now: Time, cold_left: Span) -> bool {
+        let end = now.after(cold_left);
+        if cold_left < COLD_LEFT_MIN {
+            return self.cold_until > end.after(COLD_DIFFERENCE_MIN);
+        }
+        let turns_cold = self.entry.cold_left.is_zero() && self.cold_until <= now;
+        turns_cold || end > self.cold_until.after(COLD_DIFFERENCE_MIN)
+    }
+
     /// Returns whether requests for keys that the target owns may go to it. A
     /// draining target serves them for a short time.
     pub fn serves_keys(&self, now: Time) -> bool {
