Give cold targets one rate from all processes together

A cold target takes a few requests a second from the whole fleet, and each process limited only its own. The leader now hands out tokens for cold targets with keys; elsewhere, and without a leader, slots in time go round the processes. The leader takes a cold owner as fully used at its rate. All of it is off for services that name no cold rate.

--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -7,6 +7,7 @@
         directory::{Directory, Incarnation, Target},
         granter::{Granter, OwnedRange},
         owners::Row,
+        rate::RequestRate,
     },
     catkin::types::{Span, Time},
     std::{collections::HashMap, sync::Arc},
@@ -84,6 +85,10 @@
 /// Longest rest of the slow start with which a new target may get keys.
 const COLD_LEFT_MAX: Span = Span::from_millis(1_500);
 
+/// Usage up to which a cold target may get keys, as a share of its cold rate: it
+/// crashes above its limit, so that a measured rate must not be exceeded soon.
+const COLD_USAGE_MAX: f32 = 0.6;
+
 /// Request rates of keys and service times of targets, as all processes of the
 /// fleet report them to the leader.
 #[derive(Debug, Default)]
@@ -91,9 +96,23 @@
     rates: HashMap<Arc<str>, Vec<f32>>,
     service_times: HashMap<Arc<str>, f32>,
     limits: LimitBoard,
+    /// Rates of cold targets by service, for services that name one.
+    cold_rates: HashMap<Arc<str>, RequestRate>,
 }
 
 impl FleetLoads {
+    /// Sets the rates of cold targets by service.
+    pub fn set_cold_rates(&mut self, rates: HashMap<Arc<str>, RequestRate>) {
+        self.cold_rates = rates;
+    }
+
+    /// Returns the rate that a target takes, if it is cold and its service names
+    /// one.
+    fn cold_rate(&self, now: Time, target: &Target) -> Option<f32> {
+        let rate = self.cold_rates.get(&target.entry.service).filter(|_| target.cold_until > now)?;
+        Some(rate.per_second() as f32)
+    }
+
     /// Adds requests for a key that came since the last call of
     /// [`FleetLoads::decay`].
     pub fn add_requests(&mut self, service: &Arc<str>, key: u16, requests: f32) {
@@ -132,12 +151,14 @@
 
     /// Returns the mean service time of a target divided by its slots, in
     /// seconds. Times the request rate it is the usage of the slots. A target
-    /// that names a limit is fully used at that rate.
-    fn seconds_per_slot(&self, target: &Target) -> f32 {
+    /// that names a limit is fully used at that rate, and a cold one at the cold
+    /// rate.
+    fn seconds_per_slot(&self, now: Time, target: &Target) -> f32 {
         let incarnation = &target.entry.incarnation;
         let known = self.service_times.get(&incarnation.id).copied();
         let seconds = known.unwrap_or(SERVICE_TIME_DEFAULT_S).clamp(0.005, 2.0);
-        let limit = self.limits.limit(incarnation).map(|limit| limit.per_second() as f32);
+        let named = self.limits.limit(incarnation).map(|limit| limit.per_second() as f32);
+        let limit = named.into_iter().chain(self.cold_rate(now, target)).reduce(f32::min);
         let limited = limit.map_or(0.0, |limit| 1.0 / limit.max(LIMIT_MIN_PER_S));
         limited.max(seconds / target.entry.slots.max(1) as f32)
     }
@@ -166,12 +187,20 @@
     movable: bool,
     /// Whether little enough of the slow start is left for it to get keys.
     may_get_keys: bool,
+    /// Whether requests to it are limited because it is cold.
+    is_cold: bool,
 }
 
 impl TargetLoad {
     fn usage(&self) -> f32 {
         self.rate * self.seconds_per_slot
     }
+
+    /// Returns the request rate by which the target's rate may grow, unless it is
+    /// not limited.
+    fn rate_left(&self) -> f32 {
+        if self.is_cold { COLD_USAGE_MAX / self.seconds_per_slot - self.rate } else { f32::INFINITY }
+    }
 }
 
 /// The usage of the targets of one service.
@@ -184,14 +213,15 @@
 
 impl<'a> TargetLoads<'a> {
     /// Starts with targets that own no keys.
-    pub fn new(service: &'a str, open: &[&Target], measured: &'a FleetLoads) -> Self {
+    pub fn new(now: Time, service: &'a str, open: &[&Target], measured: &'a FleetLoads) -> Self {
         let target_load = |t: &&Target| TargetLoad {
             incarnation: t.entry.incarnation.clone(),
-            seconds_per_slot: measured.seconds_per_slot(t),
+            seconds_per_slot: measured.seconds_per_slot(now, t),
             rate: 0.0,
             range_count: 0,
             movable: true,
             may_get_keys: true,
+            is_cold: measured.cold_rate(now, t).is_some(),
         };
         Self { service, measured, list: open.iter().map(target_load).collect() }
     }
@@ -224,7 +254,11 @@
             if sum < 0.999 * piece_rate && key < to {
                 continue;
             }
-            usages.sort_by(|a, b| a.0.total_cmp(&b.0));
+            // A piece that is little for a warm target may be much for a cold one.
+            let usage_after = |usage: &(f32, &TargetLoad)| {
+                usage.0 + if usage.1.is_cold { sum * usage.1.seconds_per_slot } else { 0.0 }
+            };
+            usages.sort_by(|a, b| usage_after(a).total_cmp(&usage_after(b)));
             if let Some(least) = usages.first_mut() {
                 least.0 += sum * least.1.seconds_per_slot;
                 pieces.push((start, key, least.1.incarnation.clone()));
@@ -259,7 +293,7 @@
         .of_service(service)
         .filter(|t| t.is_open() && t.grace_end.is_none() && !granter.is_suspected(&t.entry.incarnation))
         .collect();
-    let mut loads = TargetLoads::new(service, &open, loads);
+    let mut loads = TargetLoads::new(now, service, &open, loads);
     let mut ranges = granter.ranges(service);
     for range in &ranges {
         loads.add(&range.row);
@@ -271,6 +305,9 @@
     for (load, target) in loads.list.iter_mut().zip(&open) {
         load.may_get_keys = target.cold_until.since(now) <= COLD_LEFT_MAX;
     }
+    // Where all are cold, the keys of a busy one are served sooner by another.
+    let is_cold = loads.list.iter().all(|load| load.is_cold);
+    loads.list.iter_mut().for_each(|load| load.may_get_keys |= is_cold);
     let mut moves = Vec::new();
     let moves_max = ROUND_MOVES_MIN.max(open.len() / TARGETS_PER_MOVE);
     while moves.len() < moves_max {
@@ -345,6 +382,7 @@
     let (src_load, dest_load) = (&loads.list[src], &loads.list[dest]);
     let gap = src_load.usage() - dest_load.usage();
     let rate_max = (DEST_USAGE_RATIO_MAX * src_load.usage() - dest_load.usage()) / dest_load.seconds_per_slot;
+    let rate_max = rate_max.min(dest_load.rate_left());
     let wanted = gap / (dest_load.seconds_per_slot + src_load.seconds_per_slot);
     let mut best: Option<Candidate> = None;
     for (i, range) in ranges.iter().enumerate() {
@@ -371,7 +409,8 @@
     hot: HotKey,
 ) -> Option<Candidate> {
     let usage_after = |i: &usize| loads.list[*i].usage() + hot.rate * loads.list[*i].seconds_per_slot;
-    let others = (0..loads.list.len()).filter(|i| *i != src && loads.list[*i].may_get_keys);
+    let takes_key = |load: &TargetLoad| load.may_get_keys && hot.rate <= load.rate_left();
+    let others = (0..loads.list.len()).filter(|i| *i != src && takes_key(&loads.list[*i]));
     let dest = others.min_by(|a, b| usage_after(a).total_cmp(&usage_after(b)))?;
     let usage = loads.list[src].usage();
     if usage < HOT_MOVE_USAGE_MIN || usage_after(&dest) > HOT_DEST_RATIO_MAX * usage {
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -565,7 +565,7 @@
     if open.is_empty() || !ranges.iter().any(is_free) {
         return false;
     }
-    let mut loads_by_target = balance::TargetLoads::new(service, open, loads);
+    let mut loads_by_target = balance::TargetLoads::new(now, service, open, loads);
     for range in ranges.iter().filter(|s| !is_free(s)) {
         loads_by_target.add(&range.row);
     }
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`balance`] | which keys move to another target |
 //! | [`level`] | how the loads of all targets are encoded for all processes |
 //! | [`load`] | which target gets a request |
+//! | [`cold`] | which requests a cold target gets, and from which process |
 //! | [`pace`] | when a process may send to a target that bounds all processes |
 //! | [`announced`] | which announcements of a target are in force |
 //! | [`pause`] | when a target that wanted no requests gets some again |
@@ -34,6 +35,7 @@
 pub mod backlog;
 pub mod balance;
 pub mod budget;
+pub mod cold;
 pub mod config;
 pub mod delta;
 pub mod directory;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -8,7 +8,9 @@
 use {
     crate::{
         announced::LimitReport,
+        cold::{ColdTerms, FleetView, TokenGrant},
         directory::{Directory, Incarnation, Target},
+        pace::Share,
         quotas::{Counts, TargetQuota},
         rate::RequestRate,
         subset::{self, Subsets},
@@ -76,13 +78,23 @@
     targets: HashMap<Arc<str>, TargetState>,
     quotas: HashMap<Arc<str>, QuotaState>,
     subsets: Subsets,
+    /// Rates of cold targets by service, for services that name one.
+    cold_rates: HashMap<Arc<str>, RequestRate>,
+    fleet: FleetView,
 }
 
 impl LocalLoads {
     /// Creates the loads of a process in a zone, without known targets.
     pub fn new(zone: Arc<str>) -> Self {
         let subsets = Subsets::new("".into(), zone.clone());
-        Self { zone, targets: HashMap::new(), quotas: HashMap::new(), subsets }
+        Self {
+            zone,
+            targets: HashMap::new(),
+            quotas: HashMap::new(),
+            subsets,
+            cold_rates: HashMap::new(),
+            fleet: FleetView::default(),
+        }
     }
 
     /// Sets the VM of the process, from which the order follows in which it
@@ -116,8 +128,52 @@
         if !serves {
             return Err(Denial::Leaving);
         }
-        let quota = self.quota(now, &target.entry.incarnation);
-        self.state(&target.entry.incarnation).check(now, target.entry.slots, quota, peers)
+        let incarnation = &target.entry.incarnation;
+        let quota = self.quota(now, incarnation);
+        let phase = self.subsets.uniform(&incarnation.id);
+        let rate = self.cold_rates.get(&target.entry.service);
+        let cold = rate.and_then(|rate| ColdTerms::new(now, target, *rate, &self.fleet, has_key, phase));
+        self.state(incarnation).check(now, target.entry.slots, quota, cold.as_ref(), peers)
+    }
+
+    /// Sets the rates of cold targets by service. Services without one do not
+    /// limit the requests to cold targets.
+    pub fn set_cold_rates(&mut self, rates: HashMap<Arc<str>, RequestRate>) {
+        self.cold_rates = rates;
+    }
+
+    /// Records an answer of the leader to a report that was sent at `reported_at`,
+    /// with the share of this process and its tokens for cold targets.
+    pub fn record_tokens(
+        &mut self,
+        now: Time,
+        reported_at: Time,
+        share: Option<Share>,
+        grants: &[TokenGrant],
+    ) {
+        self.fleet.record_answer(reported_at, share);
+        for grant in grants {
+            self.state(&grant.incarnation).cold.grant(now, reported_at, grant);
+        }
+    }
+
+    /// Returns the number of processes that the leader told for cold targets.
+    pub fn told_count(&self) -> Option<u32> {
+        self.fleet.count()
+    }
+
+    /// Returns when this process may send to a target that was denied as cold,
+    /// as far as it knows.
+    pub fn next_pass(&mut self, incarnation: &Incarnation) -> Time {
+        self.state(incarnation).cold.next_pass()
+    }
+
+    /// Returns when this process may first send to any target of a service that
+    /// were all denied as cold.
+    pub fn first_pass(&mut self, now: Time, directory: &Directory, service: &str) -> Time {
+        let cold = directory.of_service(service).filter(|t| t.is_open() && t.cold_until > now);
+        let passes = cold.map(|t| self.next_pass(&t.entry.incarnation));
+        passes.min().unwrap_or(now)
     }
 
     /// Returns whether a target may get one more request of this process with a
@@ -159,11 +215,19 @@
     ) -> Option<&'a Target> {
         let ranked = self.subsets.ranked(directory, service);
         let mut groups = ranked.chunks(subset::width(ranked.len(), peers));
-        groups.find_map(|ids| {
+        let chosen = groups.find_map(|ids| {
             let targets = ids.iter().filter_map(|id| directory.get(id));
             let candidates = targets.filter(|t| !avoid.contains(&t.entry.incarnation));
             self.choose_among(now, candidates, peers, size)
-        })
+        });
+        if !self.cold_rates.contains_key(service) {
+            return chosen;
+        }
+        // The slots of cold targets go round all processes, also those that do
+        // not consider the target first.
+        let is_cold = |t: &&Target| t.cold_until > now && !avoid.contains(&t.entry.incarnation);
+        let cold = directory.of_service(service).filter(is_cold);
+        self.choose_among(now, cold.chain(chosen), peers, size)
     }
 
     /// Returns why no target of a service gets a request without a key, if none
@@ -204,15 +268,18 @@
         self.quotas.get(&incarnation.id).copied().filter(|quota| quota.expiry > now)
     }
 
-    /// Counts a request that is sent to a target, also against the quota and the
-    /// limit that the target names.
-    pub fn begin(&mut self, now: Time, incarnation: &Incarnation, peers: u32) {
+    /// Counts a request that is sent to a target, also against the quota, the
+    /// limit that the target names, and what it takes while it is cold. Returns
+    /// whether the last check took it for cold.
+    pub fn begin(&mut self, now: Time, incarnation: &Incarnation, peers: u32) -> bool {
         let state = self.state(incarnation);
         state.in_flight += 1;
         state.announced.begin(now, peers);
+        let is_cold = state.cold.begin();
         if let Some(quota) = self.quotas.get_mut(&incarnation.id) {
             quota.left = quota.left.saturating_sub(1);
         }
+        is_cold
     }
 
     /// Returns whether requests to a target are bounded by a quota, which may
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -2,7 +2,11 @@
 
 use {
     super::FILL_FACTOR_MAX,
-    crate::{announced::Announced, directory::Incarnation},
+    crate::{
+        announced::Announced,
+        cold::{ColdState, ColdTerms},
+        directory::Incarnation,
+    },
     catkin::types::{Span, Time},
 };
 
@@ -36,6 +40,9 @@
     /// It names a limit, and the share of this process is used up. The span is
     /// the mean time until any process may send it a request.
     Limited(Span),
+    /// It is cold, and this process may send it nothing now. The span is the time
+    /// until it takes a request of any process.
+    Cold(Span),
     /// It is busy, and the quota of this process is used up.
     NoQuota,
     /// It has as many requests as it should have.
@@ -48,7 +55,7 @@
     pub(super) fn rest(self) -> Option<Span> {
         match self {
             Self::Leaving => Some(Span::from_micros(u64::MAX)),
-            Self::Paused(rest) | Self::Limited(rest) => Some(rest),
+            Self::Paused(rest) | Self::Limited(rest) | Self::Cold(rest) => Some(rest),
             Self::Unreachable | Self::NoQuota | Self::Full => None,
         }
     }
@@ -74,6 +81,7 @@
     /// Requests of this process that are queued for the target.
     pub(super) queued: u32,
     pub(super) announced: Announced,
+    pub(super) cold: ColdState,
 }
 
 /// This process's quota at a target.
@@ -102,6 +110,7 @@
             backoff_end: zero,
             queued: 0,
             announced: Announced::default(),
+            cold: ColdState::default(),
         }
     }
 
@@ -115,12 +124,14 @@
     }
 
     /// Checks whether the target may get one more request, by what it announced,
-    /// by the quota if there is one, and by estimates of its load.
+    /// by the quota if there is one, and by estimates of its load. A cold target
+    /// gets requests by `cold` in place of quotas.
     pub(super) fn check(
-        &self,
+        &mut self,
         now: Time,
         slots: u32,
         quota: Option<QuotaState>,
+        cold: Option<&ColdTerms>,
         peers: u32,
     ) -> Result<(), Denial> {
         if self.backoff_end > now {
@@ -139,7 +150,9 @@
         {
             return Err(Denial::Limited(pace.fleet_interval()));
         }
-        if let Some(quota) = quota {
+        if let Some(terms) = cold {
+            self.cold.check(now, terms).map_err(Denial::Cold)?;
+        } else if let Some(quota) = quota {
             return if quota.left > 0 { Ok(()) } else { Err(Denial::NoQuota) };
         }
         let share = (OWN_SHARE_FACTOR * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
--- a/crates/catkin-route/src/pace.rs
+++ b/crates/catkin-route/src/pace.rs
@@ -7,10 +7,15 @@
 //! Each process gets an even share of the limit, as slots in time. The first
 //! slots of the processes are spread, and a slot expires soon, so that processes
 //! that had no requests for a while do not all send at the same moment.
+//!
+//! Nothing marks the same moment for all processes when a target names a limit,
+//! so [`Pace`] spreads them at random. Where they know such a moment, and their
+//! places among each other, each slot of a [`SlotGrid`] belongs to one process.
 
 use {
     crate::rate::RequestRate,
     catkin::types::{Span, Time},
+    serde::{Deserialize, Serialize},
 };
 
 /// Share of the limit that all processes together use. The rest is for requests
@@ -73,3 +78,45 @@
         *self = Self { start: self.next_slot(now, peers), phase: 1.0, ..*self };
     }
 }
+
+/// Place of a process among all processes that share something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Number of the process, below the count.
+    pub index: u32,
+    /// Number of processes, at least 1.
+    pub count: u32,
+}
+
+/// Slots in time at one target, of which each belongs to one process.
+///
+/// When the number of processes changes, slots change hands, but their distance
+/// stays: however the processes see that, there are no more slots than before
+/// once they agree.
+#[derive(Clone, Copy, Debug)]
+pub struct SlotGrid {
+    /// Moment that all processes know, from which the slots are counted both
+    /// ways.
+    pub anchor: Time,
+    /// Time between two slots of all processes.
+    pub step: Span,
+    /// Place of this process.
+    pub share: Share,
+}
+
+impl SlotGrid {
+    /// Returns the time between two slots of this process.
+    pub fn cycle(&self) -> Span {
+        Span::from_micros(self.step.as_micros().saturating_mul(u64::from(self.share.count.max(1))))
+    }
+
+    /// Returns the first slot of this process that is not before a time.
+    pub fn next_slot(&self, from: Time) -> Time {
+        let cycle = self.cycle().as_micros().max(1);
+        let offset = self.step.as_micros().saturating_mul(u64::from(self.share.index));
+        let position = |time: Time| time.as_micros() % cycle;
+        let phase = (position(self.anchor) + offset % cycle) % cycle;
+        let wait = (phase + cycle - position(from)) % cycle;
+        from.after(Span::from_micros(wait))
+    }
+}
