Limit requests to cold targets in the edge program

Answers of the leader carry a process's tokens for cold targets and its share. A request whose targets are all cold is refused at once with E419 unless this process may send within the time for which the request may wait. catkin_edge_cold_requests_total counts both.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -20,6 +20,10 @@
     NoTarget,
     /// No target that may get the request takes it now.
     Denied(Denial),
+    /// The targets that may get the request are cold, and this process may send
+    /// to none of them within the time for which the request may wait. The span is
+    /// that of [`Denial::Cold`].
+    ColdTooLong(Span),
     /// More requests are queued for the key's owner than it can take in time.
     QueueTooLong,
     /// Less than [`TIME_LEFT_MIN`] is left until the deadline.
@@ -30,14 +34,21 @@
     /// Returns the time until a target wants the request, if it has said so.
     pub(crate) fn wait(self) -> Option<Span> {
         match self {
-            Self::Denied(Denial::Paused(wait) | Denial::Limited(wait)) => Some(wait),
+            Self::Denied(Denial::Paused(wait) | Denial::Limited(wait) | Denial::Cold(wait)) => Some(wait),
+            Self::ColdTooLong(wait) => Some(wait),
             _ => None,
         }
     }
 
+    /// Returns whether the request got no target because its targets are cold.
+    pub(crate) fn is_cold(self) -> bool {
+        matches!(self, Self::Denied(Denial::Cold(_)) | Self::ColdTooLong(_))
+    }
+
     /// Returns whether waiting would not help.
     fn is_final(self) -> bool {
-        self == Self::QueueTooLong || self.wait().is_some()
+        let waits = matches!(self, Self::Denied(Denial::Cold(_)));
+        self == Self::QueueTooLong || self.wait().is_some() && !waits
     }
 }
 
@@ -93,6 +104,13 @@
         self.node.quota_requested.notify_one();
     }
 
+    /// Asks the leader again for a token, which the request still needs: it hands
+    /// out tokens one after the other.
+    fn request_token(&self) {
+        self.node.quota_wanted.set(true);
+        self.node.quota_requested.notify_one();
+    }
+
     /// Requires a quota for a target that takes over the key from another one
     /// with quotas: the requests of all processes for that key move to it at
     /// once.
@@ -109,14 +127,20 @@
     }
 }
 
-/// Returns a target that may get the request now. `waited` is the time since the
-/// last attempt, or since the request arrived.
+/// Time for which a request may still wait for a target, and for which it has
+/// waited since the last attempt or since it arrived.
+struct Wait {
+    waited: Span,
+    until: Time,
+}
+
+/// Returns a target that may get the request now.
 fn find_target(
     node: &Node,
     routed: &RoutedRequest<'_>,
     attempts: &Attempts,
     now: Time,
-    waited: Span,
+    wait: &Wait,
     place: &mut QueuePlace<'_>,
 ) -> Result<Admitted, AdmitError> {
     let directory = node.directory.borrow();
@@ -128,14 +152,20 @@
             .choose(now, &directory, &routed.service, peers, attempts.targets(), size)
             .or_else(|| loads.choose(now, &directory, &routed.service, peers, &[], size));
         return chosen.map(|t| Admitted::new(&t.entry)).ok_or_else(|| {
-            let denial = loads.denial(now, &directory, &routed.service, peers);
-            denial.map_or(AdmitError::NoTarget, AdmitError::Denied)
+            match loads.denial(now, &directory, &routed.service, peers) {
+                Some(Denial::Cold(span))
+                    if loads.first_pass(now, &directory, &routed.service) > wait.until =>
+                {
+                    AdmitError::ColdTooLong(span)
+                }
+                denial => denial.map_or(AdmitError::NoTarget, AdmitError::Denied),
+            }
         });
     };
     let owners = node.owners().ok_or(AdmitError::NoTarget)?;
     let row = owners.table.find(&routed.service, key).ok_or(AdmitError::NoTarget)?;
     let target = directory.current(&row.incarnation()).ok_or(AdmitError::NoTarget)?;
-    if attempts.misdirected() == Some(&row.incarnation()) && waited < MISDIRECTED_DELAY {
+    if attempts.misdirected() == Some(&row.incarnation()) && wait.waited < MISDIRECTED_DELAY {
         return Err(AdmitError::NoTarget);
     }
     let incarnation = &target.entry.incarnation;
@@ -148,6 +178,14 @@
         Ok(()) => return Ok(Admitted::new(&target.entry)),
         Err(denial) => denial,
     };
+    if let Denial::Cold(span) = denial {
+        if place.incarnation.as_ref() == Some(incarnation) {
+            place.request_token();
+        } else if node.loads.borrow_mut().next_pass(incarnation) > wait.until {
+            return Err(AdmitError::ColdTooLong(span));
+        }
+        place.move_to(Some(incarnation));
+    }
     if matches!(denial, Denial::NoQuota | Denial::Full)
         && needs_quota
         && place.incarnation.as_ref() != Some(incarnation)
@@ -179,7 +217,8 @@
         if routed.deadline.since(now) < TIME_LEFT_MIN {
             return Err(AdmitError::TooLate);
         }
-        let error = match find_target(node, routed, attempts, now, now.since(started), &mut place) {
+        let wait = Wait { waited: now.since(started), until: wait_until };
+        let error = match find_target(node, routed, attempts, now, &wait, &mut place) {
             Ok(admitted) => return Ok(admitted),
             Err(error) => error,
         };
--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -48,7 +48,9 @@
 impl<'a> InFlightGuard<'a> {
     fn new(node: &'a Node, target: &'a Admitted) -> Self {
         let start = node.now();
-        node.loads.borrow_mut().begin(start, &target.incarnation, node.peers());
+        if node.loads.borrow_mut().begin(start, &target.incarnation, node.peers()) {
+            node.metrics.count_cold("sent");
+        }
         Self { node, target, start, completion: Completion::Cancelled }
     }
 }
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -8,10 +8,12 @@
     catkin_route::{
         announced::LimitReport,
         backlog::{Change, Payload},
+        cold::TokenGrant,
         delta::Delta,
         directory::{Entry, Incarnation},
         level::Levels,
         owners::Owners,
+        pace::Share,
         peer_view::NextOffsets,
         quotas::Counts,
     },
@@ -95,6 +97,11 @@
     pub(super) store_age: u64,
     /// Quotas of the process at targets; present in an answer to a report.
     pub(super) quotas: Option<Counts>,
+    /// Share of the process at cold targets, once the leader knows the number of
+    /// processes; present in an answer to a report.
+    pub(super) share: Option<Share>,
+    /// Tokens of the process for cold targets; present in an answer to a report.
+    pub(super) tokens: Vec<TokenGrant>,
     /// Loads of all targets by service, if they are due.
     pub(super) levels: Option<Rc<Vec<Levels>>>,
     /// Newest observations of the limits of targets; present in an answer to a
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -10,10 +10,14 @@
     },
     catkin::types::{Span, Time},
     catkin_route::{
+        cold::{TokenGrant, Tokens},
+        config::Config,
         delta::Delta,
-        directory::Target,
+        directory::{Incarnation, Target},
         level::Levels,
+        pace::Share,
         quotas::{Counts, Quotas},
+        rate::RequestRate,
     },
     std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
 };
@@ -37,6 +41,13 @@
     strong: bool,
 }
 
+/// Returns the rate that a target takes, if it is cold and its service names
+/// one.
+fn cold_rate(config: Option<&Config>, now: Time, target: &Target) -> Option<RequestRate> {
+    let cold = config?.services.get(&target.entry.service)?.cold?;
+    (target.cold_until > now).then_some(cold.rate)
+}
+
 /// Offset of the older table, offset of the newer table, and their delta
 /// if there is one.
 type CachedDelta = (u64, u64, Option<Rc<Delta>>);
@@ -47,6 +58,7 @@
     /// Last reports by VM.
     reports: RefCell<BTreeMap<Arc<str>, Peer>>,
     quotas: RefCell<Quotas>,
+    tokens: RefCell<Tokens>,
     cached: RefCell<Option<CachedDelta>>,
     levels: RefCell<Option<CachedLevels>>,
     /// Last listing of the directory and when it was made.
@@ -109,13 +121,36 @@
         let keyed = |service: &str| {
             config.as_ref().and_then(|c| c.services.get(service)).is_some_and(|service| service.keyed)
         };
+        let now = node.now();
         let slots = |id: &str| {
-            let entry = &directory.get(id)?.entry;
-            keyed(&entry.service).then_some(entry.slots)
+            let target = directory.get(id)?;
+            let is_limited = cold_rate(config.as_deref(), now, target).is_some();
+            (keyed(&target.entry.service) && !is_limited).then_some(target.entry.slots)
         };
         self.quotas.borrow_mut().allot(vm, slots)
     }
 
+    /// Records that a process has reported, and returns its share at cold
+    /// targets.
+    pub(super) fn share(&self, node: &Node, vm: &Arc<str>) -> Option<Share> {
+        let told = node.loads.borrow().told_count();
+        self.tokens.borrow_mut().report(node.now(), vm, told)
+    }
+
+    /// Hands out tokens for cold targets with keys to a process that has
+    /// reported.
+    pub(super) fn tokens(&self, node: &Node, report: &Report) -> Vec<TokenGrant> {
+        let (directory, config) = (node.directory.borrow(), node.config.borrow());
+        let (now, quotas) = (node.now(), self.quotas.borrow());
+        let cold = |id: &str| -> Option<(Incarnation, RequestRate)> {
+            let target = directory.get(id)?;
+            Some((target.entry.incarnation.clone(), cold_rate(config.as_deref(), now, target)?))
+        };
+        let mut tokens = self.tokens.borrow_mut();
+        tokens.retain(|incarnation| directory.current(incarnation).is_some_and(|t| t.cold_until > now));
+        tokens.allot(now, &report.queued, cold, |id| quotas.load(id).queue_length)
+    }
+
     /// Returns whether there are so many processes that quotas are used.
     pub(super) fn use_quotas(&self) -> bool {
         self.quotas.borrow().use_quotas()
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -130,6 +130,7 @@
         sync::apply_leaving(node, &state.leaving);
         let directory = node.directory.borrow();
         node.loads.borrow_mut().learn_limits(now, &directory, &state.limits, sent_after);
+        node.loads.borrow_mut().record_tokens(now, sent_after, state.share, &state.tokens);
         node.capacity_changed.notify_waiters();
     }
 }
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -14,7 +14,7 @@
     },
     catkin::types::{Span, Time},
     catkin_net::set_socket_options,
-    catkin_route::{level::Levels, peer_view::PeerView},
+    catkin_route::{cold::TokenGrant, level::Levels, pace::Share, peer_view::PeerView},
     std::{io, rc::Rc},
     tokio::net::{TcpListener, TcpStream},
 };
@@ -52,6 +52,8 @@
     standby: bool,
     /// Number of processes at the time of its last report.
     count: u32,
+    /// Its share at cold targets as of then.
+    share: Option<Share>,
     /// When loads of targets were last sent.
     levels_sent_at: Time,
 }
@@ -59,6 +61,7 @@
 impl PeerState {
     fn update(&mut self, node: &Node, peers: &Peers, report: &Report) {
         self.count = peers.record(node, report);
+        self.share = peers.share(node, &report.vm);
         self.standby = peers.is_standby(node, &report.vm);
         self.view.report(report.received, report.offset, report.next_offsets);
         self.table = self.table.take().filter(|owners| Some(owners.offset) == self.view.table());
@@ -136,10 +139,12 @@
             changed = targets.changed() => changed.map(|()| None).map_err(io::Error::other)?,
         };
         let mut quotas = None;
+        let mut tokens: Vec<TokenGrant> = Vec::new();
         match message.map(|m| postcard::from_bytes(&m)).transpose().map_err(io::Error::other)? {
             Some(Message::Report(report)) => {
                 state.update(node, peers, &report);
                 quotas = Some(peers.allot(node, &report.vm));
+                tokens = peers.tokens(node, &report);
                 leader = report.leader;
             }
             Some(Message::Stop(run_id)) => {
@@ -170,12 +175,14 @@
             };
             let leaving = if quotas.is_some() { node.directory.borrow().leaving() } else { Vec::new() };
             let use_quotas = peers.use_quotas();
-            let PeerState { count: peer_count, standby, .. } = state;
+            let PeerState { count: peer_count, standby, share, .. } = state;
             let leader_state = LeaderState {
                 peer_count,
                 standby,
                 store_age,
+                share: share.filter(|_| quotas.is_some()),
                 quotas,
+                tokens,
                 levels,
                 limits,
                 leaving,
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -31,6 +31,7 @@
     answers: Family<EndLabel, Counter>,
     attempts: Family<EndLabel, Counter>,
     commands: Family<KindLabel, Counter>,
+    cold: Family<EndLabel, Counter>,
     latency: Histogram,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
@@ -49,6 +50,8 @@
         registry.register("sends", "Sends to targets by how they ended", attempts.clone());
         let commands = Family::default();
         registry.register("commands", "Commands to targets about keys", commands.clone());
+        let cold = Family::default();
+        registry.register("cold_requests", "Requests for cold targets by what became of them", cold.clone());
         let latency = Histogram::new(LATENCY_BUCKETS_SECONDS);
         registry.register("latency_seconds", "Time from request to answer", latency.clone());
         let config_version = Gauge::default();
@@ -68,6 +71,7 @@
             answers,
             attempts,
             commands,
+            cold,
             latency,
             config_version,
             config_age,
@@ -110,6 +114,12 @@
         self.attempts.get_or_create(&EndLabel { end }).inc();
     }
 
+    /// Counts a request that was sent to a cold target, or refused as all its
+    /// targets are cold.
+    pub(crate) fn count_cold(&self, end: &'static str) {
+        self.cold.get_or_create(&EndLabel { end }).inc();
+    }
+
     /// Counts a command to a target.
     pub(crate) fn count_command(&self, kind: &'static str) {
         self.commands.get_or_create(&KindLabel { kind }).inc();
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         feed::Feed,
+        lead,
         log_limiter::LogLimiter,
         metrics::Metrics,
         pool::Pool,
@@ -21,6 +22,7 @@
         load::LocalLoads,
         owners::{Owners, ProcessId},
         peer_count::PeerCount,
+        rate::RequestRate,
         split::Split,
     },
     std::{
@@ -270,6 +272,10 @@
         self.metrics.set_config(config.version, config.unknown_kinds);
         let names: std::collections::HashSet<Arc<str>> = config.routes().map(|r| r.name.clone()).collect();
         self.split.borrow_mut().retain(|name| names.contains(name));
+        let cold = config.services.iter().filter_map(|(name, spec)| Some((name.clone(), spec.cold?.rate)));
+        let cold_rates: HashMap<Arc<str>, RequestRate> = cold.collect();
+        lead::with_loads(|loads| loads.set_cold_rates(cold_rates.clone()));
+        self.loads.borrow_mut().set_cold_rates(cold_rates);
         *self.config.borrow_mut() = Some(Rc::new(config));
         true
     }
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -271,6 +271,9 @@
             "request failed"
         );
     }
+    if refusal.is_some_and(AdmitError::is_cold) {
+        node.metrics.count_cold("refused");
+    }
     let delay = match refusal.and_then(AdmitError::wait) {
         Some(wait) => spread(&routed.id, wait),
         None => retry_delay(routed.deadline.since(node.now())),
@@ -329,7 +332,9 @@
         match self {
             Self::NoTarget => Code::NoOwner,
             Self::Denied(Denial::Leaving) => Code::NoOwner,
-            Self::Denied(Denial::Paused(_) | Denial::Limited(_)) => Code::TargetLimited,
+            Self::Denied(Denial::Paused(_) | Denial::Limited(_) | Denial::Cold(_)) | Self::ColdTooLong(_) => {
+                Code::TargetLimited
+            }
             Self::Denied(Denial::Unreachable | Denial::NoQuota | Denial::Full) | Self::QueueTooLong => {
                 Code::QueueFull
             }
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -141,10 +141,16 @@
     match entry::decode(key, value) {
         Ok(entry) => {
             log_other_process(&directory, &entry);
-            match source {
+            let (incarnation, cold_left) = (entry.incarnation.clone(), entry.cold_left);
+            let has_changed = match source {
                 Source::Listing => directory.put_listed(now, entry),
                 Source::Store | Source::Leader => directory.put(now, entry),
+            };
+            if has_changed && !cold_left.is_zero() {
+                let left_ms = cold_left.as_millis();
+                log::info!(target_id = &*incarnation.id, started = incarnation.started, left_ms; "target is cold");
             }
+            has_changed
         }
         Err(error) => {
             log::warn!(error:display; "invalid directory entry ignored");
