--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -224,6 +224,7 @@
         ],
         services: vec![("keyed", true), ("plain", false)],
         timeout_ms: 1_000,
+        cold_per_s: None,
     }
 }
 
--- a/crates/catkin-edge/tests/soak.rs
+++ b/crates/catkin-edge/tests/soak.rs
@@ -42,6 +42,15 @@
 /// Number of faults for each late write of a directory entry.
 const LATE_WRITE_EVERY: u32 = 5;
 
+/// Number of faults for each server that turns cold.
+const COLD_EVERY: u32 = 6;
+
+/// Requests per second that a cold server takes.
+const COLD_RATE: f64 = 2.0;
+
+/// Time after which every process has read the store since, whatever the faults.
+const NEWS_TIME: Duration = Duration::from_secs(6);
+
 /// Number of callers of a run.
 const CALLERS: u64 = 6;
 
@@ -201,6 +210,14 @@
     }
 }
 
+/// Lets a random server turn cold.
+async fn turn_cold(fleet: Rc<Fleet>, seed: u64) {
+    let server = &fleet.servers[ChaCha8Rng::seed_from_u64(seed).random_range(0..fleet.servers.len())];
+    println!("  {} is cold", server.id());
+    server.turn_cold(Duration::from_secs(10), COLD_RATE, NEWS_TIME);
+    sleep(10_000).await;
+}
+
 /// Replaces one keyed server by another one, as a deployment does.
 async fn replace_server(fleet: Rc<Fleet>) {
     let old = &fleet.servers[2];
@@ -230,7 +247,7 @@
         let route = Route { prefix: "/more/", kind: "idempotent", split: vec![("keyed", 1)] };
         let mut routes = plan(1).routes;
         routes.push(route);
-        put_config(&fleet.store, &Config { routes, ..plan(2 + version) });
+        put_config(&fleet.store, &Config { routes, cold_per_s: Some(COLD_RATE), ..plan(2 + version) });
         faults.push(actix_rt::spawn(fault(fleet.clone(), random.random())));
         if version % ANNOUNCEMENT_EVERY == 0 {
             // Seeds of their own keep the faults of earlier regressions.
@@ -239,6 +256,9 @@
         if version % LATE_WRITE_EVERY == 0 {
             faults.push(actix_rt::spawn(write_late(fleet.clone(), seed * 1_000 + 500 + u64::from(version))));
         }
+        if version % COLD_EVERY == 0 {
+            faults.push(actix_rt::spawn(turn_cold(fleet.clone(), seed * 1_000 + 800 + u64::from(version))));
+        }
         sleep(random.random_range(0..1_200)).await;
     }
     for fault in faults {
@@ -263,8 +283,8 @@
 
 /// Under any faults, no non-idempotent request runs twice, no refusal is false,
 /// no key has two owners, no answer belongs to another request, what servers
-/// announce in their answers is kept by processes that run all the while, and
-/// service recovers.
+/// announce in their answers is kept by processes that run all the while, cold
+/// servers get no more than they take, and service recovers.
 #[actix_rt::test]
 async fn promises_hold_under_random_faults() {
     let first = number("SOAK_FIRST", 1);
--- a/crates/catkin-standin/src/users/operator.rs
+++ b/crates/catkin-standin/src/users/operator.rs
@@ -29,12 +29,15 @@
     pub services: Vec<(&'static str, bool)>,
     /// Time limit of a request, in milliseconds.
     pub timeout_ms: u64,
+    /// Requests per second that a cold server of any service takes, if they are
+    /// limited.
+    pub cold_per_s: Option<f64>,
 }
 
 /// Writes a configuration for the host `h`.
 pub fn put_config(store: &Store, config: &Config) {
     let rules: Vec<Value> = config.routes.iter().map(|route| rule(config, route)).collect();
-    let cluster = |(name, keyed): &(&str, bool)| json!({ "name": name, "healthPath": "/health", "maxConns": 100, "sharded": keyed });
+    let cluster = |(name, keyed): &(&str, bool)| json!({ "name": name, "healthPath": "/health", "maxConns": 100, "sharded": keyed, "coldPerS": config.cold_per_s });
     let clusters: Vec<Value> = config.services.iter().map(cluster).collect();
     let document = json!({
         "configVersion": format!("{:08x}", config.version),
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -2,7 +2,7 @@
 //! topic `keyed.servers`.
 
 use {
-    super::{announcements::Announcements, invariants::InvariantChecker, store::Store},
+    super::{announcements::Announcements, cold::ColdTime, invariants::InvariantChecker, store::Store},
     crate::body::{self, header_text},
     actix_http::{Request, Response, ResponseBuilder, StatusCode, body::BoxBody},
     catkin_net::{Connections, listen, reply_text},
@@ -66,6 +66,7 @@
     faults: Cell<ServerFaults>,
     grants: RefCell<Vec<Grant>>,
     announcements: RefCell<Announcements>,
+    cold: RefCell<Option<ColdTime>>,
     connections: Connections,
     /// Until when the entry of the running incarnation is not written.
     unlisted_until: Cell<Option<Instant>>,
@@ -128,6 +129,7 @@
             faults: Cell::default(),
             grants: RefCell::default(),
             announcements: RefCell::default(),
+            cold: RefCell::default(),
             connections: Connections::new(u32::MAX),
             unlisted_until: Cell::new(None),
         };
@@ -172,6 +174,20 @@
         inner.announcements.borrow_mut().set_limit(&inner.id, &inner.checker, per_second);
     }
 
+    /// Turns cold for a time, as the entry then says. More requests within a
+    /// second than a service with this cold rate takes are a violation, once
+    /// `checked_after` has passed.
+    pub fn turn_cold(&self, span: Duration, per_second: f64, checked_after: Duration) {
+        *self.inner.cold.borrow_mut() = Some(ColdTime::new(span, per_second, checked_after));
+        self.publish();
+    }
+
+    /// Returns how many requests arrived in the last cold time once it was
+    /// checked, and the most within a second.
+    pub fn cold_requests(&self) -> (usize, usize) {
+        self.inner.cold.borrow().as_ref().map_or((0, 0), ColdTime::counts)
+    }
+
     /// Says in all further answers that the server leaves; its entry still says
     /// `ready`. A request that arrives later than `drain_time` after the first
     /// such answer is a violation.
@@ -270,11 +286,12 @@
             return;
         };
         let state = if inner.draining.get() { "draining" } else { "ready" };
+        let cold_left = inner.cold.borrow().as_ref().map_or(Duration::ZERO, ColdTime::rest);
         let entry = json!({
             "address": addr.to_string(),
             "born": incarnation,
             "info": { "service": inner.service, "configVersion": "v1", "zone": "z", "slots": SLOTS },
-            "status": { "state": state, "seq": 1, "coldLeftMs": 0 },
+            "status": { "state": state, "seq": 1, "coldLeftMs": cold_left.as_secs_f64() * 1e3 },
         });
         inner.store.put("keyed.servers", &inner.id, entry.to_string().as_bytes());
     }
@@ -362,6 +379,9 @@
         let key: u16 = header_text(&request, "x-shard-key").and_then(|k| k.parse().ok()).unwrap_or(0);
         let fence = if inner.keyed { self.fence_of(key) } else { Some(0) };
         let Some(fence) = fence else { return not_run(&request, 421).finish().map_into_boxed_body() };
+        if let Some(cold) = &mut *inner.cold.borrow_mut() {
+            cold.arrive(&inner.id, &inner.checker);
+        }
         let announced = inner.announcements.borrow_mut().arrive(&inner.id, &inner.checker);
         if let Some(rest) = announced.rest {
             let rest = format!("{:.3}", rest.as_secs_f64());
