Use the slots of cold targets without keys, and describe cold targets

The factor on the expected time of a cold target kept nearly all requests away from it. A cold target may get keys up to 0.9 of its rate.

--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -85,9 +85,9 @@
 /// Longest rest of the slow start with which a new target may get keys.
 const COLD_LEFT_MAX: Span = Span::from_millis(1_500);
 
-/// Usage up to which a cold target may get keys, as a share of its cold rate: it
-/// crashes above its limit, so that a measured rate must not be exceeded soon.
-const COLD_USAGE_MAX: f32 = 0.6;
+/// Part of its cold rate up to which a cold target may get keys; the rest is for
+/// rates that rise.
+const COLD_USAGE_MAX: f32 = 0.9;
 
 /// Request rates of keys and service times of targets, as all processes of the
 /// fleet report them to the leader.
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -187,7 +187,9 @@
     pub fn expected_time(&mut self, now: Time, target: &Target, peers: u32, size: usize) -> f64 {
         let is_other_zone = target.entry.zone != self.zone;
         let slots = f64::from(target.entry.slots.max(1));
-        let is_cold = target.cold_until > now;
+        // A target with a cold rate gets little work while it is cold, which it does
+        // at once.
+        let is_cold = target.cold_until > now && !self.cold_rates.contains_key(&target.entry.service);
         let state = self.state(&target.entry.incarnation);
         let ahead = f64::from(state.in_flight) + state.others(now, peers);
         let waiting = (ahead + 1.0 - slots).max(0.0);
