--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -32,6 +32,7 @@
     attempts: Family<EndLabel, Counter>,
     commands: Family<KindLabel, Counter>,
     probes: Family<EndLabel, Counter>,
+    cold: Family<EndLabel, Counter>,
     latency: Histogram,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
@@ -52,6 +53,8 @@
         registry.register("commands", "Commands to targets about keys", commands.clone());
         let probes = Family::default();
         registry.register("health_checks", "Health checks of targets by how they ended", probes.clone());
+        let cold = Family::default();
+        registry.register("cold_requests", "Requests for cold targets by what became of them", cold.clone());
         let latency = Histogram::new(LATENCY_BUCKETS_SECONDS);
         registry.register("latency_seconds", "Time from request to answer", latency.clone());
         let config_version = Gauge::default();
@@ -72,6 +75,7 @@
             attempts,
             commands,
             probes,
+            cold,
             latency,
             config_version,
             config_age,
@@ -114,6 +118,12 @@
         self.attempts.get_or_create(&EndLabel { end }).inc();
     }
 
+    /// Counts a request that was sent to a cold target, or refused as all its
+    /// targets are cold.
+    pub(crate) fn count_cold(&self, end: &'static str) {
+        self.cold.get_or_create(&EndLabel { end }).inc();
+    }
+
     /// Counts a command to a target.
     pub(crate) fn count_command(&self, kind: &'static str) {
         self.commands.get_or_create(&KindLabel { kind }).inc();
