Leave room at targets for urgent requests

A target runs what arrives first, so in a burst of less urgent requests urgent ones queued behind them and missed their latency objective.

A request without a key of a service that gets several ranks now fills a target only up to a multiple of its slots that depends on its rank: the least urgent rank takes free slots, the most urgent one may use the whole queue as before. The multiple rises towards the end of the time for which the request may wait, so that it is delayed and not refused without an overload that lasts. With one rank nothing changes.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -7,7 +7,8 @@
     catkin_route::{
         attempts::Attempts,
         directory::{Entry, Incarnation},
-        load::Denial,
+        load::{Demand, Denial},
+        rank::FillFactor,
     },
     std::rc::Rc,
 };
@@ -109,6 +110,15 @@
     }
 }
 
+/// Returns how far a request without a key may fill a target.
+fn fill_factor(node: &Node, routed: &RoutedRequest<'_>, now: Time) -> FillFactor {
+    let ranks = node.config.borrow().as_ref().and_then(|c| c.ranks.get(&routed.service).copied());
+    let Some(ranks) = ranks else { return FillFactor::MAX };
+    let wait_max = routed.route.latency_objective.scale(WAIT_FRACTION).as_secs_f64();
+    let waited = now.since(routed.incoming.arrived).as_secs_f64();
+    ranks.fill_factor(routed.route.priority, waited / wait_max)
+}
+
 /// Returns a target that may get the request now. `waited` is the time since the
 /// last attempt, or since the request arrived.
 fn find_target(
@@ -123,12 +133,15 @@
     let peers = node.peers();
     let Some(key) = routed.key else {
         let mut loads = node.loads.borrow_mut();
+        let fill = fill_factor(node, routed, now);
         let size = routed.incoming.body.iter().map(Bytes::len).sum();
+        let any = Demand { fill, ..Demand::new(size) };
+        let other = Demand { avoid: attempts.targets(), ..any };
         let chosen = loads
-            .choose(now, &directory, &routed.service, peers, attempts.targets(), size)
-            .or_else(|| loads.choose(now, &directory, &routed.service, peers, &[], size));
+            .choose(now, &directory, &routed.service, peers, other)
+            .or_else(|| loads.choose(now, &directory, &routed.service, peers, any));
         return chosen.map(|t| Admitted::new(&t.entry)).ok_or_else(|| {
-            let denial = loads.denial(now, &directory, &routed.service, peers);
+            let denial = loads.denial(now, &directory, &routed.service, peers, fill);
             denial.map_or(AdmitError::NoTarget, AdmitError::Denied)
         });
     };
@@ -142,7 +155,7 @@
     place.follow_owner(now, incarnation);
     let (checked, needs_quota) = {
         let mut loads = node.loads.borrow_mut();
-        (loads.check(now, target, true, peers), loads.is_quota_limited(now, incarnation))
+        (loads.check(now, target, true, peers, FillFactor::MAX), loads.is_quota_limited(now, incarnation))
     };
     let denial = match checked {
         Ok(()) => return Ok(Admitted::new(&target.entry)),
--- a/crates/catkin-route/src/config.rs
+++ b/crates/catkin-route/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration of the fleet: routes, services and limits.
 
 use {
-    crate::rate::RequestRate,
+    crate::{rank::Ranks, rate::RequestRate},
     catkin::{Code, Error, types::Span},
     std::{
         collections::{HashMap, HashSet},
@@ -60,7 +60,7 @@
     pub kind: RouteKind,
     /// Latency objective; requests wait for free slots for a share of it.
     pub latency_objective: Span,
-    /// Priority from the configuration, 0 is the highest; not used.
+    /// Rank of the requests, 0 is the most urgent.
     pub priority: u32,
     /// Prefix of the path, with a slash at both ends.
     pub prefix: Arc<str>,
@@ -101,6 +101,8 @@
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
     /// Services by name.
     pub services: HashMap<Arc<str>, ServiceSpec>,
+    /// Ranks of the requests that each service gets.
+    pub ranks: HashMap<Arc<str>, Ranks>,
     /// Number of routes whose kind this version of the program does not know.
     pub unknown_kinds: usize,
 }
@@ -160,7 +162,8 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Ok(Self { version, limits, hosts, services, unknown_kinds: 0 })
+        let ranks = Ranks::of_services(hosts.values().flatten());
+        Ok(Self { version, limits, hosts, services, ranks, unknown_kinds: 0 })
     }
 
     /// Sets the number of routes whose kind is unknown.
--- a/crates/catkin-route/src/level.rs
+++ b/crates/catkin-route/src/level.rs
@@ -10,7 +10,7 @@
 use {
     crate::{
         directory::{Incarnation, Target},
-        load::FILL_FACTOR_MAX,
+        rank::FILL_FACTOR_MAX,
     },
     serde::{Deserialize, Serialize},
     std::{rc::Rc, sync::Arc},
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`balance`] | which keys move to another target |
 //! | [`level`] | how the loads of all targets are encoded for all processes |
 //! | [`load`] | which target gets a request |
+//! | [`rank`] | how far less urgent requests may fill a target |
 //! | [`pace`] | when a process may send to a target that bounds all processes |
 //! | [`announced`] | which announcements of a target are in force |
 //! | [`pause`] | when a target that wanted no requests gets some again |
@@ -47,6 +48,7 @@
 pub mod peer_count;
 pub mod peer_view;
 pub mod quotas;
+pub mod rank;
 pub mod rate;
 pub mod report_times;
 pub mod split;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -10,6 +10,7 @@
         announced::LimitReport,
         directory::{Directory, Incarnation, Target},
         quotas::{Counts, TargetQuota},
+        rank::FillFactor,
         rate::RequestRate,
         subset::{self, Subsets},
     },
@@ -43,11 +44,6 @@
 /// Factor on the expected time of a target in its slow start.
 const COLD_FACTOR: f64 = 2.0;
 
-/// Requests that all edge processes together may have at a target, as a
-/// multiple of its slots: the queue of a target is short, and some targets
-/// answer nothing any more once it is full.
-pub const FILL_FACTOR_MAX: f64 = 2.5;
-
 /// Time after which a received quota expires. It covers two reports to
 /// the leader.
 const QUOTA_TTL: Span = Span::from_millis(1_200);
@@ -69,6 +65,24 @@
     Cancelled,
 }
 
+/// What the choice of a target depends on, of a request without a key.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// How far the request may fill a target.
+    pub fill: FillFactor,
+    /// Size of its body in bytes.
+    pub size: usize,
+    /// Targets that it has reached before.
+    pub avoid: &'a [Incarnation],
+}
+
+impl Demand<'_> {
+    /// Creates the demand of a most urgent request without an earlier attempt.
+    pub fn new(size: usize) -> Self {
+        Self { fill: FillFactor::MAX, size, avoid: &[] }
+    }
+}
+
 /// What one process knows of the load of all targets.
 #[derive(Debug)]
 pub struct LocalLoads {
@@ -106,24 +120,32 @@
     }
 
     /// Checks whether a target may get one more request of this process, with a
-    /// key that it owns or without a key. `peers` is the number of edge processes.
+    /// key that it owns or without a key. `peers` is the number of edge processes,
+    /// `fill` how far the request may fill the target.
     ///
     /// # Errors
     ///
     /// The reason why the target gets no request now.
-    pub fn check(&mut self, now: Time, target: &Target, has_key: bool, peers: u32) -> Result<(), Denial> {
+    pub fn check(
+        &mut self,
+        now: Time,
+        target: &Target,
+        has_key: bool,
+        peers: u32,
+        fill: FillFactor,
+    ) -> Result<(), Denial> {
         let serves = if has_key { target.serves_keys(now) } else { target.is_open() };
         if !serves {
             return Err(Denial::Leaving);
         }
         let quota = self.quota(now, &target.entry.incarnation);
-        self.state(&target.entry.incarnation).check(now, target.entry.slots, quota, peers)
+        self.state(&target.entry.incarnation).check(now, target.entry.slots, quota, peers, fill)
     }
 
-    /// Returns whether a target may get one more request of this process with a
-    /// key that it owns, see [`LocalLoads::check`].
+    /// Returns whether a target may get one more most urgent request of this
+    /// process with a key that it owns, see [`LocalLoads::check`].
     pub fn has_capacity(&mut self, now: Time, target: &Target, peers: u32) -> bool {
-        self.check(now, target, true, peers).is_ok()
+        self.check(now, target, true, peers, FillFactor::MAX).is_ok()
     }
 
     /// Returns the expected time of one more request with a body of `size`
@@ -144,34 +166,40 @@
         time / (1.0 - state.failure_rate).max(0.05)
     }
 
-    /// Returns a target of a service that may get one more request with a body
-    /// of `size` bytes: the one with the least expected time among the first few
-    /// in the order of this process, or among the next few if none of these may.
-    /// Targets in `avoid`, which the request has reached before, are left out.
+    /// Returns a target of a service that may get one more request: the one with
+    /// the least expected time among the first few in the order of this process,
+    /// or among the next few if none of these may. Targets that the request has
+    /// reached before are left out.
     pub fn choose<'a>(
         &mut self,
         now: Time,
         directory: &'a Directory,
         service: &str,
         peers: u32,
-        avoid: &[Incarnation],
-        size: usize,
+        demand: Demand<'_>,
     ) -> Option<&'a Target> {
         let ranked = self.subsets.ranked(directory, service);
         let mut groups = ranked.chunks(subset::width(ranked.len(), peers));
         groups.find_map(|ids| {
             let targets = ids.iter().filter_map(|id| directory.get(id));
-            let candidates = targets.filter(|t| !avoid.contains(&t.entry.incarnation));
-            self.choose_among(now, candidates, peers, size)
+            let candidates = targets.filter(|t| !demand.avoid.contains(&t.entry.incarnation));
+            self.choose_among(now, candidates, peers, demand)
         })
     }
 
     /// Returns why no target of a service gets a request without a key, if none
     /// does: the reason that ends first, or `None` without a target.
-    pub fn denial(&mut self, now: Time, directory: &Directory, service: &str, peers: u32) -> Option<Denial> {
+    pub fn denial(
+        &mut self,
+        now: Time,
+        directory: &Directory,
+        service: &str,
+        peers: u32,
+        fill: FillFactor,
+    ) -> Option<Denial> {
         let mut first: Option<(Span, Denial)> = None;
         for target in directory.of_service(service) {
-            let Err(denial) = self.check(now, target, false, peers) else { continue };
+            let Err(denial) = self.check(now, target, false, peers, fill) else { continue };
             let Some(rest) = denial.rest() else { return Some(denial) };
             if first.is_none_or(|(least, _)| rest < least) {
                 first = Some((rest, denial));
@@ -185,14 +213,14 @@
         now: Time,
         candidates: impl Iterator<Item = &'a Target>,
         peers: u32,
-        size: usize,
+        demand: Demand<'_>,
     ) -> Option<&'a Target> {
         let mut best: Option<(f64, &Target)> = None;
         for target in candidates {
-            if self.check(now, target, false, peers).is_err() {
+            if self.check(now, target, false, peers, demand.fill).is_err() {
                 continue;
             }
-            let expected_time = self.expected_time(now, target, peers, size);
+            let expected_time = self.expected_time(now, target, peers, demand.size);
             if best.is_none_or(|(least, _)| expected_time < least) {
                 best = Some((expected_time, target));
             }
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -1,8 +1,7 @@
 //! What a process knows of one target, and whether it sends it a request.
 
 use {
-    super::FILL_FACTOR_MAX,
-    crate::{announced::Announced, directory::Incarnation},
+    crate::{announced::Announced, directory::Incarnation, rank::FillFactor},
     catkin::types::{Span, Time},
 };
 
@@ -122,6 +121,7 @@
         slots: u32,
         quota: Option<QuotaState>,
         peers: u32,
+        fill: FillFactor,
     ) -> Result<(), Denial> {
         if self.backoff_end > now {
             return Err(Denial::Unreachable);
@@ -145,6 +145,6 @@
         let share = (OWN_SHARE_FACTOR * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
         let total = f64::from(self.in_flight) + self.others(now, peers);
         let has_share = self.in_flight < share.max(OWN_REQUESTS_MIN);
-        if has_share && total < FILL_FACTOR_MAX * f64::from(slots) { Ok(()) } else { Err(Denial::Full) }
+        if has_share && fill.admits(total, slots) { Ok(()) } else { Err(Denial::Full) }
     }
 }
--- a/crates/catkin-route/src/quotas.rs
+++ b/crates/catkin-route/src/quotas.rs
@@ -7,7 +7,7 @@
 //! process sends a request there only within its quota.
 
 use {
-    crate::{level::TargetLoad, load::FILL_FACTOR_MAX},
+    crate::{level::TargetLoad, rank::FILL_FACTOR_MAX},
     catkin::types::{Span, Time},
     std::{
         collections::{BTreeMap, HashMap},
--- a/crates/catkin-route/tests/load.rs
+++ b/crates/catkin-route/tests/load.rs
@@ -6,7 +6,7 @@
     catkin::types::Span,
     catkin_route::{
         directory::{Directory, Entry, Target},
-        load::{Completion, LocalLoads},
+        load::{Completion, Demand, LocalLoads},
         quotas::TargetQuota,
     },
     common::{at, entry, incarnation},
@@ -104,7 +104,7 @@
                 loads.end(at(0), &incarnation(id, 1), Completion::Good, Span::from_millis(ms), 6);
             }
         }
-        let chosen = loads.choose(at(0), &directory, common::SERVICE, PEERS, &[], size);
+        let chosen = loads.choose(at(0), &directory, common::SERVICE, PEERS, Demand::new(size));
         chosen.unwrap().entry.incarnation.id.clone()
     };
     assert_eq!(&*choose(150, 60_000), "near");
--- a/crates/catkin-route/tests/pause.rs
+++ b/crates/catkin-route/tests/pause.rs
@@ -6,8 +6,9 @@
     catkin::types::Span,
     catkin_route::{
         directory::Directory,
-        load::{Completion, Denial, LocalLoads},
+        load::{Completion, Demand, Denial, LocalLoads},
         pause::Pause,
+        rank::FillFactor,
     },
     common::{SERVICE, at, entry, incarnation},
 };
@@ -35,9 +36,9 @@
     loads.observe_pause(now, &a, Some(seconds(3)), at(900));
     for millis in [1_000, 2_000, 3_999] {
         let target = directory.get("a").unwrap();
-        let denied = loads.check(at(millis), target, true, PEERS);
+        let denied = loads.check(at(millis), target, true, PEERS, FillFactor::MAX);
         assert!(matches!(denied, Err(Denial::Paused(rest)) if rest >= at(4_000).since(at(millis))));
-        let chosen = loads.choose(at(millis), &directory, SERVICE, PEERS, &[], 0).unwrap();
+        let chosen = loads.choose(at(millis), &directory, SERVICE, PEERS, Demand::new(0)).unwrap();
         assert_eq!(&*chosen.entry.incarnation.id, "b");
     }
 }
@@ -49,8 +50,10 @@
     let (mut loads, directory) = setup("vm");
     loads.observe_pause(at(0), &incarnation("a", 1), Some(seconds(8)), at(0));
     loads.observe_pause(at(0), &incarnation("b", 1), Some(seconds(2)), at(0));
-    assert!(loads.choose(at(0), &directory, SERVICE, PEERS, &[], 0).is_none());
-    let Some(Denial::Paused(rest)) = loads.denial(at(0), &directory, SERVICE, PEERS) else { panic!() };
+    assert!(loads.choose(at(0), &directory, SERVICE, PEERS, Demand::new(0)).is_none());
+    let Some(Denial::Paused(rest)) = loads.denial(at(0), &directory, SERVICE, PEERS, FillFactor::MAX) else {
+        panic!()
+    };
     assert!(seconds(2) <= rest && rest <= Span::from_millis(2_500), "{rest:?}");
 }
 
@@ -67,7 +70,7 @@
         let first = may_send.next().unwrap();
         assert!((4_000..=5_000).contains(&first), "{first}");
         loads.begin(at(first), &a, PEERS);
-        assert_eq!(loads.check(at(first), target, true, PEERS), Err(Denial::Full));
+        assert_eq!(loads.check(at(first), target, true, PEERS, FillFactor::MAX), Err(Denial::Full));
         loads.observe_pause(at(first + 90), &a, None, at(first));
         assert!(loads.has_capacity(at(first + 90), target, PEERS));
         loads.end(at(first + 90), &a, Completion::Good, Span::from_millis(90), 6);
--- a/crates/catkin-route/tests/subset.rs
+++ b/crates/catkin-route/tests/subset.rs
@@ -6,7 +6,7 @@
     catkin::types::Span,
     catkin_route::{
         directory::{Directory, Entry},
-        load::{Completion, LocalLoads},
+        load::{Completion, Demand, LocalLoads},
     },
     common::{SERVICE, at, entry},
     std::{
@@ -47,7 +47,7 @@
     let mut arrivals: HashMap<Arc<str>, usize> = HashMap::new();
     for _ in 0..3 {
         for loads in &mut processes {
-            let target = loads.choose(at(0), &directory, SERVICE, PROCESSES, &[], 0).unwrap();
+            let target = loads.choose(at(0), &directory, SERVICE, PROCESSES, Demand::new(0)).unwrap();
             loads.begin(at(0), &target.entry.incarnation, PROCESSES);
             *arrivals.entry(target.entry.incarnation.id.clone()).or_default() += 1;
         }
@@ -65,7 +65,7 @@
     for loads in &mut processes {
         let mut used = BTreeSet::new();
         for i in 0..200 {
-            let target = loads.choose(at(i * 300), &directory, SERVICE, PROCESSES, &[], 0).unwrap();
+            let target = loads.choose(at(i * 300), &directory, SERVICE, PROCESSES, Demand::new(0)).unwrap();
             let incarnation = target.entry.incarnation.clone();
             loads.begin(at(i * 300), &incarnation, PROCESSES);
             let took = Span::from_millis(80 + i % 7 * 10);
@@ -87,12 +87,12 @@
     let loads = &mut processes[0];
     let mut used = BTreeSet::new();
     for _ in 0..TARGETS {
-        let target = loads.choose(at(0), &directory, SERVICE, PROCESSES, &[], 0).unwrap();
+        let target = loads.choose(at(0), &directory, SERVICE, PROCESSES, Demand::new(0)).unwrap();
         let incarnation = target.entry.incarnation.clone();
         loads.begin(at(0), &incarnation, PROCESSES);
         loads.end(at(0), &incarnation, Completion::Unreachable, Span::ZERO, 6);
         used.insert(incarnation.id);
     }
     assert_eq!(used.len(), TARGETS);
-    assert!(loads.choose(at(0), &directory, SERVICE, PROCESSES, &[], 0).is_none());
+    assert!(loads.choose(at(0), &directory, SERVICE, PROCESSES, Demand::new(0)).is_none());
 }
