--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -1,11 +1,12 @@
 //! What a process knows of one target, and whether it sends it a request.
 
 use {
-    super::{FILL_FACTOR_MAX, slowdown::Slowdown},
+    super::slowdown::Slowdown,
     crate::{
         announced::Announced,
         cold::{ColdState, ColdTerms},
         directory::Incarnation,
+        rank::FillFactor,
     },
     catkin::types::{Span, Time},
 };
@@ -137,6 +138,7 @@
         quota: Option<QuotaState>,
         cold: Option<&ColdTerms>,
         peers: u32,
+        fill: FillFactor,
     ) -> Result<(), Denial> {
         if self.backoff_end > now {
             return Err(Denial::Unreachable);
@@ -162,9 +164,7 @@
         let share = (OWN_SHARE_FACTOR * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
         let total = f64::from(self.in_flight) + self.others(now, peers);
         let has_share = self.in_flight < share.max(OWN_REQUESTS_MIN);
-        // On a slow target the wait in the queue is longer, but free slots stay
-        // of use.
-        let fill_max = FILL_FACTOR_MAX.min((FILL_FACTOR_MAX / self.slowdown.at(now)).max(1.0));
-        if has_share && total < fill_max * f64::from(slots) { Ok(()) } else { Err(Denial::Full) }
+        let is_admitted = has_share && fill.admits(total, slots, self.slowdown.at(now));
+        if is_admitted { Ok(()) } else { Err(Denial::Full) }
     }
 }
--- a/crates/catkin-route/tests/cold.rs
+++ b/crates/catkin-route/tests/cold.rs
@@ -8,9 +8,10 @@
         balance,
         cold::{TokenGrant, Tokens},
         directory::{Directory, Entry, Incarnation},
-        load::{Completion, Denial, LocalLoads},
+        load::{Completion, Demand, Denial, LocalLoads},
         pace::{Share, SlotGrid},
         quotas::Quotas,
+        rank::FillFactor,
         rate::RequestRate,
     },
     common::{SERVICE, SimulatedLeader, accept, at, entry, incarnation},
@@ -210,13 +211,15 @@
             let (found, next) = match self.has_keys {
                 true => {
                     let target = process.directory.get(&owner.id).unwrap();
-                    let found = process.loads.check(time, target, true, peers);
+                    let found = process.loads.check(time, target, true, peers, FillFactor::MAX);
                     (found.map(|()| owner.clone()), process.loads.next_pass(&owner))
                 }
                 false => {
-                    let chosen = process.loads.choose(time, &process.directory, SERVICE, peers, &[], 0);
+                    let chosen =
+                        process.loads.choose(time, &process.directory, SERVICE, peers, Demand::new(0));
                     let chosen = chosen.map(|target| target.entry.incarnation.clone());
-                    let denial = process.loads.denial(time, &process.directory, SERVICE, peers);
+                    let denial =
+                        process.loads.denial(time, &process.directory, SERVICE, peers, FillFactor::MAX);
                     let next = process.loads.first_pass(time, &process.directory, SERVICE);
                     (chosen.ok_or_else(|| denial.unwrap()), next)
                 }
@@ -536,7 +539,7 @@
     process.directory.put(at(0), Entry { cold_left: Span::from_secs(60), ..entry("a", 1) });
     let target = process.directory.get("a").unwrap();
     for _ in 0..10 {
-        assert_eq!(process.loads.check(at(0), target, true, 2), Ok(()));
+        assert_eq!(process.loads.check(at(0), target, true, 2, FillFactor::MAX), Ok(()));
         assert!(!process.loads.begin(at(0), &incarnation("a", 1), 2));
         process.loads.end(at(0), &incarnation("a", 1), Completion::Good, Span::from_millis(50), 6);
     }
--- a/crates/catkin-route/tests/common/fleet.rs
+++ b/crates/catkin-route/tests/common/fleet.rs
@@ -5,7 +5,7 @@
     catkin::types::Span,
     catkin_route::{
         directory::{Directory, Entry, Incarnation},
-        load::{Completion, LocalLoads},
+        load::{Completion, Demand, LocalLoads},
     },
     std::{collections::VecDeque, sync::Arc},
 };
@@ -222,7 +222,7 @@
         let now = at(self.now);
         // Every few steps, as a waiting request does not try all the time.
         let chosen = if (self.now - request.arrived).is_multiple_of(5) {
-            process.loads.choose(now, &self.directory, SERVICE, peers, &[], 0)
+            process.loads.choose(now, &self.directory, SERVICE, peers, Demand::new(0))
         } else {
             None
         };
--- a/crates/catkin-route/tests/directory.rs
+++ b/crates/catkin-route/tests/directory.rs
@@ -8,6 +8,7 @@
         directory::{Directory, Entry},
         load::{Denial, LocalLoads},
         owners::{Owners, Row},
+        rank::FillFactor,
     },
     common::{at, entry, incarnation, leader},
 };
@@ -232,7 +233,7 @@
     let target = directory.get("a").unwrap();
     assert!(!target.is_open() && !target.serves_keys(at(3_000)));
     let mut loads = LocalLoads::new("z".into());
-    assert_eq!(loads.check(at(3_000), target, false, 1), Err(Denial::Doubted));
+    assert_eq!(loads.check(at(3_000), target, false, 1, FillFactor::MAX), Err(Denial::Doubted));
     let doubted: Vec<_> = directory.doubted().iter().map(|(t, at)| (t.entry.clone(), *at)).collect();
     assert_eq!(doubted, [(entry("a", 2), at(3_000))]);
     assert!(directory.announce_leaving(at(3_050), &incarnation("a", 2)));
