route: evacuated zones

The operator writes evacuate/ZONE into keyed.op to take a zone out of use. Withdrawn, the targets are cold for the time of their service. A topic copy no longer offers its newest records as the whole topic after it lost one, since a process would take a missing key for a removed one.

--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -1,7 +1,10 @@
 //! The targets that the platform's directory lists.
 
 use {
-    crate::owners::Owners,
+    crate::{
+        evacuation::{Evacuation, Evacuations},
+        owners::Owners,
+    },
     catkin::types::{Span, Time},
     serde::{Deserialize, Serialize},
     std::{
@@ -84,6 +87,11 @@
     pub grace_end: Option<Time>,
     /// End of the slow start.
     pub cold_until: Time,
+    /// Least end of the slow start that a complete listing may set, if the
+    /// evacuation of the zone was withdrawn since the last entry was received.
+    cold_until_min: Time,
+    /// Times of the evacuation, if the zone is evacuated.
+    pub evacuation: Option<Evacuation>,
     /// When an entry was last received, which rarely happens while it is
     /// unchanged, see [`Directory::put`].
     pub last_seen: Time,
@@ -127,6 +135,9 @@
     left: HashMap<Arc<str>, Departure>,
     /// Latest start of each target, also after its entry was removed.
     starts: HashMap<Arc<str>, Start>,
+    evacuations: Evacuations,
+    /// When the evacuation of a zone was last withdrawn.
+    readmitted_at: Time,
     grace_end: Time,
     changes: u64,
     entry_ttl: Span,
@@ -143,6 +154,8 @@
             services: BTreeMap::new(),
             left: HashMap::new(),
             starts: HashMap::new(),
+            evacuations: Evacuations::default(),
+            readmitted_at: Time::default(),
             grace_end: Time::default(),
             changes: 0,
             entry_ttl: ENTRY_TTL_DEFAULT,
@@ -160,6 +173,52 @@
         Self { entry_ttl, ..self }
     }
 
+    /// Sets the time after which the targets of an evacuated zone must get no
+    /// requests.
+    #[must_use]
+    pub fn with_evacuation_time(self, bound: Span) -> Self {
+        Self { evacuations: Evacuations::new(bound), ..self }
+    }
+
+    /// Records that the operator has evacuated a zone, which he had not at
+    /// `written_after`. Targets that are listed later are evacuated as well.
+    /// Returns whether that is new.
+    pub fn evacuate(&mut self, now: Time, zone: &str, written_after: Time) -> bool {
+        let is_new = self.evacuations.begin(now, zone, written_after);
+        for target in self.targets.values_mut().filter(|target| *target.entry.zone == *zone) {
+            target.evacuation = self.evacuations.find(zone, &target.entry.incarnation.id);
+        }
+        is_new
+    }
+
+    /// Records that the operator has withdrawn the evacuation of a zone. Its
+    /// targets are cold for the time that `cold_time` returns for their service,
+    /// until an entry that is received later says otherwise. Returns whether the
+    /// zone was evacuated.
+    pub fn readmit(&mut self, now: Time, zone: &str, cold_time: impl Fn(&str) -> Span) -> bool {
+        if !self.evacuations.end(zone) {
+            return false;
+        }
+        self.readmitted_at = now;
+        for target in self.targets.values_mut().filter(|target| *target.entry.zone == *zone) {
+            target.evacuation = None;
+            target.cold_until_min = now.after(cold_time(&target.entry.service));
+            target.cold_until = target.cold_until.max(target.cold_until_min);
+        }
+        true
+    }
+
+    /// Returns the names of the evacuated zones in their order.
+    pub fn evacuated_zones(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.evacuations.zones()
+    }
+
+    /// Returns when the evacuation of a zone was last withdrawn; the default time
+    /// if none was.
+    pub fn readmitted_at(&self) -> Time {
+        self.readmitted_at
+    }
+
     /// Records that the directory had no newer change at a time.
     pub fn note_read(&mut self, at: Time) {
         if at.since(self.read_at) > READ_GAP_MAX {
@@ -220,16 +279,19 @@
     /// a process that has listed the store meanwhile knows the late one only.
     pub fn put(&mut self, now: Time, entry: Entry) -> bool {
         // The write was carried out after the last read that did not show it.
-        self.update(now, entry, self.read_at)
+        self.update(now, entry, self.read_at, Time::default())
     }
 
     /// Inserts or replaces an entry of a complete listing, which may have been
     /// written at any time before. Returns the same as [`put`](Self::put).
     pub fn put_listed(&mut self, now: Time, entry: Entry) -> bool {
-        self.update(now, entry, Time::default())
+        let known = self.targets.get(&entry.incarnation.id);
+        let known = known.filter(|t| t.entry.incarnation == entry.incarnation);
+        let cold_until_min = known.map_or(Time::default(), |t| t.cold_until_min);
+        self.update(now, entry, Time::default(), cold_until_min)
     }
 
-    fn update(&mut self, now: Time, entry: Entry, written_after: Time) -> bool {
+    fn update(&mut self, now: Time, entry: Entry, written_after: Time, cold_until_min: Time) -> bool {
         if self.is_outdated(&entry.incarnation) {
             if let Some(target) = self.targets.get_mut(&entry.incarnation.id) {
                 target.is_replaced = true;
@@ -256,7 +318,9 @@
         };
         let draining_since = self.left_since(&entry.incarnation).or(entry_since);
         let target = Target {
-            cold_until: now.after(entry.cold_left),
+            cold_until: now.after(entry.cold_left).max(cold_until_min),
+            cold_until_min,
+            evacuation: self.evacuations.find(&entry.zone, &entry.incarnation.id),
             draining_since,
             grace_end: None,
             last_seen: now,
@@ -481,12 +545,19 @@
 impl Target {
     /// Returns whether new requests and keys may be assigned to this target.
     pub fn is_open(&self) -> bool {
-        self.draining_since.is_none()
+        self.draining_since.is_none() && self.evacuation.is_none()
     }
 
-    /// Returns whether requests for keys that the target owns may go to it. A
-    /// draining target serves them for a short time.
+    /// Returns whether requests for keys that the target owns may go to it. One
+    /// that drains or is in an evacuated zone serves them for a short time.
     pub fn serves_keys(&self, now: Time) -> bool {
         self.draining_since.is_none_or(|since| now.since(since) < DRAIN_SERVE_TIME)
+            && self.evacuation.is_none_or(|evacuation| now < evacuation.serve_end)
+    }
+
+    /// Returns the time after which the operator has evacuated the zone of the
+    /// target, if it is evacuated.
+    pub fn evacuated_since(&self) -> Option<Time> {
+        self.evacuation.map(|evacuation| evacuation.since)
     }
 }
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -25,6 +25,7 @@
     crate::{
         balance,
         directory::{Directory, Incarnation, Target},
+        evacuation,
         owners::{Owners, ProcessId, Row},
     },
     catkin::types::{ConnId, Span, Time},
@@ -48,6 +49,10 @@
 /// owners: targets that start together are listed one after the other.
 const DIRECTORY_QUIET_TIME: Span = Span::from_millis(1_000);
 
+/// Age of the store's last answer up to which keys of an evacuated zone are
+/// released. The leader calls the store every 300 ms.
+const STORE_CONTACT_AGE_MAX: Span = Span::from_millis(800);
+
 /// A step that the leader must do next.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -101,6 +106,8 @@
     last_ticket: u64,
     /// Whether a record is being written.
     is_writing: bool,
+    /// Time of the last call that the store has answered.
+    store_contact: Time,
     is_fenced: bool,
     /// When a record last raised fences.
     raised_at: Time,
@@ -166,6 +173,7 @@
             suspected: BTreeMap::new(),
             last_ticket: 0,
             is_writing: false,
+            store_contact: now,
             is_fenced: false,
             raised_at: Time::default(),
             directory_changes: (0, now),
@@ -186,6 +194,13 @@
         }
     }
 
+    /// Records the time of a call that the store has answered. Keys of an
+    /// evacuated zone that are released without the store would have no owner
+    /// until it is available again.
+    pub fn note_store_contact(&mut self, at: Time) {
+        self.store_contact = self.store_contact.max(at);
+    }
+
     /// Returns whether a target refused a command since it has seen the higher
     /// fence of another leader.
     pub fn is_fenced(&self) -> bool {
@@ -288,6 +303,19 @@
         target.is_open() && target.grace_end.is_none() && !self.is_suspected(&target.entry.incarnation)
     }
 
+    /// Returns whether a target that would be open otherwise keeps the keys that
+    /// it owns for now, as its zone is evacuated: others release theirs first, or
+    /// the next owner could perhaps not be recorded.
+    fn keeps_keys(&self, now: Time, target: &Target) -> bool {
+        let Some(evacuation) = target.evacuation.filter(|_| target.draining_since.is_none()) else {
+            return false;
+        };
+        let is_due = now >= evacuation.release_at;
+        let was_reached = self.store_contact >= evacuation.release_at
+            && now.since(self.store_contact) < STORE_CONTACT_AGE_MAX;
+        !is_due || !was_reached || self.is_writing
+    }
+
     /// Changes the phase of a range by the state of its owner in the directory.
     /// `open_count` is the number of targets that accept keys.
     fn update_phase(
@@ -337,7 +365,7 @@
             Some(_) if range.disconnected_at.is_some() && now >= range.expiry => {
                 range.phase = Phase::Unowned(now)
             }
-            Some(t) if t.is_open() && !is_earlier(t) => {}
+            Some(t) if (t.is_open() || self.keeps_keys(now, t)) && !is_earlier(t) => {}
             // The entry of the owner may be on its way to a new leader.
             _ if !has_addr && now < range.expiry => {}
             _ if !has_addr => range.phase = Phase::Unowned(now),
@@ -348,7 +376,14 @@
             _ if range.earlier_expiry > now => {}
             // The answer to a release would be awaited for longer than the lease.
             None if range.failure_weight > 0 => range.phase = Phase::Unowned(range.expiry),
-            _ if open_count > 0 => range.phase = Phase::Releasing,
+            _ if open_count > 0 => {
+                range.phase = Phase::Releasing;
+                // The release does not wait for the time of the next renewal,
+                // which may be a half of the time for the evacuation.
+                if known.is_some_and(|t| t.evacuation.is_some()) {
+                    range.next_send = now;
+                }
+            }
             _ => {}
         }
     }
@@ -476,6 +511,9 @@
         for service in names {
             let mut ranges = self.services.remove(&service).unwrap_or_default();
             let mut open = self.open_targets(&service, directory);
+            if directory.evacuated_zones().next().is_some() {
+                open = evacuation::receivers(now, open);
+            }
             let is_first = ranges.iter().all(|s| s.row.target.is_empty());
             if is_first && now.since(self.directory_changes.1) < DIRECTORY_QUIET_TIME {
                 open.clear();
@@ -538,6 +576,7 @@
     pub fn table_accepted(&mut self, now: Time) {
         self.next_offset += 1;
         self.is_writing = false;
+        self.note_store_contact(now);
         for range in self.services.values_mut().flatten() {
             if range.phase == Phase::Writing {
                 range.phase = Phase::Held;
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`backlog`] | which records are forwarded to other processes |
 //! | [`drain`] | what a process that is asked to stop still takes |
 //! | [`directory`] | which targets exist and which may get new requests |
+//! | [`evacuation`] | when the targets of an evacuated zone stop and their keys move |
 //! | [`owners`] | which target owns a key |
 //! | [`delta`] | the delta between two tables of owners |
 //! | [`granter`] | which commands go to targets and which record is written next |
@@ -38,6 +39,7 @@
 pub mod delta;
 pub mod directory;
 pub mod drain;
+pub mod evacuation;
 pub mod granter;
 pub mod level;
 pub mod load;
--- a/crates/catkin-route/src/topic_copy.rs
+++ b/crates/catkin-route/src/topic_copy.rs
@@ -12,7 +12,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct TopicCopy {
     next_offset: Option<u64>,
+    /// Highest position that was ever known.
+    position_max: u64,
     backlog: Backlog,
+    /// Whether the newest record of each key is kept.
+    is_complete: bool,
     /// Whether the state may hold records from the position on.
     may_be_ahead: bool,
 }
@@ -37,11 +41,20 @@
             return false;
         }
         self.backlog.reset(end);
+        self.is_complete = true;
         self.next_offset = Some(end);
+        self.position_max = self.position_max.max(end);
         self.may_be_ahead = true;
         true
     }
 
+    /// Returns whether a state at an offset holds every record that was ever
+    /// known here, also before a reset. Another process may be behind: its state
+    /// would bring a removed key back.
+    pub fn covers(&self, to: u64) -> bool {
+        to >= self.position_max
+    }
+
     /// Returns whether records that change nothing for this process must be kept.
     pub fn may_be_ahead(&self) -> bool {
         self.may_be_ahead
@@ -63,6 +76,7 @@
     /// processes that need them read the store.
     pub fn forget_before(&mut self, offset: u64) {
         self.backlog.reset(offset);
+        self.is_complete = false;
     }
 
     /// Records that everything before offset `to` was read. `end` is the end of
@@ -70,6 +84,7 @@
     /// current at that time; an answer of the store has a largest size.
     pub fn advance(&mut self, to: u64, end: Option<u64>) -> bool {
         self.next_offset = Some(to);
+        self.position_max = self.position_max.max(to);
         if end.is_some_and(|end| end <= to) {
             self.may_be_ahead = false;
         }
@@ -84,8 +99,12 @@
     }
 
     /// Returns the position and the newest change of each key, for a process
-    /// without a position in a topic all of whose keys are kept.
+    /// without a position in a topic all of whose keys are kept, or `None` if one
+    /// of them may be missing: the process would take that for a removal.
     pub fn newest(&self) -> Option<(u64, Vec<Change>)> {
+        if !self.is_complete {
+            return None;
+        }
         Some((self.next_offset?, self.backlog.newest()?))
     }
 }
--- a/crates/catkin-route/tests/common/mod.rs
+++ b/crates/catkin-route/tests/common/mod.rs
@@ -60,6 +60,8 @@
     pub(crate) now: u64,
     pub(crate) next_offset: u64,
     pub(crate) table: Option<Owners>,
+    /// Whether the leader reaches the store between its writes.
+    pub(crate) reaches_store: bool,
 }
 
 impl SimulatedLeader {
@@ -71,7 +73,8 @@
         }
         let claim = granter::claim(&leader("a"), LEASE_TIMES.duration, None, 0);
         let granter = Granter::new(LEASE_TIMES, at(0), at(0), LEASE_TIMES.duration, &claim, 0);
-        Self { granter, directory, loads: FleetLoads::default(), now: 0, next_offset: 1, table: Some(claim) }
+        let (loads, table) = (FleetLoads::default(), Some(claim));
+        Self { granter, directory, loads, now: 0, next_offset: 1, table, reaches_store: true }
     }
 
     /// Advances the time without a round of the leader.
@@ -84,6 +87,9 @@
     pub(crate) fn round(&mut self) -> Vec<Command> {
         let keyed: [Arc<str>; 1] = [SERVICE.into()];
         let mut commands = Vec::new();
+        if self.reaches_store {
+            self.granter.note_store_contact(at(self.now));
+        }
         for step in self.granter.tick(at(self.now), &keyed, &self.directory, &self.loads) {
             match step {
                 Step::Send(command) => commands.push(command),
--- a/crates/catkin-route/tests/granter.rs
+++ b/crates/catkin-route/tests/granter.rs
@@ -364,6 +364,7 @@
             now,
             next_offset: offset + 1,
             table: Some(claim.clone()),
+            reaches_store: true,
         };
         next.directory.put(at(now), entry("a", 1));
         next.directory.put(at(now), entry("b", 1));
@@ -675,7 +676,9 @@
     let granter = Granter::new(LEASE_TIMES, at(0), at(0), LEASE_TIMES.duration, &claim, 1);
     let loads = FleetLoads::default();
     directory.learn_owners(at(0), &claim);
-    let mut sim = SimulatedLeader { granter, directory, loads, now: 0, next_offset: 2, table: Some(claim) };
+    let table = Some(claim);
+    let mut sim =
+        SimulatedLeader { granter, directory, loads, now: 0, next_offset: 2, table, reaches_store: true };
     assert!(sim.run(900, accept).is_empty(), "nothing is known of the owner");
     sim.directory.put(at(sim.now), entry("a", 5));
     let commands = sim.run(5_000, accept);
--- a/crates/catkin-route/tests/topic_copy.rs
+++ b/crates/catkin-route/tests/topic_copy.rs
@@ -85,6 +85,23 @@
     assert_eq!(offsets(&copy, 10), None);
     assert_eq!(offsets(&copy, 12), Some(vec![]));
     assert!(copy.newest().is_none());
+    // The key of the missing record may be another one than that of the next.
+    copy.add(change(12));
+    copy.advance(13, Some(13));
+    assert!(copy.newest().is_none());
+}
+
+/// A leader may be behind a process that lists a topic anew. Its state would end
+/// an evacuation that has begun since, or bring one back that has ended.
+#[test]
+fn state_behind_the_last_known_position_is_told_apart() {
+    let mut copy = TopicCopy::default();
+    assert!(copy.covers(0));
+    copy.list(10);
+    copy.advance(12, Some(12));
+    copy.reset();
+    assert!(!copy.covers(11));
+    assert!(copy.covers(12));
 }
 
 /// After an outage the store has more records than fit into one answer. The time
