edge: read and forward evacuations with the configuration

Removals are forwarded as well, a complete listing without the key ends an evacuation, and a state of a leader that is behind the last known position is not taken as a listing. Stand-in servers have zones and count requests after the bound as violations.

--- a/crates/catkin-edge/src/feed.rs
+++ b/crates/catkin-edge/src/feed.rs
@@ -75,6 +75,12 @@
         self.checked_at.get() > Time::default()
     }
 
+    /// Returns whether a state at an offset holds every record that was ever
+    /// known, see [`TopicCopy::covers`].
+    pub(crate) fn covers(&self, to: u64) -> bool {
+        self.copy.borrow().covers(to)
+    }
+
     /// Records that everything before offset `to` was read at time `at`, when
     /// the topic ended at `end`, if that is known.
     pub(crate) fn advance(&self, to: u64, end: Option<u64>, at: Time) {
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -191,6 +191,11 @@
             Some(config) => config.keyed().cloned().collect(),
             None => Vec::new(),
         };
+        let joined_at = self.node.last_join.get().unwrap_or_default();
+        // The read of the configuration waits in the store, so its answer tells
+        // little of whether the store takes calls now.
+        let read_at = self.node.directory_feed.checked_at();
+        self.granter.note_store_contact(joined_at.max(read_at));
         let directory = self.node.directory.borrow();
         let steps = with_loads(|loads| self.granter.tick(now, &services, &directory, loads));
         drop(directory);
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -85,13 +85,15 @@
     }
 
     /// Returns a listing of the directory. It is made once for all processes
-    /// that ask within a while, and the changes since are forwarded.
+    /// that ask within a while, and the changes since are forwarded. That the
+    /// targets of a zone are cold after an evacuation is not among these.
     pub(super) fn listing(&self, node: &Node) -> io::Result<Option<Rc<Listing>>> {
         let Some(to) = node.directory_feed.next_offset() else { return Ok(None) };
         let now = node.now();
         let mut cached = self.listing.borrow_mut();
         if let Some((made_at, listing)) = &*cached
             && now.since(*made_at) < LISTING_AGE_MAX
+            && *made_at >= node.directory.borrow().readmitted_at()
             && node.directory_feed.since(listing.to).is_some()
         {
             return Ok(Some(listing.clone()));
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -37,6 +37,9 @@
     unknown_kinds: Gauge,
     link_delay: Histogram,
     held: Gauge,
+    evacuated_zones: Gauge,
+    evacuated_ranges: Gauge,
+    evacuated_requests: Gauge,
 }
 
 impl Metrics {
@@ -63,6 +66,14 @@
         registry.register("link_delay_seconds", "Time from a report to its answer", link_delay.clone());
         let held = Gauge::default();
         registry.register("held_bytes", "Bytes of requests, answers and messages", held.clone());
+        let evacuated_zones = Gauge::default();
+        registry.register("evacuated_zones", "Evacuated zones", evacuated_zones.clone());
+        let evacuated_ranges = Gauge::default();
+        let help = "Ranges of keys whose owner is in an evacuated zone";
+        registry.register("evacuated_ranges", help, evacuated_ranges.clone());
+        let evacuated_requests = Gauge::default();
+        let help = "Requests of this process in progress at targets of evacuated zones";
+        registry.register("evacuated_requests", help, evacuated_requests.clone());
         Self {
             registry,
             answers,
@@ -74,6 +85,9 @@
             unknown_kinds,
             link_delay,
             held,
+            evacuated_zones,
+            evacuated_ranges,
+            evacuated_requests,
         }
     }
 
@@ -94,6 +108,14 @@
         self.held.set(i64::try_from(held.as_bytes()).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of evacuated zones, of the ranges that their targets own,
+    /// and of the requests in progress there.
+    pub(crate) fn set_evacuated(&self, zones: usize, ranges: usize, requests: u32) {
+        self.evacuated_zones.set(i64::try_from(zones).unwrap_or(i64::MAX));
+        self.evacuated_ranges.set(i64::try_from(ranges).unwrap_or(i64::MAX));
+        self.evacuated_requests.set(i64::from(requests));
+    }
+
     /// Records the time from a report to the leader to its answer.
     pub(crate) fn record_link_delay(&self, delay: Span) {
         self.link_delay.observe(delay.as_secs_f64());
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -128,6 +128,9 @@
     /// Time of the leader's last contact with the store that this process knows
     /// of; the default time once the leader is known not to lead.
     pub(crate) leader_store_contact: Cell<Time>,
+    /// Ranges of keys whose owner was in an evacuated zone when they were last
+    /// counted.
+    pub(crate) evacuated_ranges: Cell<usize>,
     /// Limits of log lines.
     pub(crate) log_limiter: LogLimiter,
     /// Metrics of the process.
@@ -189,7 +192,11 @@
             backoff: Cell::new(None),
             config: RefCell::default(),
             split: RefCell::default(),
-            directory: RefCell::new(Directory::default().with_entry_ttl(entry_ttl(&settings))),
+            directory: RefCell::new(
+                Directory::default()
+                    .with_entry_ttl(entry_ttl(&settings))
+                    .with_evacuation_time(bounds.evacuation_time),
+            ),
             directory_read: Cell::new(false),
             owners: watch::Sender::new(None),
             pool: Pool::default(),
@@ -209,6 +216,7 @@
             is_successor: Cell::new(false),
             is_leader: Cell::new(false),
             leader_store_contact: Cell::new(BootClock.now()),
+            evacuated_ranges: Cell::new(0),
             log_limiter: LogLimiter::default(),
             metrics: Metrics::new(),
             settings,
@@ -274,6 +282,57 @@
         true
     }
 
+    /// Records that the operator has evacuated a zone, see
+    /// [`Directory::evacuate`].
+    pub(crate) fn evacuate(&self, zone: &str, written_after: Time) -> bool {
+        let now = self.now();
+        let is_new = self.directory.borrow_mut().evacuate(now, zone, written_after);
+        if is_new {
+            let age_ms = now.since(written_after).as_millis();
+            let age_max_ms = (written_after > Time::default()).then_some(age_ms);
+            log::info!(zone, age_max_ms; "zone is evacuated");
+            self.capacity_changed.notify_waiters();
+        }
+        is_new
+    }
+
+    /// Records that the operator has withdrawn the evacuation of a zone. Its
+    /// targets are cold for the time that the configuration names. Returns
+    /// whether the zone was evacuated.
+    pub(crate) fn readmit(&self, zone: &str) -> bool {
+        let config = self.config.borrow().clone();
+        let cold_time = |service: &str| {
+            let spec = config.as_ref().and_then(|config| config.services.get(service)?.cold);
+            spec.map_or(Span::ZERO, |cold| cold.duration)
+        };
+        let was_evacuated = self.directory.borrow_mut().readmit(self.now(), zone, cold_time);
+        if was_evacuated {
+            log::info!(zone; "evacuation of a zone withdrawn");
+            self.capacity_changed.notify_waiters();
+        }
+        was_evacuated
+    }
+
+    /// Counts what evacuated zones still have, for the metrics, and logs when
+    /// their targets own no more keys.
+    fn count_evacuated(&self) {
+        let directory = self.directory.borrow();
+        let is_evacuated = |id: &str| directory.get(id).is_some_and(|t| t.evacuation.is_some());
+        let zones = directory.evacuated_zones().count();
+        let (mut ranges, mut requests) = (0, 0);
+        if zones > 0 {
+            let owners = self.owners();
+            let rows = owners.iter().flat_map(|owners| owners.table.services.values().flatten());
+            ranges = rows.filter(|row| is_evacuated(&row.target)).count();
+            let in_flight = self.loads.borrow().in_flight();
+            requests = in_flight.iter().filter(|(id, _)| is_evacuated(id)).map(|(_, count)| count).sum();
+        }
+        if self.evacuated_ranges.replace(ranges) > 0 && ranges == 0 && zones > 0 {
+            log::info!(zones; "targets of evacuated zones own no more keys");
+        }
+        self.metrics.set_evacuated(zones, ranges, requests);
+    }
+
     /// Returns whether the process has received a signal to stop.
     pub(crate) fn is_draining(&self) -> bool {
         *self.stage.borrow() > Stage::Serving
@@ -296,6 +355,8 @@
         self.pool.sweep(now, &directory);
         self.metrics.set_config_age(now.since(self.config_feed.checked_at()));
         self.metrics.set_held(catkin_net::held());
+        drop(directory);
+        self.count_evacuated();
     }
 }
 
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -19,7 +19,7 @@
         backlog::{Change, Payload},
         directory::{Directory, Entry, Incarnation, Target},
     },
-    std::{collections::HashSet, rc::Rc},
+    std::{collections::HashSet, rc::Rc, sync::Arc},
 };
 
 /// Time for an answer of the store, in addition to the time that a call asks
@@ -115,15 +115,35 @@
     Leader,
 }
 
+/// Origin of a record.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
+    source: Source,
+    /// Time after which the value was written, if it differs from the known one:
+    /// the topic was last known to be current then.
+    written_after: Time,
+}
+
 /// Applies a key and value. Returns whether it changed the state.
-type Apply = fn(&Node, Source, &[u8], &[u8]) -> bool;
+type Apply = fn(&Node, Origin, &[u8], &[u8]) -> bool;
 
-fn apply_config(node: &Node, source: Source, key: &[u8], value: &[u8]) -> bool {
+/// Returns whether a key of the topic of the configuration is used.
+fn is_config_key(key: &[u8]) -> bool {
+    key == name::CONFIG_KEY || name::parse_evacuation(key).is_some()
+}
+
+fn apply_config(node: &Node, origin: Origin, key: &[u8], value: &[u8]) -> bool {
+    if let Some(zone) = name::parse_evacuation(key) {
+        return match value.is_empty() {
+            true => node.readmit(zone),
+            false => node.evacuate(zone, origin.written_after),
+        };
+    }
     if key != name::CONFIG_KEY {
         return false;
     }
     match config::decode(value) {
-        Ok(config) => node.update_config(config, source),
+        Ok(config) => node.update_config(config, origin.source),
         Err(error) => {
             log::warn!(error:display; "invalid configuration ignored");
             false
@@ -131,7 +151,15 @@
     }
 }
 
-fn apply_target(node: &Node, source: Source, key: &[u8], value: &[u8]) -> bool {
+/// Ends the evacuations of zones whose keys a complete listing does not have.
+fn readmit_unlisted(node: &Node, is_listed: impl Fn(&str) -> bool) {
+    let zones: Vec<Arc<str>> = node.directory.borrow().evacuated_zones().cloned().collect();
+    for zone in zones.iter().filter(|zone| !is_listed(zone)) {
+        node.readmit(zone);
+    }
+}
+
+fn apply_target(node: &Node, origin: Origin, key: &[u8], value: &[u8]) -> bool {
     let now = node.now();
     let mut directory = node.directory.borrow_mut();
     if value.is_empty() {
@@ -141,7 +169,7 @@
     match entry::decode(key, value) {
         Ok(entry) => {
             log_other_process(&directory, &entry);
-            match source {
+            match origin.source {
                 Source::Listing => directory.put_listed(now, entry),
                 Source::Store | Source::Leader => directory.put(now, entry),
             }
@@ -162,9 +190,16 @@
     }
 }
 
-/// Applies configurations that the leader forwarded.
+/// Applies configurations and evacuations that the leader forwarded.
 pub(crate) fn apply_forwarded_configs(node: &Node, batch: &Batch, at: Time) {
-    apply_forwarded(node, &node.config_feed, batch, at, apply_config);
+    let feed = &node.config_feed;
+    let had_position = feed.next_offset().is_some();
+    apply_forwarded(node, feed, batch, at, apply_config);
+    if !had_position && feed.next_offset().is_some() {
+        let live = batch.changes.iter().filter(|change| change.value.size() > 0);
+        let zones: HashSet<&str> = live.filter_map(|change| name::parse_evacuation(&change.key)).collect();
+        readmit_unlisted(node, |zone| zones.contains(zone));
+    }
 }
 
 /// Applies directory entries that the leader forwarded.
@@ -217,8 +252,9 @@
 /// Applies forwarded changes that continue at the known position. After a gap,
 /// or if a change is invalid, the records are read from the store.
 fn apply_forwarded(node: &Node, feed: &Feed, batch: &Batch, at: Time, apply: Apply) {
+    let origin = Origin { source: Source::Leader, written_after: feed.checked_at() };
     let known = match feed.next_offset() {
-        None if batch.from == 0 && is_recent(node, at) => {
+        None if batch.from == 0 && is_recent(node, at) && feed.covers(batch.to) => {
             feed.list(batch.to, at);
             0
         }
@@ -228,7 +264,7 @@
     for change in batch.changes.iter().filter(|c| c.offset >= known) {
         match change.value.decode() {
             Ok(value) => {
-                let has_changed = apply(node, Source::Leader, &change.key, &value);
+                let has_changed = apply(node, origin, &change.key, &value);
                 feed.add(change.clone(), has_changed);
             }
             Err(error) => {
@@ -271,6 +307,7 @@
         let timeout = ANSWER_TIMEOUT.as_duration();
         let (node, feed) = (self.node, self.feed);
         let sent_at = node.now();
+        let written_after = feed.checked_at();
         let Some(from) = feed.next_offset() else {
             let newest = node.store.newest(feed.topic, timeout).await?;
             if !feed.list(newest.end, sent_at) {
@@ -279,8 +316,9 @@
             }
             let live = newest.items.iter().filter(|r| !r.value.is_empty());
             let keys = live.clone().map(|r| r.key.clone()).collect();
+            let origin = Origin { source: Source::Listing, written_after };
             for record in live {
-                (self.apply)(node, Source::Listing, &record.key, &record.value);
+                (self.apply)(node, origin, &record.key, &record.value);
             }
             for KeyedRecord { key, value } in newest.items.into_iter().filter(|r| (self.is_kept)(&r.key)) {
                 self.keep(newest.end.saturating_sub(1), key, &value, true);
@@ -297,10 +335,11 @@
         let to = from + batch.records.len() as u64;
         let decoded = batch.records.into_iter().map(|record| decode_record(record, feed.topic));
         let records: Vec<Option<KeyedRecord>> = decoded.collect();
+        let origin = Origin { source: Source::Store, written_after };
         (self.on_removed)(node, records.iter().flatten().filter(|r| r.value.is_empty()).count());
         for (offset, record) in (from..).zip(records) {
             let Some(KeyedRecord { key, value }) = record else { continue };
-            let has_changed = (self.apply)(node, Source::Store, &key, &value);
+            let has_changed = (self.apply)(node, origin, &key, &value);
             if has_changed || feed.may_be_ahead() {
                 self.keep(offset, key, &value, has_changed);
             }
@@ -354,14 +393,14 @@
         && node.now().since(feed.checked_at()) < FORWARD_AGE_MAX
 }
 
-/// Keeps the configuration up to date.
+/// Keeps the configuration and the evacuated zones up to date.
 pub(crate) async fn read_config(node: Rc<Node>) {
     let mut reader = Reader {
         node: &node,
         feed: &node.config_feed,
         on_removed: |_, _| (),
         apply: apply_config,
-        is_kept: |key| key == name::CONFIG_KEY,
+        is_kept: is_config_key,
         failing: false,
     };
     loop {
@@ -374,7 +413,10 @@
             true => CONFIG_WAIT,
             false => Span::ZERO,
         };
-        reader.next(wait).await;
+        if let Some(keys) = reader.next(wait).await {
+            let zones: HashSet<&str> = keys.iter().filter_map(|key| name::parse_evacuation(key)).collect();
+            readmit_unlisted(&node, |zone| zones.contains(zone));
+        }
     }
 }
 
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -231,6 +231,12 @@
     /// Starts a fleet of edge processes with three servers of each service,
     /// and waits until they serve.
     pub(crate) async fn start(edges: usize) -> Self {
+        Self::start_in(edges, &["z"]).await
+    }
+
+    /// Starts a fleet as [`start`](Self::start) does, with the servers in the given
+    /// zones in turn.
+    pub(crate) async fn start_in(edges: usize, zones: &[&str]) -> Self {
         let store = Store::default();
         let store_addr = store.start().await;
         let checker = InvariantChecker::default();
@@ -238,8 +244,8 @@
         let mut servers = Vec::new();
         for i in 0..6 {
             let (service, keyed) = if i < 3 { ("keyed", true) } else { ("plain", false) };
-            let server =
-                Server::new(&format!("s{i}"), service, keyed, Duration::from_millis(20), &store, &checker);
+            let (zone, id, work) = (zones[i % zones.len()], format!("s{i}"), Duration::from_millis(20));
+            let server = Server::new_in(zone, &id, service, keyed, work, &store, &checker);
             server.start().await;
             servers.push(server);
         }
--- a/crates/catkin-edge/tests/soak.rs
+++ b/crates/catkin-edge/tests/soak.rs
@@ -12,7 +12,9 @@
 use {
     actix_http::Method,
     bytes::Bytes,
-    catkin_standin::users::{Config, Route, Server, ServerFaults, StoreMode, put_config},
+    catkin_standin::users::{
+        Config, Route, Server, ServerFaults, StoreMode, evacuate, put_config, withdraw_evacuation,
+    },
     common::{Fleet, ProxyMode, Tally, holders::watch_holders, open, plan, send_on},
     nix::sys::signal::Signal,
     rand::{RngExt, SeedableRng},
@@ -42,6 +44,9 @@
 /// Number of faults for each late write of a directory entry.
 const LATE_WRITE_EVERY: u32 = 5;
 
+/// Number of faults for each evacuation of a zone.
+const EVACUATION_EVERY: u32 = 6;
+
 /// Number of callers of a run.
 const CALLERS: u64 = 6;
 
@@ -102,6 +107,10 @@
     if kind < 3 {
         fleet.checker.record_disturbance();
     }
+    let cuts_store = matches!(kind, 3 | 4);
+    if cuts_store {
+        fleet.checker.record_cut();
+    }
     let wait = random.random_range(300..4_000);
     println!("  fault {kind} on {i} for {wait} ms");
     let edge = &fleet.edges[i];
@@ -151,6 +160,9 @@
         6 => restart_server(&fleet, &mut random).await,
         _ => fleet.store.compact(["keyed.op", "keyed.servers", "keyed.owners"][i]),
     }
+    if cuts_store {
+        fleet.checker.record_cut();
+    }
 }
 
 /// Restarts a keyed server, which is listed late, and lets an entry of its
@@ -201,6 +213,15 @@
     }
 }
 
+/// Evacuates the zone of one server of each service for a random time.
+async fn evacuate_zone(fleet: Rc<Fleet>, seed: u64) {
+    let wait = ChaCha8Rng::seed_from_u64(seed).random_range(500..16_000);
+    println!("  evacuation for {wait} ms");
+    evacuate(&fleet.store, "y");
+    sleep(wait).await;
+    withdraw_evacuation(&fleet.store, "y");
+}
+
 /// Replaces one keyed server by another one, as a deployment does.
 async fn replace_server(fleet: Rc<Fleet>) {
     let old = &fleet.servers[2];
@@ -217,7 +238,7 @@
 
 async fn run(seed: u64) {
     println!("seed {seed}");
-    let fleet = Rc::new(Fleet::start(EDGES).await);
+    let fleet = Rc::new(Fleet::start_in(EDGES, &["y", "z", "z"]).await);
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let (stop, tally) = (Rc::<Cell<bool>>::default(), Tally::default());
     let callers: Vec<_> = (0..CALLERS)
@@ -239,6 +260,10 @@
         if version % LATE_WRITE_EVERY == 0 {
             faults.push(actix_rt::spawn(write_late(fleet.clone(), seed * 1_000 + 500 + u64::from(version))));
         }
+        if version % EVACUATION_EVERY == 0 {
+            faults
+                .push(actix_rt::spawn(evacuate_zone(fleet.clone(), seed * 1_000 + 250 + u64::from(version))));
+        }
         sleep(random.random_range(0..1_200)).await;
     }
     for fault in faults {
--- a/crates/catkin-standin/src/users/invariants.rs
+++ b/crates/catkin-standin/src/users/invariants.rs
@@ -19,6 +19,8 @@
     violations: Vec<String>,
     /// When a process was last started, paused or ended.
     disturbed_at: Option<Instant>,
+    /// When a process was last cut off from the store, or no longer.
+    cut_at: Option<Instant>,
 }
 
 /// Records what servers run and what callers are told, and detects violations.
@@ -79,6 +81,19 @@
         self.inner.borrow_mut().disturbed_at = Some(Instant::now());
     }
 
+    /// Records that processes are cut off from the store from now on, or no
+    /// longer.
+    pub fn record_cut(&self) {
+        self.inner.borrow_mut().cut_at = Some(Instant::now());
+    }
+
+    /// Returns the time since which every process has run and could reach the
+    /// store, but not before `since`.
+    pub fn reachable_since(&self, since: Instant) -> Instant {
+        let inner = self.inner.borrow();
+        [inner.disturbed_at, inner.cut_at].into_iter().flatten().fold(since, Instant::max)
+    }
+
     /// Returns whether every process has run since a time.
     pub fn is_calm_since(&self, since: Instant) -> bool {
         self.inner.borrow().disturbed_at.is_none_or(|at| at < since)
--- a/crates/catkin-standin/src/users/mod.rs
+++ b/crates/catkin-standin/src/users/mod.rs
@@ -15,7 +15,7 @@
 
 pub use {
     invariants::InvariantChecker,
-    operator::{Config, Route, put_config},
+    operator::{Config, Route, evacuate, put_config, withdraw_evacuation},
     server::{Server, ServerFaults},
     store::{Store, StoreMode},
 };
--- a/crates/catkin-standin/src/users/operator.rs
+++ b/crates/catkin-standin/src/users/operator.rs
@@ -45,6 +45,16 @@
     store.put("keyed.op", "config", document.to_string().as_bytes());
 }
 
+/// Evacuates a zone.
+pub fn evacuate(store: &Store, zone: &str) {
+    store.put("keyed.op", &format!("evacuate/{zone}"), b"{}");
+}
+
+/// Withdraws the evacuation of a zone.
+pub fn withdraw_evacuation(store: &Store, zone: &str) {
+    store.put("keyed.op", &format!("evacuate/{zone}"), b"");
+}
+
 fn rule(config: &Config, route: &Route) -> Value {
     let split: Vec<Value> = route.split.iter().map(|(s, w)| json!({ "service": s, "weight": w })).collect();
     json!({
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -26,6 +26,10 @@
 /// Interval at which a server publishes its entry.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time after the evacuation of a zone from which on its servers must get no
+/// requests.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
+
 /// Faults of a server. For those with a number n, 0 means off.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServerFaults {
@@ -53,6 +57,7 @@
 struct Inner {
     id: String,
     service: String,
+    zone: String,
     keyed: bool,
     work_time: Duration,
     checker: InvariantChecker,
@@ -111,10 +116,24 @@
         work_time: Duration,
         store: &Store,
         checker: &InvariantChecker,
+    ) -> Self {
+        Self::new_in("z", id, service, keyed, work_time, store, checker)
+    }
+
+    /// Creates a server in a zone.
+    pub fn new_in(
+        zone: &str,
+        id: &str,
+        service: &str,
+        keyed: bool,
+        work_time: Duration,
+        store: &Store,
+        checker: &InvariantChecker,
     ) -> Self {
         let inner = Inner {
             id: id.to_owned(),
             service: service.to_owned(),
+            zone: zone.to_owned(),
             keyed,
             work_time,
             checker: checker.clone(),
@@ -273,7 +292,7 @@
         let entry = json!({
             "address": addr.to_string(),
             "born": incarnation,
-            "info": { "service": inner.service, "configVersion": "v1", "zone": "z", "slots": SLOTS },
+            "info": { "service": inner.service, "configVersion": "v1", "zone": inner.zone, "slots": SLOTS },
             "status": { "state": state, "seq": 1, "coldLeftMs": 0 },
         });
         inner.store.put("keyed.servers", &inner.id, entry.to_string().as_bytes());
@@ -346,7 +365,19 @@
         true
     }
 
+    /// Records a violation if the zone was evacuated too long ago for a request.
+    /// Only the time counts in which every process ran and could reach the store.
+    fn check_evacuation(&self) {
+        let Inner { id, zone, checker, store, .. } = &*self.inner;
+        let Some(since) = store.set_since("keyed.op", &format!("evacuate/{zone}")) else { return };
+        let late = checker.reachable_since(since).elapsed();
+        if late > EVACUATION_TIME {
+            checker.add_violation(format!("{id} got a request {late:?} after zone {zone} was evacuated"));
+        }
+    }
+
     async fn run(&self, mut request: Request) -> Response<BoxBody> {
+        self.check_evacuation();
         let inner = &self.inner;
         let number = inner.received.get() + 1;
         inner.received.set(number);
--- a/crates/catkin-standin/src/users/store.rs
+++ b/crates/catkin-standin/src/users/store.rs
@@ -66,6 +66,8 @@
     mode: Cell<StoreMode>,
     /// Time by which listings of a topic are answered late, by topic.
     listing_delays: RefCell<HashMap<String, Duration>>,
+    /// Since when keys have a value that were put, by topic and key.
+    set_since: RefCell<HashMap<(String, String), Instant>>,
     /// Number of calls by path.
     calls: RefCell<HashMap<String, u64>>,
     appended: Notify,
@@ -139,6 +141,13 @@
     /// Appends a record in any mode, for the operator and the servers. An empty
     /// value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut set_since = self.inner.set_since.borrow_mut();
+        let id = (topic.to_owned(), key.to_owned());
+        if value.is_empty() {
+            set_since.remove(&id);
+        } else {
+            set_since.entry(id).or_insert_with(Instant::now);
+        }
         self.inner
             .topics
             .borrow_mut()
@@ -149,6 +158,11 @@
         self.inner.appended.notify_waiters();
     }
 
+    /// Returns since when a key has a value that was put.
+    pub fn set_since(&self, topic: &str, key: &str) -> Option<Instant> {
+        self.inner.set_since.borrow().get(&(topic.to_owned(), key.to_owned())).copied()
+    }
+
     /// Compacts a topic to the newest value of each key. The end stays the
     /// same: the records that are kept get the last offsets, and reads from
     /// earlier offsets are answered with status 410.
