Use tokens for a cold target whatever its estimated load

Requests that are queued for a target make the leader tell all processes that it is full, so those with a token would not have sent. A token or slot is now enough, as the cold rate is far below what fills the slots. The test fails with the estimates in front.

--- a/crates/catkin-route/src/cold.rs
+++ b/crates/catkin-route/src/cold.rs
@@ -216,6 +216,11 @@
         true
     }
 
+    /// Forgets what the last check found, as the target is not cold.
+    pub(crate) fn end(&mut self) {
+        self.pass = None;
+    }
+
     /// Records tokens that the leader handed out for a report that was sent at a
     /// time. They replace unused ones, which are about to expire.
     pub(crate) fn grant(&mut self, now: Time, reported_at: Time, grant: &TokenGrant) {
@@ -273,6 +278,9 @@
         cold: impl Fn(&str) -> Option<(Incarnation, RequestRate)>,
         queue_length: impl Fn(&str) -> u32,
     ) -> Vec<TokenGrant> {
+        if queued.is_empty() {
+            return Vec::new();
+        }
         let heard = self.reports.values().filter(|at| now.since(**at) < REPORT_AGE_MAX).count();
         let part = heard as f64 / f64::from(self.census.most().max(1));
         let mut grants = Vec::new();
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -125,7 +125,7 @@
 
     /// Checks whether the target may get one more request, by what it announced,
     /// by the quota if there is one, and by estimates of its load. A cold target
-    /// gets requests by `cold` in place of quotas.
+    /// gets requests by `cold` in place of both.
     pub(super) fn check(
         &mut self,
         now: Time,
@@ -151,8 +151,12 @@
             return Err(Denial::Limited(pace.fleet_interval()));
         }
         if let Some(terms) = cold {
-            self.cold.check(now, terms).map_err(Denial::Cold)?;
-        } else if let Some(quota) = quota {
+            // The cold rate is far below what fills the slots. Queued requests for
+            // the target make the estimates of its load count it as full.
+            return self.cold.check(now, terms).map_err(Denial::Cold);
+        }
+        self.cold.end();
+        if let Some(quota) = quota {
             return if quota.left > 0 { Ok(()) } else { Err(Denial::NoQuota) };
         }
         let share = (OWN_SHARE_FACTOR * f64::from(slots) / f64::from(peers.max(1))).ceil() as u32;
--- a/crates/catkin-route/tests/cold.rs
+++ b/crates/catkin-route/tests/cold.rs
@@ -493,6 +493,23 @@
     }
 }
 
+/// The leader tells the others that a target with queued requests is full. Its
+/// tokens must be of use all the same.
+#[test]
+fn tokens_are_used_beside_a_queue() {
+    let mut process = Process::new(0, 4.7);
+    process.directory.put(at(0), Entry { cold_left: Span::from_secs(60), ..entry("a", 1) });
+    let target = process.directory.get("a").unwrap();
+    process.loads.record_tokens(at(0), at(0), None, &[]);
+    assert!(matches!(process.loads.check(at(100), target, true, 70), Err(Denial::Cold(_))));
+    process.loads.record_total(at(100), "a", 15, 70);
+    let grants = [TokenGrant { incarnation: incarnation("a", 1), count: 1, wait: 0 }];
+    process.loads.record_tokens(at(110), at(100), None, &grants);
+    assert_eq!(process.loads.check(at(120), target, true, 70), Ok(()));
+    assert!(process.loads.begin(at(120), &incarnation("a", 1), 70));
+    assert!(matches!(process.loads.check(at(130), target, true, 70), Err(Denial::Cold(_))));
+}
+
 /// Slots of processes that see the same number are one for each step.
 #[test]
 fn each_slot_belongs_to_one_process() {
