Refuse less urgent requests at once while a service has too little room

In a burst the least urgent requests took the slots of urgent ones: one process sees one request in seventy, so none could tell that the service as a whole was overloaded, and requests waited until half of their latency objective had passed and were refused then.

Each process reports, by service and rank, the requests that came, were refused and ended, the time that these took and how long requests waited for a slot. The leader derives the share of each rank that is admitted and answers reports with it; a process admits by a hash of the request's id that changes four times a second. A refused request is told when its hash admits it. Without a leader a process keeps the shares for 1.5 s and then follows the same rule on its own counts. Services with one rank have no threshold.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -21,6 +21,9 @@
     NoTarget,
     /// No target that may get the request takes it now.
     Denied(Denial),
+    /// Too many requests come for the service, and this one is not among those
+    /// that are admitted. It should return after the span.
+    NotAdmitted(Span),
     /// More requests are queued for the key's owner than it can take in time.
     QueueTooLong,
     /// Less than [`TIME_LEFT_MIN`] is left until the deadline.
@@ -31,7 +34,9 @@
     /// Returns the time until a target wants the request, if it has said so.
     pub(crate) fn wait(self) -> Option<Span> {
         match self {
-            Self::Denied(Denial::Paused(wait) | Denial::Limited(wait)) => Some(wait),
+            Self::Denied(Denial::Paused(wait) | Denial::Limited(wait)) | Self::NotAdmitted(wait) => {
+                Some(wait)
+            }
             _ => None,
         }
     }
@@ -110,6 +115,42 @@
     }
 }
 
+/// Counts a request as waiting for a target until it is dropped.
+struct WaitGuard<'a> {
+    node: &'a Node,
+    routed: &'a RoutedRequest<'a>,
+}
+
+impl<'a> WaitGuard<'a> {
+    fn new(node: &'a Node, routed: &'a RoutedRequest<'a>) -> Self {
+        let guard = Self { node, routed };
+        guard.count(true);
+        guard
+    }
+
+    fn count(&self, begins: bool) {
+        let RoutedRequest { service, route, .. } = self.routed;
+        let (now, mut admission) = (self.node.now(), self.node.admission.borrow_mut());
+        admission.count_waiting(now, service, route.priority, route.latency_objective, begins);
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.count(false);
+    }
+}
+
+/// Checks whether a request is admitted to its service.
+fn check_admission(node: &Node, routed: &RoutedRequest<'_>) -> Result<(), AdmitError> {
+    let rank = routed.route.priority;
+    let checked = node.admission.borrow_mut().check(node.now(), &routed.service, rank, &routed.id);
+    checked.map_err(|wait| {
+        node.metrics.count_overload_refusal(&routed.service, rank);
+        AdmitError::NotAdmitted(wait)
+    })
+}
+
 /// Returns how far a request without a key may fill a target.
 fn fill_factor(node: &Node, routed: &RoutedRequest<'_>, now: Time) -> FillFactor {
     let ranks = node.config.borrow().as_ref().and_then(|c| c.ranks.get(&routed.service).copied());
@@ -182,10 +223,14 @@
     routed: &RoutedRequest<'_>,
     attempts: &Attempts,
 ) -> Result<Admitted, AdmitError> {
+    if attempts.is_empty() {
+        check_admission(node, routed)?;
+    }
     let wait_max = routed.route.latency_objective.scale(WAIT_FRACTION);
     let started = node.now();
     let wait_until = routed.incoming.arrived.after(wait_max).max(started.after(TIME_LEFT_MIN));
     let mut place = QueuePlace { node, incarnation: None };
+    let mut waiting = None;
     loop {
         let notified = node.capacity_changed.notified();
         let now = node.now();
@@ -199,6 +244,7 @@
         if error.is_final() || now >= wait_until {
             return Err(error);
         }
+        waiting.get_or_insert_with(|| WaitGuard::new(node, routed));
         let pause = wait_until.since(now).min(RECHECK_INTERVAL);
         let _ = tokio::time::timeout(pause.as_duration(), notified).await;
     }
--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -9,7 +9,7 @@
     catkin::types::{Span, Time},
     catkin_net::{Conn, HttpAnswer},
     catkin_platform::name,
-    catkin_route::{attempts::Attempts, directory::Incarnation, load::Completion},
+    catkin_route::{admission::QueueLoad, attempts::Attempts, directory::Incarnation, load::Completion},
     std::{rc::Rc, time::Duration},
 };
 
@@ -40,16 +40,20 @@
 /// Counts an attempt at its target until the attempt ends or is cancelled.
 struct InFlightGuard<'a> {
     node: &'a Node,
+    routed: &'a RoutedRequest<'a>,
     target: &'a Admitted,
     start: Time,
     completion: Completion,
+    /// Queue that the target reported.
+    queue: QueueLoad,
 }
 
 impl<'a> InFlightGuard<'a> {
-    fn new(node: &'a Node, target: &'a Admitted) -> Self {
+    fn new(node: &'a Node, routed: &'a RoutedRequest<'a>, target: &'a Admitted) -> Self {
         let start = node.now();
         node.loads.borrow_mut().begin(start, &target.incarnation, node.peers());
-        Self { node, target, start, completion: Completion::Cancelled }
+        let completion = Completion::Cancelled;
+        Self { node, routed, target, start, completion, queue: QueueLoad::default() }
     }
 }
 
@@ -58,6 +62,12 @@
         let now = self.node.now();
         let (incarnation, slots) = (&self.target.incarnation, self.target.entry.slots);
         self.node.loads.borrow_mut().end(now, incarnation, self.completion, now.since(self.start), slots);
+        if matches!(self.completion, Completion::Good | Completion::Failed) {
+            let RoutedRequest { service, route, .. } = self.routed;
+            let mut admission = self.node.admission.borrow_mut();
+            let took = now.since(self.start);
+            admission.count_ended(service, route.priority, route.latency_objective, took, self.queue);
+        }
         self.node.capacity_changed.notify_waiters();
     }
 }
@@ -101,7 +111,7 @@
     target: &Admitted,
 ) -> AttemptOutcome {
     let incarnation = &target.incarnation;
-    let mut guard = InFlightGuard::new(node, target);
+    let mut guard = InFlightGuard::new(node, routed, target);
     let pooled =
         node.pool.take(node.now(), incarnation, |conn| !routed.id.is_empty() && attempts.may_send_on(conn));
     let reused = pooled.is_some();
@@ -164,6 +174,7 @@
         // The answered request is still counted both by the target and here.
         let requests = load.running.saturating_add(load.queued);
         node.loads.borrow_mut().record_report(now, incarnation, requests);
+        guard.queue = QueueLoad { queued: load.queued, slots: load.slots };
     }
     announcements::note(node, incarnation, &reply.head, sent_at);
     // A late copy of an answer without an id could pass for the next one.
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -6,6 +6,7 @@
     catkin::types::{Span, Time},
     catkin_net::Held,
     catkin_route::{
+        admission::{self, FleetShares},
         announced::LimitReport,
         backlog::{Change, Payload},
         delta::Delta,
@@ -69,6 +70,8 @@
     pub(super) limits: Vec<LimitReport>,
     /// Listed targets that said in an answer that they leave.
     pub(super) leaving: Vec<Incarnation>,
+    /// Requests by service and rank since the last report.
+    pub(super) admission: admission::Report,
 }
 
 /// Confirms that the asked process of this VM does not lead.
@@ -103,6 +106,8 @@
     /// Listed targets that said in an answer that they leave; present in an answer
     /// to a report.
     pub(super) leaving: Vec<Incarnation>,
+    /// Which requests are admitted; present in an answer to a report.
+    pub(super) admission: Option<FleetShares>,
     /// Whether busy targets with keys accept requests within quotas only.
     pub(super) use_quotas: bool,
     /// Newer table of owners.
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -10,6 +10,7 @@
     },
     catkin::types::{Span, Time},
     catkin_route::{
+        admission::{FleetAdmission, FleetShares},
         delta::Delta,
         directory::Target,
         level::Levels,
@@ -47,6 +48,7 @@
     /// Last reports by VM.
     reports: RefCell<BTreeMap<Arc<str>, Peer>>,
     quotas: RefCell<Quotas>,
+    admission: RefCell<FleetAdmission>,
     cached: RefCell<Option<CachedDelta>>,
     levels: RefCell<Option<CachedLevels>>,
     /// Last listing of the directory and when it was made.
@@ -135,6 +137,24 @@
         Some(TableUpdate::Delta { from, to, delta: delta? })
     }
 
+    /// Returns which requests are admitted.
+    pub(super) fn admission(&self, now: Time) -> FleetShares {
+        self.admission.borrow().shares(now)
+    }
+
+    /// Returns whether waits of a service mean that all its targets together have
+    /// too little room. Requests for a few hot keys also wait while most owners
+    /// are idle.
+    fn is_busy(&self, node: &Node, service: &str) -> bool {
+        let (directory, config) = (node.directory.borrow(), node.config.borrow());
+        let is_keyed = config.as_ref().and_then(|c| c.services.get(service)).is_some_and(|s| s.keyed);
+        let quotas = self.quotas.borrow();
+        let is_busy =
+            |target: &&Target| quotas.load(&target.entry.incarnation.id).is_busy(target.entry.slots);
+        let targets = || directory.of_service(service);
+        !is_keyed || 2 * targets().filter(is_busy).count() >= targets().count()
+    }
+
     /// Returns whether a process is a standby: one of the first strong processes,
     /// or of the first weak ones if too few are strong.
     pub(super) fn is_standby(&self, node: &Node, vm: &str) -> bool {
@@ -153,6 +173,8 @@
         reports.retain(|_, peer| now.since(peer.reported_at) < PEER_TIMEOUT);
         let (in_flight, queued) = (report.in_flight.clone(), report.queued.clone());
         let count = self.quotas.borrow_mut().report(now, &report.vm, in_flight, queued);
+        let may_refuse = |service: &str| self.is_busy(node, service);
+        self.admission.borrow_mut().record(now, &report.admission, may_refuse);
         lead::with_loads(|loads| {
             for (service, keys) in &report.key_counts {
                 for (key, count) in keys {
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -58,6 +58,7 @@
         service_times,
         limits,
         leaving: node.directory.borrow().leaving(),
+        admission: node.admission.borrow_mut().report(node.now()),
     }
 }
 
@@ -124,6 +125,9 @@
             Err(error) => log::warn!(error:display; "invalid listing of the directory ignored"),
         }
     }
+    if let Some(shares) = &state.admission {
+        node.admission.borrow_mut().apply(now, shares);
+    }
     // Loads refer to the targets of the newest directory.
     if let Some(allotted) = state.quotas {
         apply_loads(node, now, state.levels.as_deref(), state.use_quotas, &allotted);
@@ -159,11 +163,16 @@
     for levels in levels.into_iter().flatten() {
         let targets: Vec<&Target> = directory.of_service(&levels.service).collect();
         let keyed = config.as_ref().and_then(|c| c.services.get(&levels.service)).is_some_and(|s| s.keyed);
+        let ranks = config.as_ref().and_then(|c| c.ranks.get(&levels.service));
+        let has_ranks = ranks.is_some_and(|ranks| !ranks.is_single());
         let Some(unpacked) = levels.unpack(&targets) else {
             is_complete &= !keyed;
             continue;
         };
         for (incarnation, load) in unpacked {
+            if has_ranks {
+                loads.track(&incarnation);
+            }
             loads.record_total(now, &incarnation.id, load.total, peers);
             let slots = directory.current(&incarnation).map_or(1, |t| t.entry.slots);
             if keyed && use_quotas && load.is_busy(slots) {
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -169,6 +169,7 @@
                 None => Vec::new(),
             };
             let leaving = if quotas.is_some() { node.directory.borrow().leaving() } else { Vec::new() };
+            let admission = quotas.as_ref().map(|_| peers.admission(node.now()));
             let use_quotas = peers.use_quotas();
             let PeerState { count: peer_count, standby, .. } = state;
             let leader_state = LeaderState {
@@ -179,6 +180,7 @@
                 levels,
                 limits,
                 leaving,
+                admission,
                 use_quotas,
                 table,
                 changes,
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -24,6 +24,12 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RankLabel {
+    service: String,
+    rank: u32,
+}
+
 /// Metrics of the process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -37,6 +43,8 @@
     unknown_kinds: Gauge,
     link_delay: Histogram,
     held: Gauge,
+    admitted: Family<RankLabel, Gauge<f64, AtomicU64>>,
+    overload_refusals: Family<RankLabel, Counter>,
 }
 
 impl Metrics {
@@ -63,6 +71,12 @@
         registry.register("link_delay_seconds", "Time from a report to its answer", link_delay.clone());
         let held = Gauge::default();
         registry.register("held_bytes", "Bytes of requests, answers and messages", held.clone());
+        let admitted = Family::default();
+        let help = "Share of the requests of a rank that is admitted, of services with several ranks";
+        registry.register("admitted_share", help, admitted.clone());
+        let overload_refusals = Family::default();
+        let help = "Requests that were refused at once because their service has too little room";
+        registry.register("overload_refusals", help, overload_refusals.clone());
         Self {
             registry,
             answers,
@@ -74,6 +88,8 @@
             unknown_kinds,
             link_delay,
             held,
+            admitted,
+            overload_refusals,
         }
     }
 
@@ -94,6 +110,16 @@
         self.held.set(i64::try_from(held.as_bytes()).unwrap_or(i64::MAX));
     }
 
+    /// Sets the share of the requests of a rank that is admitted.
+    pub(crate) fn set_admitted(&self, service: &str, rank: u32, share: f64) {
+        self.admitted.get_or_create(&RankLabel { service: service.to_owned(), rank }).set(share);
+    }
+
+    /// Counts a request that was refused at once because of its rank.
+    pub(crate) fn count_overload_refusal(&self, service: &str, rank: u32) {
+        self.overload_refusals.get_or_create(&RankLabel { service: service.to_owned(), rank }).inc();
+    }
+
     /// Records the time from a report to the leader to its answer.
     pub(crate) fn record_link_delay(&self, delay: Span) {
         self.link_delay.observe(delay.as_secs_f64());
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -14,6 +14,7 @@
     catkin_net::BootClock,
     catkin_platform::{bounds::Bounds, name, store::Store},
     catkin_route::{
+        admission::Admission,
         budget::{self, Budget},
         config::Config,
         directory::Directory,
@@ -25,7 +26,7 @@
     },
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         rc::Rc,
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
@@ -87,6 +88,10 @@
     pub(crate) owners: watch::Sender<Option<VersionedOwners>>,
     /// Loads of targets as seen by this process.
     pub(crate) loads: RefCell<LocalLoads>,
+    /// Admission of requests under overload.
+    pub(crate) admission: RefCell<Admission>,
+    /// Services of which not all requests were admitted when that was last logged.
+    pub(crate) limited_services: RefCell<HashSet<Arc<str>>>,
     /// Retry budgets of the services.
     pub(crate) budget: RefCell<Budget>,
     /// Idle connections to targets.
@@ -180,6 +185,8 @@
         Self {
             store: Store::new(settings.store, http.clone()),
             loads: RefCell::new(LocalLoads::new(settings.zone.as_str().into()).with_vm(identity.vm.clone())),
+            admission: RefCell::default(),
+            limited_services: RefCell::default(),
             budget: RefCell::new(Budget::new(limits)),
             bounds,
             http,
@@ -268,8 +275,11 @@
         let position = self.config_feed.next_offset();
         log::info!(version = config.version, previous = known, source:debug, position; "configuration in force");
         self.metrics.set_config(config.version, config.unknown_kinds);
-        let names: std::collections::HashSet<Arc<str>> = config.routes().map(|r| r.name.clone()).collect();
+        let names: HashSet<Arc<str>> = config.routes().map(|r| r.name.clone()).collect();
         self.split.borrow_mut().retain(|name| names.contains(name));
+        let is_keyed = |service: &Arc<str>| config.services.get(service).is_some_and(|spec| spec.keyed);
+        let services = config.ranks.iter().map(|(service, ranks)| (service, *ranks, is_keyed(service)));
+        self.admission.borrow_mut().set_services(services);
         *self.config.borrow_mut() = Some(Rc::new(config));
         true
     }
@@ -286,6 +296,25 @@
         !self.is_draining() && self.directory_read.get() && has_owners
     }
 
+    /// Sets the metrics of admission, and logs for which services it has changed.
+    fn report_admission(&self, now: Time) {
+        let admission = self.admission.borrow();
+        let has_leader = admission.has_leader(now);
+        for (service, shares) in admission.shares(now) {
+            for (rank, share) in &shares {
+                self.metrics.set_admitted(service, *rank, *share);
+            }
+            let is_limited = shares.iter().any(|(_, share)| *share < 1.0);
+            let mut limited = self.limited_services.borrow_mut();
+            let changed = if is_limited { limited.insert(service.clone()) } else { limited.remove(service) };
+            if changed && is_limited {
+                log::info!(service = &**service, shares:?, has_leader; "requests are refused by rank");
+            } else if changed {
+                log::info!(service = &**service, has_leader; "all requests are admitted again");
+            }
+        }
+    }
+
     /// Does the work that is due every second: expires entries and idle
     /// connections.
     pub(crate) fn sweep(&self) {
@@ -294,6 +323,7 @@
         directory.tick(now);
         self.loads.borrow_mut().retain(&directory);
         self.pool.sweep(now, &directory);
+        self.report_admission(now);
         self.metrics.set_config_age(now.since(self.config_feed.checked_at()));
         self.metrics.set_held(catkin_net::held());
     }
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -272,6 +272,8 @@
         );
     }
     let delay = match refusal.and_then(AdmitError::wait) {
+        // The time at which the request is admitted; such times are spread.
+        Some(wait) if matches!(refusal, Some(AdmitError::NotAdmitted(_))) => wait,
         Some(wait) => spread(&routed.id, wait),
         None => retry_delay(routed.deadline.since(node.now())),
     };
@@ -330,9 +332,9 @@
             Self::NoTarget => Code::NoOwner,
             Self::Denied(Denial::Leaving) => Code::NoOwner,
             Self::Denied(Denial::Paused(_) | Denial::Limited(_)) => Code::TargetLimited,
-            Self::Denied(Denial::Unreachable | Denial::NoQuota | Denial::Full) | Self::QueueTooLong => {
-                Code::QueueFull
-            }
+            Self::Denied(Denial::Unreachable | Denial::NoQuota | Denial::Full)
+            | Self::NotAdmitted(_)
+            | Self::QueueTooLong => Code::QueueFull,
             Self::TooLate => Code::DeadlineTooShort,
         }
     }
--- a/crates/catkin-route/src/attempts.rs
+++ b/crates/catkin-route/src/attempts.rs
@@ -107,6 +107,11 @@
         self.misdirected.as_ref()
     }
 
+    /// Returns whether there was no attempt yet.
+    pub fn is_empty(&self) -> bool {
+        self.reached == 0 && self.connect_failures == 0
+    }
+
     /// Returns the number of attempts that reached a target.
     pub fn reached(&self) -> u32 {
         self.reached
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`balance`] | which keys move to another target |
 //! | [`level`] | how the loads of all targets are encoded for all processes |
 //! | [`load`] | which target gets a request |
+//! | [`admission`] | which requests are refused at once under overload |
 //! | [`rank`] | how far less urgent requests may fill a target |
 //! | [`pace`] | when a process may send to a target that bounds all processes |
 //! | [`announced`] | which announcements of a target are in force |
@@ -30,6 +31,7 @@
 //! | [`budget`] | whether a service has a retry left |
 //! | [`attempts`] | whether a request may get another attempt, and what its caller is told |
 
+pub mod admission;
 pub mod announced;
 pub mod attempts;
 pub mod backlog;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -409,6 +409,12 @@
         some.map(|(id, state)| (id.clone(), state.in_flight)).collect()
     }
 
+    /// Keeps the load of a target to which this process has sent nothing. Without
+    /// it the target counts as idle.
+    pub fn track(&mut self, incarnation: &Incarnation) {
+        self.state(incarnation);
+    }
+
     /// Records the requests of all processes at a target as the leader counts
     /// them, if they exceed the current estimate.
     pub fn record_total(&mut self, now: Time, id: &str, total: u32, peers: u32) {
--- a/crates/catkin-route/tests/common/mod.rs
+++ b/crates/catkin-route/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Targets, times and tables that several tests use.
 #![allow(dead_code)]
 
+pub(crate) mod service;
+
 use {
     catkin::types::{Span, Time},
     catkin_route::{
