--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -1,7 +1,7 @@
 //! Selects the target of an attempt, and waits while none has capacity.
 
 use {
-    crate::{node::Node, serve::RoutedRequest},
+    crate::{node::Node, serve::RoutedRequest, wait_queue::Waiter},
     bytes::Bytes,
     catkin::types::{Span, Time},
     catkin_route::{
@@ -115,17 +115,20 @@
     }
 }
 
-/// Counts a request as waiting for a target until it is dropped.
-struct WaitGuard<'a> {
+/// A request that waits for a target: its place among the others, and its count
+/// in the admission, which ends when this is dropped.
+struct Waiting<'a> {
     node: &'a Node,
     routed: &'a RoutedRequest<'a>,
+    waiter: Waiter<'a>,
 }
 
-impl<'a> WaitGuard<'a> {
+impl<'a> Waiting<'a> {
     fn new(node: &'a Node, routed: &'a RoutedRequest<'a>) -> Self {
-        let guard = Self { node, routed };
-        guard.count(true);
-        guard
+        let waiter = node.waiters.enter(routed.route.priority, routed.deadline);
+        let waiting = Self { node, routed, waiter };
+        waiting.count(true);
+        waiting
     }
 
     fn count(&self, begins: bool) {
@@ -135,7 +138,7 @@
     }
 }
 
-impl Drop for WaitGuard<'_> {
+impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         self.count(false);
     }
@@ -232,7 +235,6 @@
     let mut place = QueuePlace { node, incarnation: None };
     let mut waiting = None;
     loop {
-        let notified = node.capacity_changed.notified();
         let now = node.now();
         if routed.deadline.since(now) < TIME_LEFT_MIN {
             return Err(AdmitError::TooLate);
@@ -244,8 +246,8 @@
         if error.is_final() || now >= wait_until {
             return Err(error);
         }
-        waiting.get_or_insert_with(|| WaitGuard::new(node, routed));
+        let waiter = &waiting.get_or_insert_with(|| Waiting::new(node, routed)).waiter;
         let pause = wait_until.since(now).min(RECHECK_INTERVAL);
-        let _ = tokio::time::timeout(pause.as_duration(), notified).await;
+        let _ = tokio::time::timeout(pause.as_duration(), waiter.notified()).await;
     }
 }
--- a/crates/catkin-edge/src/announcements.rs
+++ b/crates/catkin-edge/src/announcements.rs
@@ -38,7 +38,7 @@
     }
     if node.directory.borrow_mut().announce_leaving(node.now(), incarnation) {
         log::info!(target_id = &*incarnation.id; "target leaves");
-        node.capacity_changed.notify_waiters();
+        node.waiters.notify_all();
     }
 }
 
--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -68,7 +68,7 @@
             let took = now.since(self.start);
             admission.count_ended(service, route.priority, route.latency_objective, took, self.queue);
         }
-        self.node.capacity_changed.notify_waiters();
+        self.node.waiters.notify_all();
     }
 }
 
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -134,7 +134,7 @@
         sync::apply_leaving(node, &state.leaving);
         let directory = node.directory.borrow();
         node.loads.borrow_mut().learn_limits(now, &directory, &state.limits, sent_after);
-        node.capacity_changed.notify_waiters();
+        node.waiters.notify_all();
     }
 }
 
--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -11,6 +11,7 @@
 //! | `accept` | connections of callers: reads requests, writes answers |
 //! | `serve` | one request: route, attempts, the final answer |
 //! | `admit` | selects the target of an attempt, and waits for capacity |
+//! | `wait_queue` | order in which waiting requests are woken
 //! | `attempt` | one send of a request to one target |
 //! | `announcements` | what targets announce in the heads of their answers |
 //! | `pool` | idle connections to targets |
@@ -39,6 +40,7 @@
 mod settings;
 mod shutdown;
 mod sync;
+mod wait_queue;
 
 use {
     bpaf::Bpaf,
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -8,6 +8,7 @@
         pool::Pool,
         settings::Settings,
         sync::{Backoff, Source},
+        wait_queue::WaitQueue,
     },
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
     catkin::types::{Span, Time},
@@ -98,8 +99,8 @@
     pub(crate) pool: Pool,
     /// Requests by service and key since the last report to the leader.
     pub(crate) key_counts: RefCell<HashMap<(Arc<str>, u16), u16>>,
-    /// Wakes requests that wait for capacity or for an owner.
-    pub(crate) capacity_changed: Notify,
+    /// Requests that wait for capacity or for an owner.
+    pub(crate) waiters: WaitQueue,
     /// Whether a request waits for a quota that was not yet requested from the
     /// leader.
     pub(crate) quota_wanted: Cell<bool>,
@@ -201,7 +202,7 @@
             owners: watch::Sender::new(None),
             pool: Pool::default(),
             key_counts: RefCell::default(),
-            capacity_changed: Notify::new(),
+            waiters: WaitQueue::default(),
             quota_wanted: Cell::new(false),
             quota_requested: Notify::new(),
             stage: watch::Sender::new(Stage::Serving),
@@ -262,7 +263,7 @@
         log::info!(version = offset, leader = &*table.leader.vm; "table of owners changed");
         self.directory.borrow_mut().learn_owners(self.now(), &table);
         self.owners.send_replace(Some(VersionedOwners { offset, table }));
-        self.capacity_changed.notify_waiters();
+        self.waiters.notify_all();
     }
 
     /// Replaces the configuration unless a newer one is known. Returns whether
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -172,7 +172,7 @@
     start_grace(node, batch.changes.iter().filter(|c| c.value.size() == 0).count());
     apply_forwarded(node, &node.directory_feed, batch, at, apply_target);
     node.directory.borrow_mut().note_read(node.directory_feed.checked_at());
-    node.capacity_changed.notify_waiters();
+    node.waiters.notify_all();
 }
 
 /// Applies that other processes were told by targets that these leave.
@@ -203,7 +203,7 @@
     node.directory.borrow_mut().replace(node.now(), entries);
     node.directory.borrow_mut().note_read(at);
     node.directory_read.set(true);
-    node.capacity_changed.notify_waiters();
+    node.waiters.notify_all();
 }
 
 /// Returns whether a topic without a position should wait for the leader.
@@ -412,7 +412,7 @@
         }
         node.directory.borrow_mut().note_read(node.directory_feed.checked_at());
         node.directory_read.set(true);
-        node.capacity_changed.notify_waiters();
+        node.waiters.notify_all();
         sleep(DIRECTORY_READ_INTERVAL).await;
     }
 }
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -214,7 +214,7 @@
 
 /// Returns the configuration of the tests: keyed lookups, orders and uploads.
 pub(crate) fn plan(version: u32) -> Config {
-    let route = |prefix, kind, service| Route { prefix, kind, split: vec![(service, 1)] };
+    let route = |prefix, kind, service| Route { prefix, kind, priority: 1, split: vec![(service, 1)] };
     Config {
         version,
         routes: vec![
--- a/crates/catkin-edge/tests/config.rs
+++ b/crates/catkin-edge/tests/config.rs
@@ -19,7 +19,7 @@
 /// Returns a configuration whose additional route no older one has.
 fn plan_with_route(version: u32) -> Config {
     let mut config = plan(version);
-    config.routes.push(Route { prefix: "/new/", kind: "idempotent", split: vec![("keyed", 1)] });
+    config.routes.push(Route { prefix: "/new/", kind: "idempotent", priority: 1, split: vec![("keyed", 1)] });
     config
 }
 
--- a/crates/catkin-edge/tests/edge.rs
+++ b/crates/catkin-edge/tests/edge.rs
@@ -64,7 +64,7 @@
         let response = send(edge, Method::GET, "/new/x", &fleet.id(), Some(1), Vec::new()).await;
         assert_eq!(response.unwrap().status, 404);
     }
-    let route = Route { prefix: "/new/", kind: "idempotent", split: vec![("keyed", 1)] };
+    let route = Route { prefix: "/new/", kind: "idempotent", priority: 1, split: vec![("keyed", 1)] };
     let mut routes = plan(2).routes;
     routes.push(route);
     put_config(&fleet.store, &Config { routes, ..plan(2) });
--- a/crates/catkin-edge/tests/memory.rs
+++ b/crates/catkin-edge/tests/memory.rs
@@ -121,7 +121,12 @@
     }
     let mut config = plan(2);
     config.services.push((SERVICE, keyed));
-    config.routes.push(Route { prefix: "/faulty/", kind: "idempotent", split: vec![(SERVICE, 1)] });
+    config.routes.push(Route {
+        prefix: "/faulty/",
+        kind: "idempotent",
+        priority: 1,
+        split: vec![(SERVICE, 1)],
+    });
     put_config(&fleet.store, &Config { timeout_ms: 2_000, ..config });
     sleep(1_500).await;
     fleet
--- a/crates/catkin-edge/tests/refusals.rs
+++ b/crates/catkin-edge/tests/refusals.rs
@@ -33,7 +33,12 @@
     let fleet = Fleet::start(1).await;
     let target = ScriptedTarget::start(&fleet, "a", SERVICE).await;
     let Config { mut routes, mut services, .. } = plan(2);
-    routes.push(Route { prefix: "/scripted/", kind: "non_idempotent", split: vec![(SERVICE, 1)] });
+    routes.push(Route {
+        prefix: "/scripted/",
+        kind: "non_idempotent",
+        priority: 1,
+        split: vec![(SERVICE, 1)],
+    });
     services.push((SERVICE, false));
     put_config(&fleet.store, &Config { routes, services, ..plan(2) });
     sleep(1_900).await;
--- a/crates/catkin-edge/tests/soak.rs
+++ b/crates/catkin-edge/tests/soak.rs
@@ -227,7 +227,7 @@
     actix_rt::spawn(watch_holders(fleet.clone(), stop.clone()));
     let mut faults = vec![actix_rt::spawn(replace_server(fleet.clone()))];
     for version in 0..FAULTS {
-        let route = Route { prefix: "/more/", kind: "idempotent", split: vec![("keyed", 1)] };
+        let route = Route { prefix: "/more/", kind: "idempotent", priority: 1, split: vec![("keyed", 1)] };
         let mut routes = plan(1).routes;
         routes.push(route);
         put_config(&fleet.store, &Config { routes, ..plan(2 + version) });
--- a/crates/catkin-standin/src/users/operator.rs
+++ b/crates/catkin-standin/src/users/operator.rs
@@ -13,6 +13,8 @@
     /// Kind of the requests in the platform's terms, such as `idempotent`; it
     /// decides whether they may be retried.
     pub kind: &'static str,
+    /// Rank of the requests, 0 is the most urgent.
+    pub priority: u32,
     /// Services among which the requests are split, with their weights.
     pub split: Vec<(&'static str, u32)>,
 }
@@ -51,7 +53,7 @@
         "name": format!("r{}", route.prefix),
         "kind": route.kind,
         "targetLatencyMs": 400,
-        "priority": 1,
+        "priority": route.priority,
         "match": { "pathPrefix": route.prefix },
         "action": { "trafficSplit": split, "timeoutMs": config.timeout_ms, "maxAttempts": 2 },
     })
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -14,6 +14,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
+    tokio::sync::Semaphore,
 };
 
 /// Number of slots that a server reports.
@@ -62,6 +63,8 @@
     draining: Cell<bool>,
     stopped: Cell<bool>,
     running: Cell<u32>,
+    /// Slots, if requests beyond them wait in a queue.
+    slots: RefCell<Option<Rc<Semaphore>>>,
     received: Cell<u32>,
     faults: Cell<ServerFaults>,
     grants: RefCell<Vec<Grant>>,
@@ -124,6 +127,7 @@
             draining: Cell::new(false),
             stopped: Cell::new(false),
             running: Cell::new(0),
+            slots: RefCell::default(),
             received: Cell::new(0),
             faults: Cell::default(),
             grants: RefCell::default(),
@@ -165,6 +169,12 @@
         self.inner.faults.set(faults);
     }
 
+    /// Lets requests beyond the slots wait in a queue from now on. Otherwise all run
+    /// at once.
+    pub fn use_slots(&self) {
+        *self.inner.slots.borrow_mut() = Some(Rc::new(Semaphore::new(SLOTS as usize)));
+    }
+
     /// Names a limit in requests per second in all further answers, or none. The
     /// limit before ends with a violation if the server got too many requests.
     pub fn set_limit(&self, per_second: Option<f64>) {
@@ -381,9 +391,15 @@
         if inner.keyed {
             inner.checker.record_work(&inner.id, key, fence);
         }
+        let slots = inner.slots.borrow().clone();
+        let slot = match &slots {
+            Some(slots) => slots.acquire().await.ok(),
+            None => None,
+        };
         actix_rt::time::sleep(inner.work_time).await;
-        let load = format!("{},0,{SLOTS}", inner.running.get());
-        drop(guard);
+        let queued = if slot.is_some() { inner.running.get().saturating_sub(SLOTS) } else { 0 };
+        let load = format!("{},{queued},{SLOTS}", inner.running.get() - queued);
+        drop((guard, slot));
         if every(faults.unanswered_every) {
             return pending().await;
         }
