--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -1,7 +1,7 @@
 //! Selects the target of an attempt, and waits while none has capacity.
 
 use {
-    crate::{node::Node, serve::RoutedRequest},
+    crate::{node::Node, serve::RoutedRequest, wait_queue::Waiter},
     bytes::Bytes,
     catkin::types::{Span, Time},
     catkin_route::{
@@ -25,6 +25,9 @@
     /// to none of them within the time for which the request may wait. The span is
     /// that of [`Denial::Cold`].
     ColdTooLong(Span),
+    /// Too many requests come for the service, and this one is not among those
+    /// that are admitted. It should return after the span.
+    NotAdmitted(Span),
     /// More requests are queued for the key's owner than it can take in time.
     QueueTooLong,
     /// Less than [`TIME_LEFT_MIN`] is left until the deadline.
@@ -36,7 +39,7 @@
     pub(crate) fn wait(self) -> Option<Span> {
         match self {
             Self::Denied(Denial::Paused(wait) | Denial::Limited(wait) | Denial::Cold(wait)) => Some(wait),
-            Self::ColdTooLong(wait) => Some(wait),
+            Self::ColdTooLong(wait) | Self::NotAdmitted(wait) => Some(wait),
             _ => None,
         }
     }
@@ -135,6 +138,45 @@
     until: Time,
 }
 
+/// A request that waits for a target: its place among the others, and its count
+/// in the admission, which ends when this is dropped.
+struct Waiting<'a> {
+    node: &'a Node,
+    routed: &'a RoutedRequest<'a>,
+    waiter: Waiter<'a>,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(node: &'a Node, routed: &'a RoutedRequest<'a>) -> Self {
+        let waiter = node.waiters.enter(routed.route.priority, routed.deadline);
+        let waiting = Self { node, routed, waiter };
+        waiting.count(true);
+        waiting
+    }
+
+    fn count(&self, begins: bool) {
+        let RoutedRequest { service, route, .. } = self.routed;
+        let (now, mut admission) = (self.node.now(), self.node.admission.borrow_mut());
+        admission.count_waiting(now, service, route.priority, route.latency_objective, begins);
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.count(false);
+    }
+}
+
+/// Checks whether a request is admitted to its service.
+fn check_admission(node: &Node, routed: &RoutedRequest<'_>) -> Result<(), AdmitError> {
+    let rank = routed.route.priority;
+    let checked = node.admission.borrow_mut().check(node.now(), &routed.service, rank, &routed.id);
+    checked.map_err(|wait| {
+        node.metrics.count_overload_refusal(&routed.service, rank);
+        AdmitError::NotAdmitted(wait)
+    })
+}
+
 /// Returns how far a request without a key may fill a target.
 fn fill_factor(node: &Node, routed: &RoutedRequest<'_>, now: Time) -> FillFactor {
     let ranks = node.config.borrow().as_ref().and_then(|c| c.ranks.get(&routed.service).copied());
@@ -220,12 +262,15 @@
     routed: &RoutedRequest<'_>,
     attempts: &Attempts,
 ) -> Result<Admitted, AdmitError> {
+    if attempts.is_empty() {
+        check_admission(node, routed)?;
+    }
     let wait_max = routed.route.latency_objective.scale(WAIT_FRACTION);
     let started = node.now();
     let wait_until = routed.incoming.arrived.after(wait_max).max(started.after(TIME_LEFT_MIN));
     let mut place = QueuePlace { node, incarnation: None };
+    let mut waiting = None;
     loop {
-        let notified = node.capacity_changed.notified();
         let now = node.now();
         if routed.deadline.since(now) < TIME_LEFT_MIN {
             return Err(AdmitError::TooLate);
@@ -238,7 +283,8 @@
         if error.is_final() || now >= wait_until {
             return Err(error);
         }
+        let waiter = &waiting.get_or_insert_with(|| Waiting::new(node, routed)).waiter;
         let pause = wait_until.since(now).min(RECHECK_INTERVAL);
-        let _ = tokio::time::timeout(pause.as_duration(), notified).await;
+        let _ = tokio::time::timeout(pause.as_duration(), waiter.notified()).await;
     }
 }
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -175,6 +175,7 @@
             };
             let leaving = if quotas.is_some() { node.directory.borrow().leaving() } else { Vec::new() };
             let staying = if quotas.is_some() { node.directory.borrow().staying() } else { Vec::new() };
+            let admission = quotas.as_ref().map(|_| peers.admission(node.now()));
             let use_quotas = peers.use_quotas();
             let PeerState { count: peer_count, standby, share, .. } = state;
             let leader_state = LeaderState {
@@ -188,6 +189,7 @@
                 limits,
                 leaving,
                 staying,
+                admission,
                 use_quotas,
                 table,
                 changes,
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -24,6 +24,12 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RankLabel {
+    service: String,
+    rank: u32,
+}
+
 /// Metrics of the process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -42,6 +48,8 @@
     evacuated_zones: Gauge,
     evacuated_ranges: Gauge,
     evacuated_requests: Gauge,
+    admitted: Family<RankLabel, Gauge<f64, AtomicU64>>,
+    overload_refusals: Family<RankLabel, Counter>,
 }
 
 impl Metrics {
@@ -80,6 +88,12 @@
         let evacuated_requests = Gauge::default();
         let help = "Requests of this process in progress at targets of evacuated zones";
         registry.register("evacuated_requests", help, evacuated_requests.clone());
+        let admitted = Family::default();
+        let help = "Share of the requests of a rank that is admitted, of services with several ranks";
+        registry.register("admitted_share", help, admitted.clone());
+        let overload_refusals = Family::default();
+        let help = "Requests that were refused at once because their service has too little room";
+        registry.register("overload_refusals", help, overload_refusals.clone());
         Self {
             registry,
             answers,
@@ -96,6 +110,8 @@
             evacuated_zones,
             evacuated_ranges,
             evacuated_requests,
+            admitted,
+            overload_refusals,
         }
     }
 
@@ -124,6 +140,16 @@
         self.evacuated_requests.set(i64::from(requests));
     }
 
+    /// Sets the share of the requests of a rank that is admitted.
+    pub(crate) fn set_admitted(&self, service: &str, rank: u32, share: f64) {
+        self.admitted.get_or_create(&RankLabel { service: service.to_owned(), rank }).set(share);
+    }
+
+    /// Counts a request that was refused at once because of its rank.
+    pub(crate) fn count_overload_refusal(&self, service: &str, rank: u32) {
+        self.overload_refusals.get_or_create(&RankLabel { service: service.to_owned(), rank }).inc();
+    }
+
     /// Records the time from a report to the leader to its answer.
     pub(crate) fn record_link_delay(&self, delay: Span) {
         self.link_delay.observe(delay.as_secs_f64());
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -9,12 +9,14 @@
         pool::Pool,
         settings::Settings,
         sync::{Backoff, Source},
+        wait_queue::WaitQueue,
     },
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
     catkin::types::{Span, Time},
     catkin_net::BootClock,
     catkin_platform::{bounds::Bounds, name, store::Store},
     catkin_route::{
+        admission::Admission,
         budget::{self, Budget},
         config::Config,
         directory::Directory,
@@ -27,7 +29,7 @@
     },
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         rc::Rc,
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
@@ -89,14 +91,18 @@
     pub(crate) owners: watch::Sender<Option<VersionedOwners>>,
     /// Loads of targets as seen by this process.
     pub(crate) loads: RefCell<LocalLoads>,
+    /// Admission of requests under overload.
+    pub(crate) admission: RefCell<Admission>,
+    /// Services of which not all requests were admitted when that was last logged.
+    pub(crate) limited_services: RefCell<HashSet<Arc<str>>>,
     /// Retry budgets of the services.
     pub(crate) budget: RefCell<Budget>,
     /// Idle connections to targets.
     pub(crate) pool: Pool,
     /// Requests by service and key since the last report to the leader.
     pub(crate) key_counts: RefCell<HashMap<(Arc<str>, u16), u16>>,
-    /// Wakes requests that wait for capacity or for an owner.
-    pub(crate) capacity_changed: Notify,
+    /// Requests that wait for capacity or for an owner.
+    pub(crate) waiters: WaitQueue,
     /// Whether a request waits for a quota that was not yet requested from the
     /// leader.
     pub(crate) quota_wanted: Cell<bool>,
@@ -185,6 +191,8 @@
         Self {
             store: Store::new(settings.store, http.clone()),
             loads: RefCell::new(LocalLoads::new(settings.zone.as_str().into()).with_vm(identity.vm.clone())),
+            admission: RefCell::default(),
+            limited_services: RefCell::default(),
             budget: RefCell::new(Budget::new(limits)),
             bounds,
             http,
@@ -203,7 +211,7 @@
             owners: watch::Sender::new(None),
             pool: Pool::default(),
             key_counts: RefCell::default(),
-            capacity_changed: Notify::new(),
+            waiters: WaitQueue::default(),
             quota_wanted: Cell::new(false),
             quota_requested: Notify::new(),
             stage: watch::Sender::new(Stage::Serving),
@@ -265,7 +273,7 @@
         log::info!(version = offset, leader = &*table.leader.vm; "table of owners changed");
         self.directory.borrow_mut().learn_owners(self.now(), &table);
         self.owners.send_replace(Some(VersionedOwners { offset, table }));
-        self.capacity_changed.notify_waiters();
+        self.waiters.notify_all();
     }
 
     /// Replaces the configuration unless a newer one is known. Returns whether
@@ -278,12 +286,15 @@
         let position = self.config_feed.next_offset();
         log::info!(version = config.version, previous = known, source:debug, position; "configuration in force");
         self.metrics.set_config(config.version, config.unknown_kinds);
-        let names: std::collections::HashSet<Arc<str>> = config.routes().map(|r| r.name.clone()).collect();
+        let names: HashSet<Arc<str>> = config.routes().map(|r| r.name.clone()).collect();
         self.split.borrow_mut().retain(|name| names.contains(name));
         let cold = config.services.iter().filter_map(|(name, spec)| Some((name.clone(), spec.cold?.rate)));
         let cold_rates: HashMap<Arc<str>, RequestRate> = cold.collect();
         lead::with_loads(|loads| loads.set_cold_rates(cold_rates.clone()));
         self.loads.borrow_mut().set_cold_rates(cold_rates);
+        let is_keyed = |service: &Arc<str>| config.services.get(service).is_some_and(|spec| spec.keyed);
+        let services = config.ranks.iter().map(|(service, ranks)| (service, *ranks, is_keyed(service)));
+        self.admission.borrow_mut().set_services(services);
         *self.config.borrow_mut() = Some(Rc::new(config));
         true
     }
@@ -297,7 +308,7 @@
             let age_ms = now.since(written_after).as_millis();
             let age_max_ms = (written_after > Time::default()).then_some(age_ms);
             log::info!(zone, age_max_ms; "zone is evacuated");
-            self.capacity_changed.notify_waiters();
+            self.waiters.notify_all();
         }
         is_new
     }
@@ -314,7 +325,7 @@
         let was_evacuated = self.directory.borrow_mut().readmit(self.now(), zone, cold_time);
         if was_evacuated {
             log::info!(zone; "evacuation of a zone withdrawn");
-            self.capacity_changed.notify_waiters();
+            self.waiters.notify_all();
         }
         was_evacuated
     }
@@ -351,6 +362,25 @@
         !self.is_draining() && self.directory_read.get() && has_owners
     }
 
+    /// Sets the metrics of admission, and logs for which services it has changed.
+    fn report_admission(&self, now: Time) {
+        let admission = self.admission.borrow();
+        let has_leader = admission.has_leader(now);
+        for (service, shares) in admission.shares(now) {
+            for (rank, share) in &shares {
+                self.metrics.set_admitted(service, *rank, *share);
+            }
+            let is_limited = shares.iter().any(|(_, share)| *share < 1.0);
+            let mut limited = self.limited_services.borrow_mut();
+            let changed = if is_limited { limited.insert(service.clone()) } else { limited.remove(service) };
+            if changed && is_limited {
+                log::info!(service = &**service, shares:?, has_leader; "requests are refused by rank");
+            } else if changed {
+                log::info!(service = &**service, has_leader; "all requests are admitted again");
+            }
+        }
+    }
+
     /// Does the work that is due every second: expires entries and idle
     /// connections.
     pub(crate) fn sweep(&self) {
@@ -359,6 +389,7 @@
         directory.tick(now);
         self.loads.borrow_mut().retain(&directory);
         self.pool.sweep(now, &directory);
+        self.report_admission(now);
         self.metrics.set_config_age(now.since(self.config_feed.checked_at()));
         self.metrics.set_held(catkin_net::held());
         drop(directory);
--- a/crates/catkin-edge/src/probe.rs
+++ b/crates/catkin-edge/src/probe.rs
@@ -47,7 +47,7 @@
             log::info!(target_id = &*incarnation.id; "target counts as staying; no health check has shown it");
         }
         if !ended.is_empty() {
-            node.capacity_changed.notify_waiters();
+            node.waiters.notify_all();
         }
         let doubted: Vec<(Entry, Time)> =
             node.directory.borrow().doubted().iter().map(|(t, since)| (t.entry.clone(), *since)).collect();
@@ -94,7 +94,7 @@
         None => return,
     }
     drop(directory);
-    node.capacity_changed.notify_waiters();
+    node.waiters.notify_all();
 }
 
 /// Returns the answer to a health check, if there is one in time.
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -275,6 +275,8 @@
         node.metrics.count_cold("refused");
     }
     let delay = match refusal.and_then(AdmitError::wait) {
+        // The time at which the request is admitted; such times are spread.
+        Some(wait) if matches!(refusal, Some(AdmitError::NotAdmitted(_))) => wait,
         Some(wait) => spread(&routed.id, wait),
         None => retry_delay(routed.deadline.since(node.now())),
     };
@@ -336,6 +338,7 @@
                 Code::TargetLimited
             }
             Self::Denied(Denial::Doubted | Denial::Unreachable | Denial::NoQuota | Denial::Full)
+            | Self::NotAdmitted(_)
             | Self::QueueTooLong => Code::QueueFull,
             Self::TooLate => Code::DeadlineTooShort,
         }
--- a/crates/catkin-route/tests/common/mod.rs
+++ b/crates/catkin-route/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod fleet;
+pub(crate) mod service;
 
 use {
     catkin::types::{Span, Time},
