--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -7,7 +7,7 @@
     catkin_route::{
         attempts::Attempts,
         directory::{Entry, Incarnation},
-        load::{Demand, Denial},
+        load::{Criteria, Denial},
         rank::FillFactor,
     },
     std::rc::Rc,
@@ -201,8 +201,8 @@
         let mut loads = node.loads.borrow_mut();
         let fill = fill_factor(node, routed, now);
         let size = routed.incoming.body.iter().map(Bytes::len).sum();
-        let any = Demand { fill, ..Demand::new(size) };
-        let other = Demand { avoid: attempts.targets(), ..any };
+        let any = Criteria { fill, ..Criteria::new(size) };
+        let other = Criteria { avoid: attempts.targets(), ..any };
         let chosen = loads
             .choose(now, &directory, &routed.service, peers, other)
             .or_else(|| loads.choose(now, &directory, &routed.service, peers, any));
@@ -270,6 +270,10 @@
     let wait_until = routed.incoming.arrived.after(wait_max).max(started.after(TIME_LEFT_MIN));
     let mut place = QueuePlace { node, incarnation: None };
     let mut waiting = None;
+    if routed.key.is_none() {
+        let size = routed.incoming.body.iter().map(Bytes::len).sum();
+        node.loads.borrow_mut().spill().count_request(&routed.service, size);
+    }
     loop {
         let now = node.now();
         if routed.deadline.since(now) < TIME_LEFT_MIN {
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -17,6 +17,7 @@
         pace::Share,
         peer_view::NextOffsets,
         quotas::Counts,
+        spill::{ZoneReport, ZoneTable},
     },
     serde::{Deserialize, Serialize},
     std::{io, rc::Rc, sync::Arc},
@@ -74,6 +75,9 @@
     pub(super) leaving: Vec<Incarnation>,
     /// Requests by service and rank since the last report.
     pub(super) admission: admission::Report,
+    /// What the process asked of the services without keys, if targets lie in
+    /// several zones.
+    pub(super) zones: Option<ZoneReport>,
 }
 
 /// Confirms that the asked process of this VM does not lead.
@@ -118,6 +122,9 @@
     pub(super) staying: Vec<Incarnation>,
     /// Which requests are admitted; present in an answer to a report.
     pub(super) admission: Option<FleetShares>,
+    /// Shares of the requests without keys that leave their zone, if targets lie
+    /// in several zones; present in an answer to a report.
+    pub(super) zones: Option<Rc<ZoneTable>>,
     /// Whether busy targets with keys accept requests within quotas only.
     pub(super) use_quotas: bool,
     /// Newer table of owners.
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -7,7 +7,7 @@
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
-    std::sync::atomic::AtomicU64,
+    std::sync::{Arc, atomic::AtomicU64},
 };
 
 /// Buckets of the latency histogram. They include the latency objectives and
@@ -30,6 +30,11 @@
     rank: u32,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabel {
+    service: Arc<str>,
+}
+
 /// Metrics of the process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -39,6 +44,7 @@
     commands: Family<KindLabel, Counter>,
     probes: Family<EndLabel, Counter>,
     cold: Family<EndLabel, Counter>,
+    zone_crossings: Family<ServiceLabel, Counter>,
     latency: Histogram,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
@@ -66,6 +72,9 @@
         registry.register("health_checks", "Health checks of targets by how they ended", probes.clone());
         let cold = Family::default();
         registry.register("cold_requests", "Requests for cold targets by what became of them", cold.clone());
+        let zone_crossings = Family::default();
+        let help = "Requests sent to targets of other zones";
+        registry.register("sends_to_other_zones", help, zone_crossings.clone());
         let latency = Histogram::new(LATENCY_BUCKETS_SECONDS);
         registry.register("latency_seconds", "Time from request to answer", latency.clone());
         let config_version = Gauge::default();
@@ -101,6 +110,7 @@
             commands,
             probes,
             cold,
+            zone_crossings,
             latency,
             config_version,
             config_age,
@@ -172,6 +182,11 @@
         self.cold.get_or_create(&EndLabel { end }).inc();
     }
 
+    /// Counts a request to a target of another zone.
+    pub(crate) fn count_zone_crossing(&self, service: &Arc<str>) {
+        self.zone_crossings.get_or_create(&ServiceLabel { service: service.clone() }).inc();
+    }
+
     /// Counts a command to a target.
     pub(crate) fn count_command(&self, kind: &'static str) {
         self.commands.get_or_create(&KindLabel { kind }).inc();
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -190,7 +190,11 @@
         };
         Self {
             store: Store::new(settings.store, http.clone()),
-            loads: RefCell::new(LocalLoads::new(settings.zone.as_str().into()).with_vm(identity.vm.clone())),
+            loads: RefCell::new(
+                LocalLoads::new(settings.zone.as_str().into())
+                    .with_vm(identity.vm.clone())
+                    .with_way_cost(settings.way_cost()),
+            ),
             admission: RefCell::default(),
             limited_services: RefCell::default(),
             budget: RefCell::new(Budget::new(limits)),
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -10,11 +10,12 @@
     crate::{
         announced::LimitReport,
         cold::{ColdTerms, FleetView, TokenGrant},
-        directory::{Directory, Incarnation, Target},
+        directory::{Directory, Entry, Incarnation, Target},
         pace::Share,
         quotas::{Counts, TargetQuota},
         rank::FillFactor,
         rate::RequestRate,
+        spill::{Place, Spill, WayCost},
         subset::{self, Subsets},
     },
     catkin::types::{Span, Time},
@@ -34,8 +35,8 @@
 /// Longest back-off after failed connections.
 const BACKOFF_MAX: Span = Span::from_secs(2);
 
-/// Factor on the expected time of a target in another zone: bytes between zones
-/// cost money.
+/// Factor on the expected time of a target in another zone, without shares of the
+/// leader (see [`Spill`]): bytes between zones cost money.
 const ZONE_FACTOR: f64 = 1.15;
 
 /// The same factor for a request with a large body.
@@ -47,6 +48,11 @@
 /// Factor on the expected time of a target in its slow start.
 const COLD_FACTOR: f64 = 2.0;
 
+/// Divisor of the number of processes that use a target, with shares of the
+/// leader: fewer senders hear of a target's queue more often. At 0.95 of the
+/// capacity, half as many late requests were played with 6 senders as with 12.
+const ZONE_SENDERS_DIVISOR: u32 = 2;
+
 /// Time after which a received quota expires. It covers two reports to
 /// the leader.
 const QUOTA_TTL: Span = Span::from_millis(1_200);
@@ -70,7 +76,7 @@
 
 /// What the choice of a target depends on, of a request without a key.
 #[derive(Clone, Copy, Debug)]
-pub struct Demand<'a> {
+pub struct Criteria<'a> {
     /// How far the request may fill a target.
     pub fill: FillFactor,
     /// Size of its body in bytes.
@@ -79,13 +85,25 @@
     pub avoid: &'a [Incarnation],
 }
 
-impl Demand<'_> {
-    /// Creates the demand of a most urgent request without an earlier attempt.
+impl Criteria<'_> {
+    /// Creates the criteria of a most urgent request without an earlier attempt.
     pub fn new(size: usize) -> Self {
         Self { fill: FillFactor::MAX, size, avoid: &[] }
     }
 }
 
+/// A search for a target.
+#[derive(Clone, Copy)]
+struct Query<'a> {
+    now: Time,
+    /// Number of all processes.
+    peers: u32,
+    criteria: Criteria<'a>,
+    /// Requests at a target, as a multiple of its slots, from which on it is
+    /// left out.
+    fill_max: f64,
+}
+
 /// What one process knows of the load of all targets.
 #[derive(Debug)]
 pub struct LocalLoads {
@@ -96,6 +114,7 @@
     /// Rates of cold targets by service, for services that name one.
     cold_rates: HashMap<Arc<str>, RequestRate>,
     fleet: FleetView,
+    spill: Spill,
 }
 
 impl LocalLoads {
@@ -103,12 +122,13 @@
     pub fn new(zone: Arc<str>) -> Self {
         let subsets = Subsets::new("".into(), zone.clone());
         Self {
-            zone,
             targets: HashMap::new(),
             quotas: HashMap::new(),
             subsets,
             cold_rates: HashMap::new(),
             fleet: FleetView::default(),
+            spill: Spill::new(zone.clone()),
+            zone,
         }
     }
 
@@ -120,6 +140,17 @@
         Self { subsets, ..self }
     }
 
+    /// Sets what the way to another zone costs.
+    #[must_use]
+    pub fn with_way_cost(self, cost: WayCost) -> Self {
+        Self { spill: self.spill.with_cost(cost), ..self }
+    }
+
+    /// Returns the shares of requests that go to other zones.
+    pub fn spill(&mut self) -> &mut Spill {
+        &mut self.spill
+    }
+
     fn state(&mut self, incarnation: &Incarnation) -> &mut TargetState {
         let state = self
             .targets
@@ -217,7 +248,7 @@
         // at once.
         let is_cold = target.cold_until > now && !self.cold_rates.contains_key(&target.entry.service);
         let state = self.state(&target.entry.incarnation);
-        let ahead = f64::from(state.in_flight) + state.others(now, peers);
+        let ahead = state.requests(now, peers);
         let waiting = (ahead + 1.0 - slots).max(0.0);
         // While it has free slots, a target is only a little slower with each
         // further request; the term spreads requests over equal targets.
@@ -231,31 +262,82 @@
 
     /// Returns a target of a service that may get one more request: the one with
     /// the least expected time among the first few in the order of this process,
-    /// or among the next few if none of these may. Targets that the request has
-    /// reached before are left out.
+    /// or among the next few if none of these may. With shares of the leader, the
+    /// targets of one zone are considered after those of another, see
+    /// [`Spill::places`]; the shares never leave out a target. Targets that the
+    /// request has reached before are left out.
     pub fn choose<'a>(
         &mut self,
         now: Time,
         directory: &'a Directory,
         service: &str,
         peers: u32,
-        demand: Demand<'_>,
+        criteria: Criteria<'_>,
     ) -> Option<&'a Target> {
-        let ranked = self.subsets.ranked(directory, service);
-        let mut groups = ranked.chunks(subset::width(ranked.len(), peers));
-        let chosen = groups.find_map(|ids| {
-            let targets = ids.iter().filter_map(|id| directory.get(id));
-            let candidates = targets.filter(|t| !demand.avoid.contains(&t.entry.incarnation));
-            self.choose_among(now, candidates, peers, demand)
-        });
+        let query = Query { now, peers, criteria, fill_max: f64::INFINITY };
+        let chosen = self.choose_by_share(directory, service, query);
         if !self.cold_rates.contains_key(service) {
             return chosen;
         }
         // The slots of cold targets go round all processes, also those that do
         // not consider the target first.
-        let is_cold = |t: &&Target| t.cold_until > now && !demand.avoid.contains(&t.entry.incarnation);
+        let is_cold = |t: &&Target| t.cold_until > now && !criteria.avoid.contains(&t.entry.incarnation);
         let cold = directory.of_service(service).filter(is_cold);
-        self.choose_among(now, cold.chain(chosen), peers, demand)
+        self.choose_among(cold.chain(chosen), query)
+    }
+
+    /// Chooses by the shares of the leader, or by the order of this process without
+    /// one.
+    fn choose_by_share<'a>(
+        &mut self,
+        directory: &'a Directory,
+        service: &str,
+        query: Query<'_>,
+    ) -> Option<&'a Target> {
+        let Query { now, peers, criteria, .. } = query;
+        let ranked = self.subsets.ranked(directory, service);
+        let Some(users) = self.spill.zone_peers(now).map(|peers| ZONE_SENDERS_DIVISOR * peers) else {
+            return self.choose_ranked(directory, &ranked, peers, query);
+        };
+        for place in self.spill.places(now, service, criteria.size) {
+            let chosen = match &place {
+                Place::Zone(zone) => {
+                    let ranked = self.subsets.ranked_in(directory, service, zone);
+                    self.choose_ranked(directory, &ranked, users, query)
+                }
+                Place::FreeSlot => {
+                    let is_away = |id: &&Arc<str>| {
+                        let target = directory.get(id);
+                        target.is_some_and(|t| t.entry.zone != self.zone && t.cold_until <= now)
+                    };
+                    let away: Vec<Arc<str>> = ranked.iter().filter(is_away).cloned().collect();
+                    self.choose_ranked(directory, &away, peers, Query { fill_max: 1.0, ..query })
+                }
+            };
+            if let Some(target) = chosen {
+                self.spill.count_sent(now, service, &target.entry.zone, Some(&place));
+                return Some(target);
+            }
+        }
+        let chosen = self.choose_ranked(directory, &ranked, peers, query)?;
+        self.spill.count_sent(now, service, &chosen.entry.zone, None);
+        Some(chosen)
+    }
+
+    /// Chooses among targets in their order, which `users` processes use.
+    fn choose_ranked<'a>(
+        &mut self,
+        directory: &'a Directory,
+        ranked: &[Arc<str>],
+        users: u32,
+        query: Query<'_>,
+    ) -> Option<&'a Target> {
+        let mut groups = ranked.chunks(subset::width(ranked.len(), users));
+        groups.find_map(|ids| {
+            let targets = ids.iter().filter_map(|id| directory.get(id));
+            let candidates = targets.filter(|t| !query.criteria.avoid.contains(&t.entry.incarnation));
+            self.choose_among(candidates, query)
+        })
     }
 
     /// Returns why no target of a service gets a request without a key, if none
@@ -281,17 +363,20 @@
 
     fn choose_among<'a>(
         &mut self,
-        now: Time,
         candidates: impl Iterator<Item = &'a Target>,
-        peers: u32,
-        demand: Demand<'_>,
+        query: Query<'_>,
     ) -> Option<&'a Target> {
+        let Query { now, peers, criteria, .. } = query;
         let mut best: Option<(f64, &Target)> = None;
         for target in candidates {
-            if self.check(now, target, false, peers, demand.fill).is_err() {
+            if self.check(now, target, false, peers, criteria.fill).is_err() {
                 continue;
             }
-            let expected_time = self.expected_time(now, target, peers, demand.size);
+            let requests = self.state(&target.entry.incarnation).requests(now, peers);
+            if requests >= query.fill_max * f64::from(target.entry.slots) {
+                continue;
+            }
+            let expected_time = self.expected_time(now, target, peers, criteria.size);
             if best.is_none_or(|(least, _)| expected_time < least) {
                 best = Some((expected_time, target));
             }
@@ -378,6 +463,15 @@
         some.map(|(id, state)| (id.clone(), state.queued)).collect()
     }
 
+    /// Counts the answer of a target without keys and the time that it took, after
+    /// the report in it.
+    pub fn count_answer(&mut self, now: Time, target: &Entry, bytes: usize, took: Span) {
+        let slots = f64::from(target.slots);
+        let fill = self.targets.get(&target.incarnation.id).map_or(0.0, |state| state.fill(slots));
+        self.spill.record_fill(now, &target.service, &target.zone, fill);
+        self.spill.count_answer(&target.service, bytes, took.scale(1.0 / fill.max(1.0)));
+    }
+
     /// Records the end of an attempt at a target and the time that it took.
     /// `slots` are the target's slots.
     pub fn end(
@@ -403,7 +497,7 @@
         match completion {
             Completion::Good => {
                 // Time in the target's own queue is no sign of a slow target.
-                let fill = state.reported_load / slots.max(1.0);
+                let fill = state.fill(slots);
                 let time = took.as_secs_f64() / fill.max(1.0) / state.slowdown.at(now);
                 state.service_time += (time - state.service_time) * SERVICE_TIME_WEIGHT;
                 state.measured = true;
--- a/crates/catkin-route/tests/cold.rs
+++ b/crates/catkin-route/tests/cold.rs
@@ -8,7 +8,7 @@
         balance,
         cold::{TokenGrant, Tokens},
         directory::{Directory, Entry, Incarnation},
-        load::{Completion, Demand, Denial, LocalLoads},
+        load::{Completion, Criteria, Denial, LocalLoads},
         pace::{Share, SlotGrid},
         quotas::Quotas,
         rank::FillFactor,
@@ -216,7 +216,7 @@
                 }
                 false => {
                     let chosen =
-                        process.loads.choose(time, &process.directory, SERVICE, peers, Demand::new(0));
+                        process.loads.choose(time, &process.directory, SERVICE, peers, Criteria::new(0));
                     let chosen = chosen.map(|target| target.entry.incarnation.clone());
                     let denial =
                         process.loads.denial(time, &process.directory, SERVICE, peers, FillFactor::MAX);
--- a/crates/catkin-route/tests/common/service.rs
+++ b/crates/catkin-route/tests/common/service.rs
@@ -8,7 +8,7 @@
         admission::{Admission, FleetAdmission, FleetShares, QueueLoad},
         directory::{Directory, Entry, Target},
         level::Levels,
-        load::{Completion, Demand, LocalLoads},
+        load::{Completion, Criteria, LocalLoads},
         quotas::Quotas,
         rank::{FillFactor, Ranks},
     },
@@ -321,7 +321,7 @@
             };
             let (now, peers) = (self.time(), self.peers());
             let state = &mut self.processes[process];
-            let demand = Demand { fill, ..Demand::new(0) };
+            let demand = Criteria { fill, ..Criteria::new(0) };
             let chosen = state.loads.choose(now, &self.directory, SERVICE, peers, demand);
             let Some(target) = chosen.map(|target| target.entry.incarnation.clone()) else {
                 if waited >= 1.0 {
--- a/crates/catkin-route/tests/pause.rs
+++ b/crates/catkin-route/tests/pause.rs
@@ -6,7 +6,7 @@
     catkin::types::Span,
     catkin_route::{
         directory::Directory,
-        load::{Completion, Demand, Denial, LocalLoads},
+        load::{Completion, Criteria, Denial, LocalLoads},
         pause::Pause,
         rank::FillFactor,
     },
@@ -38,7 +38,7 @@
         let target = directory.get("a").unwrap();
         let denied = loads.check(at(millis), target, true, PEERS, FillFactor::MAX);
         assert!(matches!(denied, Err(Denial::Paused(rest)) if rest >= at(4_000).since(at(millis))));
-        let chosen = loads.choose(at(millis), &directory, SERVICE, PEERS, Demand::new(0)).unwrap();
+        let chosen = loads.choose(at(millis), &directory, SERVICE, PEERS, Criteria::new(0)).unwrap();
         assert_eq!(&*chosen.entry.incarnation.id, "b");
     }
 }
@@ -50,7 +50,7 @@
     let (mut loads, directory) = setup("vm");
     loads.observe_pause(at(0), &incarnation("a", 1), Some(seconds(8)), at(0));
     loads.observe_pause(at(0), &incarnation("b", 1), Some(seconds(2)), at(0));
-    assert!(loads.choose(at(0), &directory, SERVICE, PEERS, Demand::new(0)).is_none());
+    assert!(loads.choose(at(0), &directory, SERVICE, PEERS, Criteria::new(0)).is_none());
     let Some(Denial::Paused(rest)) = loads.denial(at(0), &directory, SERVICE, PEERS, FillFactor::MAX) else {
         panic!()
     };
--- a/crates/catkin-route/tests/rank.rs
+++ b/crates/catkin-route/tests/rank.rs
@@ -6,7 +6,7 @@
     catkin::types::Span,
     catkin_route::{
         directory::Directory,
-        load::{Completion, Demand, LocalLoads},
+        load::{Completion, Criteria, LocalLoads},
         rank::{FillFactor, Ranks},
     },
     common::{SERVICE, at, entry, incarnation},
@@ -23,7 +23,7 @@
     loads.begin(at(0), &incarnation("a", 1), PEERS);
     loads.record_report(at(1), &incarnation("a", 1), reported + 1, 1.0);
     loads.end(at(1), &incarnation("a", 1), Completion::Good, Span::from_millis(90), 6);
-    loads.choose(at(2), &directory, SERVICE, PEERS, Demand { fill, ..Demand::new(0) }).is_some()
+    loads.choose(at(2), &directory, SERVICE, PEERS, Criteria { fill, ..Criteria::new(0) }).is_some()
 }
 
 /// Less urgent requests that queue at a target delay urgent ones that come
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -58,7 +58,7 @@
 struct Inner {
     id: String,
     service: String,
-    zone: String,
+    zone: RefCell<String>,
     keyed: bool,
     work_time: Duration,
     checker: InvariantChecker,
@@ -138,7 +138,7 @@
         let inner = Inner {
             id: id.to_owned(),
             service: service.to_owned(),
-            zone: zone.to_owned(),
+            zone: RefCell::new(zone.to_owned()),
             keyed,
             work_time,
             checker: checker.clone(),
@@ -299,6 +299,11 @@
         &self.inner.id
     }
 
+    /// Sets the availability zone that the entry names; `z` at first.
+    pub fn set_zone(&self, zone: &str) {
+        *self.inner.zone.borrow_mut() = zone.to_owned();
+    }
+
     /// Returns whether the running incarnation may write its entry.
     pub fn is_listed(&self) -> bool {
         self.inner.unlisted_until.get().is_none_or(|until| until <= Instant::now())
@@ -321,7 +326,7 @@
         let entry = json!({
             "address": addr.to_string(),
             "born": incarnation,
-            "info": { "service": inner.service, "configVersion": "v1", "zone": inner.zone, "slots": SLOTS },
+            "info": { "service": inner.service, "configVersion": "v1", "zone": *inner.zone.borrow(), "slots": SLOTS },
             "status": { "state": state, "seq": 1, "coldLeftMs": cold_left.as_secs_f64() * 1e3 },
         });
         inner.store.put("keyed.servers", &inner.id, entry.to_string().as_bytes());
@@ -416,6 +421,7 @@
     /// Only the time counts in which every process ran and could reach the store.
     fn check_evacuation(&self) {
         let Inner { id, zone, checker, store, .. } = &*self.inner;
+        let zone = zone.borrow();
         let Some(since) = store.set_since("keyed.op", &format!("evacuate/{zone}")) else { return };
         let late = checker.reachable_since(since).elapsed();
         if late > EVACUATION_TIME {
