Reach the store sooner after a cut

A process that was cut off from the store and from all others for 12 s used an old configuration and sent to targets that had left for up to 2.5 s after that (seen here; 3.2 s elsewhere). An attempt in progress at the end of the cut fails after up to 2.2 s (1 s to connect, 1.2 s for the answer), and the delay after it, which doubled with any failure, was 1.4 s. The system repeats a lost attempt to connect after 1, 2 and 4 s, so one in progress does not succeed sooner.

The delay now grows after refusals only. It is 0.4 s after a call without an answer, and 0.25 s after one that could not be sent. Connections to the store and to the leader must open within 0.4 s, which is part of the time-out of a call. A time-out closes the idle connections as well. A call that began before the last answer, or before the last probe, no longer changes the time of the next probe: after one such call two reads probed at a time.

--- a/crates/catkin-edge/src/lead/claim.rs
+++ b/crates/catkin-edge/src/lead/claim.rs
@@ -6,7 +6,7 @@
         membership::{self, MEMBER_TTL},
         record,
     },
-    crate::node::Node,
+    crate::{node::Node, sync},
     catkin::types::Span,
     catkin_route::{
         granter,
@@ -100,7 +100,7 @@
     match record::write_once(node, &table, end).await {
         Some(true) => {
             // The store is available: a leader needs the directory at once.
-            node.backoff.set(None);
+            sync::end_backoff(node);
             Some(Claim { table, offset: end, lease_duration })
         }
         Some(false) => {
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -4,7 +4,7 @@
     crate::feed::{self, Feed},
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
-    catkin_net::Held,
+    catkin_net::{Held, set_socket_options},
     catkin_route::{
         announced::LimitReport,
         backlog::{Change, Payload},
@@ -16,16 +16,23 @@
         quotas::Counts,
     },
     serde::{Deserialize, Serialize},
-    std::{io, rc::Rc, sync::Arc},
+    std::{io, net::SocketAddr, rc::Rc, sync::Arc},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+        net::{
+            TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
     },
 };
 
 /// Time without a message after which a link is closed.
 pub(super) const LINK_TIMEOUT: Span = Span::from_millis(1_500);
 
+/// Time for a link to open. A system repeats a lost attempt after 1 s, 2 s and 4 s,
+/// so after a cut a new attempt is sooner than one in progress.
+const CONNECT_TIMEOUT: Span = Span::from_millis(400);
+
 /// Largest accepted message.
 pub(super) const MESSAGE_BYTES_MAX: usize = 4 << 20;
 
@@ -185,6 +192,14 @@
     }
 }
 
+/// Opens a connection to another process.
+pub(super) async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    let connect = TcpStream::connect(addr);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT.as_duration(), connect).await??;
+    set_socket_options(&stream);
+    Ok(stream)
+}
+
 pub(super) async fn write<T: Serialize>(stream: &mut OwnedWriteHalf, message: &T) -> io::Result<()> {
     let body = postcard::to_stdvec(message).map_err(io::Error::other)?;
     let length = u32::try_from(body.len()).map_err(io::Error::other)?;
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -4,14 +4,13 @@
 use {
     super::message::{
         KeyCounts, LINK_TIMEOUT, LeaderMessage, LeaderState, Message, MessageReader, Report, TableUpdate,
-        TopicChanges, write,
+        TopicChanges, connect, write,
     },
     crate::{
         node::{Node, VersionedOwners, sleep},
         sync,
     },
     catkin::types::{Span, Time},
-    catkin_net::set_socket_options,
     catkin_route::{
         directory::Target,
         level::Levels,
@@ -20,7 +19,6 @@
         report_times::ReportTimes,
     },
     std::{collections::HashMap, io, rc::Rc, sync::Arc},
-    tokio::net::TcpStream,
 };
 
 /// Interval between reports.
@@ -194,9 +192,7 @@
 
 /// Reports to a leader. Returns once that process does not lead.
 async fn run_link(node: &Rc<Node>, leader: &ProcessId) -> io::Result<()> {
-    let connect = TcpStream::connect(leader.addr);
-    let stream = tokio::time::timeout(LINK_TIMEOUT.as_duration(), connect).await??;
-    set_socket_options(&stream);
+    let stream = connect(leader.addr).await?;
     let (reader, mut writer) = stream.into_split();
     let mut messages = MessageReader::new(reader)?;
     let interval = if node.is_large_fleet() { REPORT_INTERVAL_LARGE } else { REPORT_INTERVAL };
@@ -257,8 +253,7 @@
 }
 
 async fn stop_once(leader: &ProcessId) -> io::Result<()> {
-    let stream = TcpStream::connect(leader.addr).await?;
-    set_socket_options(&stream);
+    let stream = connect(leader.addr).await?;
     let (reader, mut writer) = stream.into_split();
     write(&mut writer, &Message::Stop(leader.run_id)).await?;
     MessageReader::new(reader)?.next().await.map(drop)
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -2,18 +2,14 @@
 
 use {
     crate::{
-        feed::Feed,
-        log_limiter::LogLimiter,
-        metrics::Metrics,
-        pool::Pool,
-        settings::Settings,
-        sync::{Backoff, Source},
+        feed::Feed, log_limiter::LogLimiter, metrics::Metrics, pool::Pool, settings::Settings, sync::Source,
     },
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
     catkin::types::{Span, Time},
     catkin_net::BootClock,
     catkin_platform::{bounds::Bounds, name, store::Store},
     catkin_route::{
+        backoff::Backoff,
         budget::{self, Budget},
         config::Config,
         directory::Directory,
@@ -74,7 +70,7 @@
     /// Topic of the directory.
     pub(crate) directory_feed: Feed,
     /// Backoff of reads while the store is unavailable.
-    pub(crate) backoff: Cell<Option<Backoff>>,
+    pub(crate) backoff: Cell<Backoff>,
     /// Newest known configuration; `None` until the first one is read.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// Traffic split of routes with several services.
@@ -186,7 +182,7 @@
             identity,
             config_feed: Feed::new(name::CONFIG_TOPIC, BootClock.now()),
             directory_feed: Feed::new(name::TARGETS_TOPIC, BootClock.now()),
-            backoff: Cell::new(None),
+            backoff: Cell::default(),
             config: RefCell::default(),
             split: RefCell::default(),
             directory: RefCell::new(Directory::default().with_entry_ttl(entry_ttl(&settings))),
--- a/crates/catkin-edge/src/sync.rs
+++ b/crates/catkin-edge/src/sync.rs
@@ -17,6 +17,7 @@
     },
     catkin_route::{
         backlog::{Change, Payload},
+        backoff::Failure,
         directory::{Directory, Entry, Incarnation, Target},
     },
     std::{collections::HashSet, rc::Rc},
@@ -26,13 +27,6 @@
 /// the store to wait.
 pub(crate) const ANSWER_TIMEOUT: Span = Span::from_millis(1_200);
 
-/// Delay after a failed call; it doubles with each further failure.
-const RETRY_DELAY_MIN: Span = Span::from_millis(200);
-
-/// Longest such delay. Once the store is available again, it leaves time to
-/// catch up before the bounds apply again 3 s later.
-const RETRY_DELAY_MAX: Span = Span::from_millis(1_400);
-
 /// Time for which the leader's read of the configuration waits for a new
 /// version. An unresponsive connection is detected after this time plus the
 /// time for an answer; the sum stays near the bound for new configurations.
@@ -74,34 +68,37 @@
 /// first state.
 const LEADER_ANSWER_WAIT: Span = Span::from_secs(1);
 
-/// Backoff while the store is unavailable. It is shared by all topics, and one
-/// read at a time probes the store: each call has a cost, also a refused one.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Backoff {
-    /// Time of the next probe.
-    retry_at: Time,
-    /// Delay after that probe if it fails.
-    delay: Span,
-}
-
 /// Waits until a read may call the store.
 async fn await_backoff(node: &Node) {
-    while let Some(backoff) = node.backoff.get() {
-        let now = node.now();
-        if now >= backoff.retry_at {
-            let retry_at = now.after(ANSWER_TIMEOUT).after(RECHECK_INTERVAL);
-            node.backoff.set(Some(Backoff { retry_at, ..backoff }));
+    loop {
+        let mut backoff = node.backoff.get();
+        let may_call = backoff.claim(node.now());
+        node.backoff.set(backoff);
+        if may_call {
             return;
         }
-        sleep(backoff.retry_at.since(now).min(RECHECK_INTERVAL)).await;
+        sleep(backoff.rest(node.now()).min(RECHECK_INTERVAL)).await;
     }
 }
 
-/// Updates the backoff after a read.
-fn update_backoff(node: &Node, answered: bool) {
-    let delay = node.backoff.get().map_or(RETRY_DELAY_MIN, |backoff| backoff.delay);
-    let backoff = Backoff { retry_at: node.now().after(delay), delay: delay.scale(2.0).min(RETRY_DELAY_MAX) };
-    node.backoff.set((!answered).then_some(backoff));
+/// Ends the backoff, as the store has answered.
+pub(crate) fn end_backoff(node: &Node) {
+    let mut backoff = node.backoff.get();
+    backoff.answered(node.now());
+    node.backoff.set(backoff);
+}
+
+/// Updates the backoff after a read that began at a time.
+fn update_backoff(node: &Node, began: Time, result: Result<(), StoreError>) {
+    let failure = match result {
+        Ok(()) | Err(StoreError::Deleted(_)) => return end_backoff(node),
+        Err(StoreError::Unsent) => Failure::Unsent,
+        Err(StoreError::Unknown) => Failure::Unanswered,
+        Err(_) => Failure::Refused,
+    };
+    let mut backoff = node.backoff.get();
+    backoff.failed(node.now(), began, failure);
+    node.backoff.set(backoff);
 }
 
 /// Where a record comes from.
@@ -279,6 +276,8 @@
     async fn read(&mut self, wait: Span) -> Result<Option<HashSet<Bytes>>, StoreError> {
         let timeout = ANSWER_TIMEOUT.as_duration();
         let (node, feed) = (self.node, self.feed);
+        // A probe that waits would take longer to find out that nothing answers.
+        let wait = if node.backoff.get().is_over() { wait } else { Span::ZERO };
         let sent_at = node.now();
         let Some(from) = feed.next_offset() else {
             let newest = node.store.newest(feed.topic, timeout).await?;
@@ -336,8 +335,9 @@
     async fn next(&mut self, wait: Span) -> Option<HashSet<Bytes>> {
         loop {
             await_backoff(self.node).await;
+            let began = self.node.now();
             let read = self.read(wait).await;
-            update_backoff(self.node, matches!(read, Ok(_) | Err(StoreError::Deleted(_))));
+            update_backoff(self.node, began, read.as_ref().map(drop).map_err(|error| *error));
             match read {
                 Ok(keys) => {
                     if std::mem::take(&mut self.failing) {
@@ -438,12 +438,13 @@
             continue;
         }
         await_backoff(&node).await;
+        let began = node.now();
         let read = match next {
             // A long poll would keep the other readers from probing the store.
-            Some(end) if node.backoff.get().is_none() => record::wait(&node, end, OWNERS_WAIT).await,
+            Some(end) if node.backoff.get().is_over() => record::wait(&node, end, OWNERS_WAIT).await,
             _ => record::read(&node).await,
         };
-        update_backoff(&node, read.is_ok());
+        update_backoff(&node, began, read.as_ref().map(drop).map_err(|error| *error));
         match read {
             Ok(record::Newest { table, end }) => {
                 next = Some(end);
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -28,8 +28,9 @@
         time::{Duration, Instant},
     },
     tokio::{
-        net::TcpStream,
+        net::{TcpSocket, TcpStream},
         sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+        task::JoinHandle,
     },
 };
 
@@ -405,6 +406,12 @@
     OneWay,
     /// Forwards nothing and keeps connections open.
     Stalled,
+    /// As a network that drops all packets: open connections go silent for good,
+    /// and new ones are not accepted, so that the system of the other end repeats
+    /// its attempts after 1, 2 and 4 s.
+    Cut,
+    /// Open connections go silent for good, and so do those that are opened now.
+    Silent,
     /// Resets connections.
     Reset,
 }
@@ -424,18 +431,40 @@
     answer_delay: Cell<Duration>,
     /// Number of times that all open connections went silent.
     silences: Cell<u32>,
+    /// Number of reads of the store that came on silent connections.
+    silent_reads: Cell<u32>,
+    /// Connections that fill the queue of the listener.
+    fillers: RefCell<Vec<JoinHandle<()>>>,
 }
 
+/// Connections that the listener of a proxy queues.
+const QUEUE_LENGTH: u32 = 16;
+
 impl Proxy {
     /// Starts a proxy in front of an address.
     pub(crate) async fn start(to: SocketAddr) -> Self {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(QUEUE_LENGTH).unwrap();
         let proxy = Self { faults: Rc::default(), addr: listener.local_addr().unwrap() };
         let faults = proxy.faults.clone();
         actix_rt::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
+            loop {
+                while faults.mode.get() == ProxyMode::Cut {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                let Ok((near, _)) = listener.accept().await else { return };
                 let faults = faults.clone();
                 actix_rt::spawn(async move {
+                    if matches!(faults.mode.get(), ProxyMode::Silent | ProxyMode::Cut) {
+                        let mut request = [0; 64];
+                        let _ = near.readable().await;
+                        let count = near.try_read(&mut request).unwrap_or(0);
+                        let text = String::from_utf8_lossy(&request[..count]);
+                        let is_read = text.contains("/v1/log-read") || text.contains("/v1/log-newest");
+                        faults.silent_reads.set(faults.silent_reads.get() + u32::from(is_read));
+                        return std::future::pending().await;
+                    }
                     let Ok(far) = TcpStream::connect(to).await else {
                         let _ = near.set_zero_linger();
                         return;
@@ -463,6 +492,28 @@
     /// Changes how bytes are handled.
     pub(crate) fn set(&self, mode: ProxyMode) {
         self.faults.mode.set(mode);
+        if matches!(mode, ProxyMode::Cut | ProxyMode::Silent) {
+            self.silence();
+        }
+        let mut fillers = self.faults.fillers.borrow_mut();
+        fillers.drain(..).for_each(|filler| filler.abort());
+        if mode == ProxyMode::Cut {
+            // A full queue makes the system drop attempts to connect.
+            let addr = self.addr;
+            let fill = |_| {
+                actix_rt::spawn(async move {
+                    let _open = TcpStream::connect(addr).await;
+                    std::future::pending().await
+                })
+            };
+            fillers.extend((0..QUEUE_LENGTH + 4).map(fill));
+        }
+    }
+
+    /// Returns the number of reads of the store that came on connections opened in
+    /// the mode [`ProxyMode::Silent`].
+    pub(crate) fn silent_reads(&self) -> u32 {
+        self.faults.silent_reads.get()
     }
 
     /// Delays bytes of answers that arrive from now on.
@@ -515,7 +566,7 @@
                     let _ = self.to.set_zero_linger();
                     return;
                 }
-                ProxyMode::Stalled => {
+                ProxyMode::Stalled | ProxyMode::Cut | ProxyMode::Silent => {
                     tokio::time::sleep(Duration::from_millis(20)).await;
                     continue;
                 }
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
 //! | [`topic_copy`] | which records of a topic a process keeps for others |
+//! | [`backoff`] | when a store that could not be read is called again |
 //! | [`report_times`] | how old a state of the leader is when it arrives |
 //! | [`budget`] | whether a service has a retry left |
 //! | [`attempts`] | whether a request may get another attempt, and what its caller is told |
@@ -32,6 +33,7 @@
 pub mod announced;
 pub mod attempts;
 pub mod backlog;
+pub mod backoff;
 pub mod balance;
 pub mod budget;
 pub mod config;
