--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -2,14 +2,8 @@
 
 use {
     crate::{
-        feed::Feed,
-        lead,
-        log_limiter::LogLimiter,
-        metrics::Metrics,
-        pool::Pool,
-        settings::Settings,
-        sync::{Backoff, Source},
-        wait_queue::WaitQueue,
+        feed::Feed, lead, log_limiter::LogLimiter, metrics::Metrics, pool::Pool, settings::Settings,
+        sync::Source, wait_queue::WaitQueue,
     },
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
     catkin::types::{Span, Time},
@@ -17,6 +11,7 @@
     catkin_platform::{bounds::Bounds, name, store::Store},
     catkin_route::{
         admission::Admission,
+        backoff::Backoff,
         budget::{self, Budget},
         config::Config,
         directory::Directory,
@@ -78,7 +73,7 @@
     /// Topic of the directory.
     pub(crate) directory_feed: Feed,
     /// Backoff of reads while the store is unavailable.
-    pub(crate) backoff: Cell<Option<Backoff>>,
+    pub(crate) backoff: Cell<Backoff>,
     /// Newest known configuration; `None` until the first one is read.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// Traffic split of routes with several services.
@@ -203,7 +198,7 @@
             identity,
             config_feed: Feed::new(name::CONFIG_TOPIC, BootClock.now()),
             directory_feed: Feed::new(name::TARGETS_TOPIC, BootClock.now()),
-            backoff: Cell::new(None),
+            backoff: Cell::default(),
             config: RefCell::default(),
             split: RefCell::default(),
             directory: RefCell::new(
