--- a/crates/catkin-edge/tests/announced.rs
+++ b/crates/catkin-edge/tests/announced.rs
@@ -136,6 +136,7 @@
             };
             let responses = join_all((0..42).map(|number| order(number % 3))).await;
             responses.into_iter().flatten().for_each(|edge| reached[edge] = true);
+            sleep(100).await;
         }
         reached
     };
