Serve a key whose owner has room whatever the threshold by rank

The threshold is that of a whole service.

A request with a key that the threshold refuses is sent now if its owner takes it at once. No test of its own.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -171,10 +171,23 @@
 fn check_admission(node: &Node, routed: &RoutedRequest<'_>) -> Result<(), AdmitError> {
     let rank = routed.route.priority;
     let checked = node.admission.borrow_mut().check(node.now(), &routed.service, rank, &routed.id);
-    checked.map_err(|wait| {
-        node.metrics.count_overload_refusal(&routed.service, rank);
-        AdmitError::NotAdmitted(wait)
-    })
+    checked.map_err(AdmitError::NotAdmitted)
+}
+
+/// Returns the owner of the request's key if it takes the request at once. It is
+/// served then whatever the threshold, which is that of the whole service: refusing
+/// it would leave no room to others.
+fn free_owner(
+    node: &Node,
+    routed: &RoutedRequest<'_>,
+    attempts: &Attempts,
+    wait: &Wait,
+    place: &mut QueuePlace<'_>,
+) -> Option<Admitted> {
+    routed.key?;
+    let admitted = find_target(node, routed, attempts, node.now(), wait, place).ok()?;
+    node.admission.borrow_mut().count_admitted(&routed.service, routed.route.priority);
+    Some(admitted)
 }
 
 /// Returns how far a request without a key may fill a target.
@@ -262,14 +275,21 @@
     routed: &RoutedRequest<'_>,
     attempts: &Attempts,
 ) -> Result<Admitted, AdmitError> {
-    if attempts.is_empty() {
-        check_admission(node, routed)?;
-    }
     let wait_max = routed.route.latency_objective.scale(WAIT_FRACTION);
     let started = node.now();
     let wait_until = routed.incoming.arrived.after(wait_max).max(started.after(TIME_LEFT_MIN));
     let mut place = QueuePlace { node, incarnation: None };
     let mut waiting = None;
+    if attempts.is_empty()
+        && let Err(error) = check_admission(node, routed)
+    {
+        let wait = Wait { waited: Span::ZERO, until: started };
+        let admitted = free_owner(node, routed, attempts, &wait, &mut place);
+        if admitted.is_none() {
+            node.metrics.count_overload_refusal(&routed.service, routed.route.priority);
+        }
+        return admitted.ok_or(error);
+    }
     if routed.key.is_none() {
         let size = routed.incoming.body.iter().map(Bytes::len).sum();
         node.loads.borrow_mut().spill().count_request(&routed.service, size);
--- a/crates/catkin-route/src/admission.rs
+++ b/crates/catkin-route/src/admission.rs
@@ -209,6 +209,14 @@
         refused.map_or(Ok(()), Err)
     }
 
+    /// Counts a request as admitted that [`check`](Self::check) has refused, as there
+    /// is room for it.
+    pub fn count_admitted(&mut self, service: &str, rank: u32) {
+        if let Some(state) = self.rank(service, rank) {
+            state.counts.refused = state.counts.refused.saturating_sub(1);
+        }
+    }
+
     /// Returns the share of a rank that is admitted.
     pub fn share(&self, now: Time, service: &str, rank: u32) -> f64 {
         let has_leader = self.has_leader(now);
