Use the usual terms in the choice of zones

"Crossing" for the use of a link between zones and "congestion" for a zone with more requests than slots; the settings are crossing_ms and crossing_price_ms. No change of what the code does.

--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -19,7 +19,7 @@
         pace::Share,
         quotas::{Counts, Quotas},
         rate::RequestRate,
-        spill::{ShareChange, SpillBoard, TargetState, WayCost, ZoneTable},
+        spill::{CrossingCost, ShareChange, SpillBoard, TargetState, ZoneTable},
     },
     std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
 };
@@ -81,8 +81,8 @@
 
 impl Peers {
     /// Creates the state of a leader without reports.
-    pub(super) fn new(way_cost: WayCost) -> Self {
-        Self { spill: RefCell::new(SpillBoard::new(way_cost)), ..Self::default() }
+    pub(super) fn new(crossing_cost: CrossingCost) -> Self {
+        Self { spill: RefCell::new(SpillBoard::new(crossing_cost)), ..Self::default() }
     }
 
     /// Returns the shares of requests that leave their zone, or `None` if all
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -24,7 +24,7 @@
 
 /// Accepts links from processes.
 pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener) {
-    let peers = Rc::new(Peers::new(node.settings.way_cost()));
+    let peers = Rc::new(Peers::new(node.settings.crossing_cost()));
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -188,7 +188,7 @@
             loads: RefCell::new(
                 LocalLoads::new(settings.zone.as_str().into())
                     .with_vm(identity.vm.clone())
-                    .with_way_cost(settings.way_cost()),
+                    .with_crossing_cost(settings.crossing_cost()),
             ),
             admission: RefCell::default(),
             limited_services: RefCell::default(),
--- a/crates/catkin-edge/src/settings.rs
+++ b/crates/catkin-edge/src/settings.rs
@@ -7,7 +7,7 @@
         settings,
         types::{Span, VmId, Zone},
     },
-    catkin_route::spill::WayCost,
+    catkin_route::spill::CrossingCost,
     serde::Deserialize,
     std::net::SocketAddr,
 };
@@ -51,14 +51,14 @@
     /// Limits of the platform, as `name=value`.
     #[serde(default)]
     pub(crate) bounds: Vec<String>,
-    /// Time of the way to another zone and back, in milliseconds, as a request
+    /// Time of the crossing to another zone and back, in milliseconds, as a request
     /// without a key weighs it against the wait in its own zone.
     #[serde(default)]
-    pub(crate) way_ms: Option<u32>,
+    pub(crate) crossing_ms: Option<u32>,
     /// Wait in the own zone that is accepted to save the price of a request to
     /// another zone, in milliseconds.
     #[serde(default)]
-    pub(crate) way_price_ms: Option<u32>,
+    pub(crate) crossing_price_ms: Option<u32>,
     /// The same for a million bytes of its body and its answer, in milliseconds.
     #[serde(default)]
     pub(crate) megabyte_price_ms: Option<u32>,
@@ -80,15 +80,15 @@
 }
 
 impl Settings {
-    /// Returns what the way to another zone costs.
-    pub(crate) fn way_cost(&self) -> WayCost {
-        let default = WayCost::default();
+    /// Returns what the crossing to another zone costs.
+    pub(crate) fn crossing_cost(&self) -> CrossingCost {
+        let default = CrossingCost::default();
         let span = |millis: Option<u32>, default: Span| {
             millis.map_or(default, |millis| Span::from_millis(u64::from(millis)))
         };
-        WayCost {
-            round_trip: span(self.way_ms, default.round_trip),
-            per_request: span(self.way_price_ms, default.per_request),
+        CrossingCost {
+            round_trip: span(self.crossing_ms, default.round_trip),
+            per_request: span(self.crossing_price_ms, default.per_request),
             per_megabyte: span(self.megabyte_price_ms, default.per_megabyte),
             large_bytes: self.large_body_bytes.map_or(default.large_bytes, |bytes| bytes as usize),
         }
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -15,7 +15,7 @@
         quotas::{Counts, TargetQuota},
         rank::FillFactor,
         rate::RequestRate,
-        spill::{Place, Spill, WayCost},
+        spill::{CrossingCost, Place, Spill},
         subset::{self, Subsets},
     },
     catkin::types::{Span, Time},
@@ -142,7 +142,7 @@
 
     /// Sets what the way to another zone costs.
     #[must_use]
-    pub fn with_way_cost(self, cost: WayCost) -> Self {
+    pub fn with_crossing_cost(self, cost: CrossingCost) -> Self {
         Self { spill: self.spill.with_cost(cost), ..self }
     }
 
--- a/crates/catkin-route/src/spill.rs
+++ b/crates/catkin-route/src/spill.rs
@@ -8,9 +8,9 @@
 //!
 //! The leader decides with a [`SpillBoard`], from the reports of all processes,
 //! for all zones at once: requests move from the zone where they wait longest to
-//! the one where they wait least, as long as that saves more than the way costs
+//! the one where they wait least, as long as that saves more than the crossing costs
 //! and the receiving zone has room. A process applies its row of the table with
-//! a [`Spill`]; while its own zone is crowded and the leader has not answered
+//! a [`Spill`]; while its own zone is congested and the leader has not answered
 //! that yet, a part goes to free slots elsewhere.
 
 mod board;
@@ -42,20 +42,20 @@
 /// Half-life of that mean without answers.
 const FILL_HALF_LIFE: Span = Span::from_millis(500);
 
-/// Mean fill from which on the own zone is crowded. In replays of zones with two
+/// Mean fill from which on the own zone is congested. In replays of zones with two
 /// or three targets, more requests were in time than with 1.5; with 1.2, a tenth
 /// left zones that were all equally full, and fewer were in time.
-const CROWD_FILL_MIN: f64 = 1.35;
+const CONGESTION_FILL_MIN: f64 = 1.35;
 
-/// Share that leaves a crowded zone, for each slot's worth of requests beyond
+/// Share that leaves a congested zone, for each slot's worth of requests beyond
 /// that, until the leader has changed the shares.
-const CROWD_SHARE: f64 = 1.0;
+const CONGESTION_SHARE: f64 = 1.0;
 
 /// Least difference between the fill of the own zone and that of others for that.
-const CROWD_GAP_MIN: f64 = 0.7;
+const CONGESTION_GAP_MIN: f64 = 0.7;
 
-/// Most that leaves so: all processes of the zone see the crowd at once.
-const CROWD_SHARE_MAX: f64 = 0.5;
+/// Most that leaves so: all processes of the zone see the congestion at once.
+const CONGESTION_SHARE_MAX: f64 = 0.5;
 
 /// Unit of a share in a message.
 const SHARE_UNIT: f64 = 1.0 / 250.0;
@@ -63,8 +63,8 @@
 /// What one request to another zone costs, as a wait at home that it must save
 /// at least.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct WayCost {
-    /// Time of the way there and back.
+pub struct CrossingCost {
+    /// Time of the crossing there and back.
     pub round_trip: Span,
     /// Price of a request.
     pub per_request: Span,
@@ -74,7 +74,7 @@
     pub large_bytes: usize,
 }
 
-impl Default for WayCost {
+impl Default for CrossingCost {
     fn default() -> Self {
         Self {
             round_trip: Span::from_millis(2),
@@ -85,7 +85,7 @@
     }
 }
 
-impl WayCost {
+impl CrossingCost {
     fn seconds(&self, kilobytes: f64) -> f64 {
         (self.round_trip + self.per_request).as_secs_f64() + self.per_megabyte.as_secs_f64() * kilobytes / 1e3
     }
@@ -117,7 +117,7 @@
 /// zones, in units of 0.004.
 pub type PackedShare = (u8, u8, u8);
 
-/// Shares of all zones, as the leader sends them. Ways without a share are left
+/// Shares of all zones, as the leader sends them. Crossings without a share are left
 /// out, so that the table is empty while all zones have room.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneTable {
@@ -127,12 +127,12 @@
     pub shares: Vec<(Arc<str>, Vec<PackedShare>)>,
 }
 
-/// A way out of the zone of this process.
+/// A crossing out of the zone of this process.
 #[derive(Clone, Debug)]
-struct Way {
+struct Crossing {
     zone: Arc<str>,
     share: f64,
-    /// Requests that may take the way, less those that did.
+    /// Requests that may take the crossing, less those that did.
     credit: f64,
 }
 
@@ -168,18 +168,18 @@
 
 /// How full the targets of the own zone and of other zones are.
 #[derive(Clone, Copy, Debug, Default)]
-struct Crowd {
+struct Congestion {
     home: MeanFill,
     away: MeanFill,
     /// Requests that may leave for a free slot, less those that did.
     credit: f64,
 }
 
-impl Crowd {
+impl Congestion {
     /// Returns the share of requests that should leave for a free slot.
     fn share(self, now: Time) -> f64 {
-        let excess = self.home.at(now) - CROWD_FILL_MIN.max(self.away.at(now) + CROWD_GAP_MIN);
-        (excess * CROWD_SHARE).clamp(0.0, CROWD_SHARE_MAX)
+        let excess = self.home.at(now) - CONGESTION_FILL_MIN.max(self.away.at(now) + CONGESTION_GAP_MIN);
+        (excess * CONGESTION_SHARE).clamp(0.0, CONGESTION_SHARE_MAX)
     }
 }
 
@@ -196,31 +196,31 @@
 #[derive(Debug)]
 pub struct Spill {
     zone: Arc<str>,
-    cost: WayCost,
+    cost: CrossingCost,
     /// Newest table and its expiry.
     table: Option<(Rc<ZoneTable>, Time)>,
-    ways: HashMap<Arc<str>, Vec<Way>>,
-    crowds: HashMap<Arc<str>, Crowd>,
+    crossings: HashMap<Arc<str>, Vec<Crossing>>,
+    congestions: HashMap<Arc<str>, Congestion>,
     demands: HashMap<Arc<str>, Count>,
 }
 
 impl Spill {
     /// Creates the shares of a process in a zone, which knows none.
     pub fn new(zone: Arc<str>) -> Self {
-        let cost = WayCost::default();
+        let cost = CrossingCost::default();
         Self {
             zone,
             cost,
             table: None,
-            ways: HashMap::new(),
-            crowds: HashMap::new(),
+            crossings: HashMap::new(),
+            congestions: HashMap::new(),
             demands: HashMap::new(),
         }
     }
 
-    /// Sets what the way to another zone costs.
+    /// Sets what the crossing to another zone costs.
     #[must_use]
-    pub fn with_cost(self, cost: WayCost) -> Self {
+    pub fn with_cost(self, cost: CrossingCost) -> Self {
         Self { cost, ..self }
     }
 
@@ -242,8 +242,8 @@
     /// Records how full a target was by its answer: its requests as a multiple of
     /// its slots.
     pub fn record_fill(&mut self, now: Time, service: &Arc<str>, zone: &str, fill: f64) {
-        let crowd = self.crowds.entry(service.clone()).or_default();
-        let mean = if *zone == *self.zone { &mut crowd.home } else { &mut crowd.away };
+        let congestion = self.congestions.entry(service.clone()).or_default();
+        let mean = if *zone == *self.zone { &mut congestion.home } else { &mut congestion.away };
         mean.record(now, fill);
     }
 
@@ -264,7 +264,7 @@
 
     /// Replaces the shares by those that the leader sent.
     pub fn learn(&mut self, now: Time, table: Rc<ZoneTable>) {
-        let mut ways: HashMap<Arc<str>, Vec<Way>> = HashMap::new();
+        let mut crossings: HashMap<Arc<str>, Vec<Crossing>> = HashMap::new();
         let zone = |index: u8| table.zones.get(usize::from(index)).map(|(zone, _)| zone);
         for (service, shares) in &table.shares {
             for (from, to, share) in shares {
@@ -272,13 +272,20 @@
                 if *from != self.zone || to == from {
                     continue;
                 }
-                let known = self.ways.get(service).and_then(|ways| ways.iter().find(|way| way.zone == *to));
-                let credit = known.map_or(0.0, |way| way.credit);
+                let known = self
+                    .crossings
+                    .get(service)
+                    .and_then(|crossings| crossings.iter().find(|crossing| crossing.zone == *to));
+                let credit = known.map_or(0.0, |crossing| crossing.credit);
                 let share = f64::from(*share) * SHARE_UNIT;
-                ways.entry(service.clone()).or_default().push(Way { zone: to.clone(), share, credit });
+                crossings.entry(service.clone()).or_default().push(Crossing {
+                    zone: to.clone(),
+                    share,
+                    credit,
+                });
             }
         }
-        self.ways = ways;
+        self.crossings = crossings;
         self.table = Some((table, now.after(TABLE_TTL)));
     }
 
@@ -304,39 +311,43 @@
         let needed = if size < self.cost.large_bytes { CREDIT } else { CREDIT_LARGE };
         // Sums of shares may be a little too small.
         let needed = needed - 1e-9;
-        let mut ways: Vec<&Way> = self.ways.get(service).into_iter().flatten().collect();
-        ways.sort_by(|a, b| (b.credit + b.share).total_cmp(&(a.credit + a.share)));
-        let mut places: Vec<Place> = ways.iter().map(|way| Place::Zone(way.zone.clone())).collect();
-        let is_due = ways.first().is_some_and(|way| way.credit + way.share >= needed);
+        let mut crossings: Vec<&Crossing> = self.crossings.get(service).into_iter().flatten().collect();
+        crossings.sort_by(|a, b| (b.credit + b.share).total_cmp(&(a.credit + a.share)));
+        let mut places: Vec<Place> =
+            crossings.iter().map(|crossing| Place::Zone(crossing.zone.clone())).collect();
+        let is_due = crossings.first().is_some_and(|crossing| crossing.credit + crossing.share >= needed);
         places.insert(usize::from(is_due), Place::Zone(self.zone.clone()));
-        let crowd = self.crowds.get(service);
-        if crowd.is_some_and(|crowd| crowd.credit + self.crowd_share(now, service) >= needed) {
+        let congestion = self.congestions.get(service);
+        if congestion
+            .is_some_and(|congestion| congestion.credit + self.congestion_share(now, service) >= needed)
+        {
             places.insert(usize::from(is_due), Place::FreeSlot);
         }
         places
     }
 
-    /// Returns the share of requests that leave a crowded zone beyond the shares
+    /// Returns the share of requests that leave a congested zone beyond the shares
     /// of the leader.
-    fn crowd_share(&self, now: Time, service: &str) -> f64 {
-        let share = self.crowds.get(service).map_or(0.0, |crowd| crowd.share(now));
-        let away: f64 = self.ways.get(service).into_iter().flatten().map(|way| way.share).sum();
+    fn congestion_share(&self, now: Time, service: &str) -> f64 {
+        let share = self.congestions.get(service).map_or(0.0, |congestion| congestion.share(now));
+        let away: f64 =
+            self.crossings.get(service).into_iter().flatten().map(|crossing| crossing.share).sum();
         (share - away).max(0.0)
     }
 
     /// Counts a request that is sent to a target in a zone, at which it looked in
     /// a place.
     pub fn count_sent(&mut self, now: Time, service: &str, zone: &str, place: Option<&Place>) {
-        let share = self.crowd_share(now, service);
-        let is_crowd = place == Some(&Place::FreeSlot);
-        for way in self.ways.get_mut(service).into_iter().flatten() {
+        let share = self.congestion_share(now, service);
+        let is_congested = place == Some(&Place::FreeSlot);
+        for crossing in self.crossings.get_mut(service).into_iter().flatten() {
             // A request that went there as the own zone was full counts as well.
-            let used = if *way.zone == *zone && !is_crowd { CREDIT } else { 0.0 };
-            way.credit = (way.credit + way.share - used).clamp(-CREDIT_LARGE, CREDIT_LARGE);
+            let used = if *crossing.zone == *zone && !is_congested { CREDIT } else { 0.0 };
+            crossing.credit = (crossing.credit + crossing.share - used).clamp(-CREDIT_LARGE, CREDIT_LARGE);
         }
-        if let Some(crowd) = self.crowds.get_mut(service) {
-            let used = if is_crowd { CREDIT } else { 0.0 };
-            crowd.credit = (crowd.credit + share - used).clamp(0.0, CREDIT_LARGE);
+        if let Some(congestion) = self.congestions.get_mut(service) {
+            let used = if is_congested { CREDIT } else { 0.0 };
+            congestion.credit = (congestion.credit + share - used).clamp(0.0, CREDIT_LARGE);
         }
     }
 }
--- a/crates/catkin-route/src/spill/board.rs
+++ b/crates/catkin-route/src/spill/board.rs
@@ -1,7 +1,7 @@
 //! The leader's part: how much of each zone's requests should go where.
 
 use {
-    super::{PackedShare, SHARE_UNIT, WayCost, ZoneReport, ZoneTable},
+    super::{CrossingCost, PackedShare, SHARE_UNIT, ZoneReport, ZoneTable},
     crate::directory::{Directory, Target},
     catkin::types::{Span, Time},
     std::{
@@ -45,11 +45,11 @@
 /// rates of a second vary by some hundredths by chance.
 const DEAD_BAND: f64 = 0.04;
 
-/// Factor on the cost of a way that is in use, so that a way does not open and
+/// Factor on the cost of a crossing that is in use, so that a crossing does not open and
 /// close at the same load.
 const OPEN_WAY_FACTOR: f64 = 0.7;
 
-/// The same factor for a way that is not in use: by chance a zone with room gets
+/// The same factor for a crossing that is not in use: by chance a zone with room gets
 /// a tenth more requests for a second.
 const CLOSED_WAY_FACTOR: f64 = 2.0;
 
@@ -182,23 +182,23 @@
 }
 
 /// Service, zone of the callers, and zone of the targets.
-type WayKey = (Arc<str>, Arc<str>, Arc<str>);
+type CrossingKey = (Arc<str>, Arc<str>, Arc<str>);
 
 /// The leader's view of the demand of all zones, and the shares that follow.
 #[derive(Debug, Default)]
 pub struct SpillBoard {
-    cost: WayCost,
+    cost: CrossingCost,
     processes: BTreeMap<Arc<str>, Process>,
-    shares: BTreeMap<WayKey, f64>,
+    shares: BTreeMap<CrossingKey, f64>,
     /// Shares as last logged.
-    logged: BTreeMap<WayKey, f64>,
+    logged: BTreeMap<CrossingKey, f64>,
     updated_at: Time,
     table: Rc<ZoneTable>,
 }
 
 impl SpillBoard {
-    /// Creates a board for a cost of the way between zones.
-    pub fn new(cost: WayCost) -> Self {
+    /// Creates a board for a cost of the crossing between zones.
+    pub fn new(cost: CrossingCost) -> Self {
         Self { cost, ..Self::default() }
     }
 
@@ -290,7 +290,7 @@
     /// Returns the shares that changed much since they were last returned, and
     /// those that ended.
     pub fn take_changes(&mut self) -> Vec<ShareChange> {
-        let keys: BTreeSet<WayKey> = self.shares.keys().chain(self.logged.keys()).cloned().collect();
+        let keys: BTreeSet<CrossingKey> = self.shares.keys().chain(self.logged.keys()).cloned().collect();
         let mut changes = Vec::new();
         for key in keys {
             let share = self.shares.get(&key).copied().unwrap_or(0.0);
@@ -412,7 +412,7 @@
 }
 
 /// Returns the shares that serve all zones best: requests move in small parts,
-/// each on the way that saves the most, as long as it saves more than it costs.
+/// each on the crossing that saves the most, as long as it saves more than it costs.
 fn wanted_shares(loads: &[ZoneLoad], current: &[Vec<f64>], cost: f64) -> Vec<Vec<f64>> {
     let n = loads.len();
     let mut flows = vec![vec![0.0; n]; n];
@@ -449,7 +449,7 @@
     flows
 }
 
-/// Returns the next share on the way to the wanted one.
+/// Returns the next share on the crossing to the wanted one.
 fn next_share(share: f64, wanted: f64, seconds: f64) -> f64 {
     if (wanted - share).abs() <= DEAD_BAND && wanted > 0.0 {
         return share;
--- a/crates/catkin-route/tests/common/fleet.rs
+++ b/crates/catkin-route/tests/common/fleet.rs
@@ -123,7 +123,7 @@
     pub(crate) work_ms: f64,
     pub(crate) objective_ms: u64,
     /// One-way time between zones.
-    pub(crate) way_ms: u64,
+    pub(crate) crossing_ms: u64,
     /// Whether targets name their slowdown.
     pub(crate) names_slowdown: bool,
     /// The leader, while there is one.
@@ -175,7 +175,7 @@
             tallies: vec![Tally::default(); processes.len()],
             work_ms: 100.0,
             objective_ms: 400,
-            way_ms: 1,
+            crossing_ms: 1,
             names_slowdown: true,
             leader: Some(Leader::default()),
             sends_shares: true,
@@ -310,7 +310,7 @@
     fn answer(&mut self, target: usize, request: Request, ran: bool) {
         let from = &self.targets[target];
         let is_far = from.zone != self.processes[request.process].zone;
-        let way = if is_far { 2 * self.way_ms } else { 0 };
+        let way = if is_far { 2 * self.crossing_ms } else { 0 };
         let slowdown = if self.names_slowdown { from.slowdown } else { 1.0 };
         let requests = from.requests() as u32 + 1;
         self.answers.push((self.now + way, target, request, ran, requests, slowdown));
--- a/crates/catkin-route/tests/spill.rs
+++ b/crates/catkin-route/tests/spill.rs
@@ -7,7 +7,7 @@
     catkin_route::{
         directory::{Directory, Entry},
         load::{Criteria, LocalLoads},
-        spill::{Demand, SpillBoard, TargetState, WayCost, ZoneReport, ZoneTable},
+        spill::{CrossingCost, Demand, SpillBoard, TargetState, ZoneReport, ZoneTable},
     },
     common::{
         SERVICE, at, entry,
@@ -55,14 +55,14 @@
     (replay(false, &change), replay(true, &change))
 }
 
-/// Returns the share of a way that the leader last sent, in hundredths.
+/// Returns the share of a crossing that the leader last sent, in hundredths.
 fn share(fleet: &mut Fleet, from: usize, to: usize) -> u32 {
     let now = at(fleet.now);
     let Some(table) = fleet.processes[0].loads.spill().table(now).cloned() else { return 0 };
     let index = |z: usize| table.zones.iter().position(|(name, _)| *name == zone(z)).map(|i| i as u8);
     let shares = table.shares.iter().flat_map(|(_, shares)| shares);
-    let way = |s: &&(u8, u8, u8)| Some(s.0) == index(from) && Some(s.1) == index(to);
-    shares.filter(way).map(|s| u32::from(s.2) * 2 / 5).sum()
+    let crossing = |s: &&(u8, u8, u8)| Some(s.0) == index(from) && Some(s.1) == index(to);
+    shares.filter(crossing).map(|s| u32::from(s.2) * 2 / 5).sum()
 }
 
 fn close_zone(fleet: &mut Fleet, z: usize) {
@@ -164,7 +164,7 @@
             let next = [0, 1, 2, 3].map(|from| [0, 1, 2, 3].map(|to| share(fleet, from, to)));
             let rises = (0..16).map(|i| next[i / 4][i % 4].saturating_sub(last[i / 4][i % 4]));
             rise = rise.max(rises.max().unwrap_or(0));
-            most = most.max(next.map(|ways| ways.iter().sum()).into_iter().max().unwrap_or(0));
+            most = most.max(next.map(|crossings| crossings.iter().sum()).into_iter().max().unwrap_or(0));
             last = next;
         }
     });
@@ -330,7 +330,7 @@
     for i in 0..targets {
         directory.put(at(0), Entry { zone: zone(i % 4), ..entry(&format!("i-{i}"), 1) });
     }
-    let mut board = SpillBoard::new(WayCost::default());
+    let mut board = SpillBoard::new(CrossingCost::default());
     for now in (500..10_000).step_by(500) {
         for i in 0..processes {
             let need = if i % 4 == 0 { 8 } else { 2 };
