--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -49,8 +49,8 @@
 const COLD_FACTOR: f64 = 2.0;
 
 /// Divisor of the number of processes that use a target, with shares of the
-/// leader: fewer senders hear of a target's queue more often. At 0.95 of the
-/// capacity, half as many late requests were played with 6 senders as with 12.
+/// leader: fewer senders hear of a target's queue more often, so fewer requests are
+/// late near the capacity.
 const ZONE_SENDERS_DIVISOR: u32 = 2;
 
 /// Time after which a received quota expires. It covers two reports to
--- a/crates/catkin-route/src/spill.rs
+++ b/crates/catkin-route/src/spill.rs
@@ -42,9 +42,9 @@
 /// Half-life of that mean without answers.
 const FILL_HALF_LIFE: Span = Span::from_millis(500);
 
-/// Mean fill from which on the own zone is congested. In replays of zones with two
-/// or three targets, more requests were in time than with 1.5; with 1.2, a tenth
-/// left zones that were all equally full, and fewer were in time.
+/// Mean fill from which on the own zone is congested. With a lower one, requests
+/// leave zones that are all equally full; with a higher one, small zones wait too
+/// long.
 const CONGESTION_FILL_MIN: f64 = 1.35;
 
 /// Share that leaves a congested zone, for each slot's worth of requests beyond
