catkin-route: findings about a configuration, and differences of two

A configuration was refused with its first conflict, and what is valid but not intended (a prefix that no path has, a timeout below the wait for a target) was seen by the requests that failed.

Config::build returns all conflicts; Config::new returns the first of them with the codes as before. review() lists warnings, compare() the differences of two versions and those that can lose work. Findings name fields without the platform's words. The rule for later versions is a function that the edge uses. ERRORS.md lists the codes; a test compares them.

--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -13,7 +13,7 @@
         admission::Admission,
         backoff::Backoff,
         budget::{self, Budget},
-        config::Config,
+        config::{self, Config},
         directory::Directory,
         drain::Drain,
         load::LocalLoads,
@@ -279,7 +279,7 @@
     /// it was replaced.
     pub(crate) fn update_config(&self, config: Config, source: Source) -> bool {
         let known = self.config.borrow().as_ref().map(|c| c.version);
-        if known.is_some_and(|known| known >= config.version) {
+        if !config::is_later(config.version, known) {
             return false;
         }
         let position = self.config_feed.next_offset();
--- a/crates/catkin-route/src/config.rs
+++ b/crates/catkin-route/src/config.rs
@@ -1,24 +1,45 @@
 //! The configuration of the fleet: routes, services and limits.
+//!
+//! [`Config`] is what processes use. [`Parts`] are the same before they are
+//! checked; [`review`] finds what is valid but probably not intended, and
+//! [`compare`] what changes between two versions.
+
+mod compare;
+mod conflict;
+mod finding;
+mod parts;
+mod place;
+mod review;
+
+pub use self::{
+    compare::{Change, Comparison, Subject, compare},
+    finding::{Finding, FindingCode, Severity},
+    parts::{Parts, ServicePart},
+    place::{Field, LimitField, Place, RouteField, ServiceField},
+    review::review,
+};
 
 use {
     crate::{rank::Ranks, rate::RequestRate},
-    catkin::{Code, Error, types::Span},
-    std::{
-        collections::{HashMap, HashSet},
-        sync::Arc,
-    },
+    catkin::{Error, types::Span},
+    derive_more::Display,
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// Whether a route's requests may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum RouteKind {
     /// A request may run more than once.
+    #[display("idempotent")]
     Idempotent,
     /// A request runs at most once.
+    #[display("at most once")]
     Once,
     /// A request with a large body; it runs at most once.
+    #[display("upload")]
     Upload,
     /// A request with a large answer; it may run more than once.
+    #[display("download")]
     Download,
 }
 
@@ -109,30 +130,9 @@
     pub unknown_kinds: usize,
 }
 
-/// Returns the error for a route that does not fit the rest of its
-/// configuration.
-fn conflict(detail: String) -> Error {
-    Error::new(Code::ConfigService, detail)
-}
-
-fn check_route(host: &str, route: &Route, services: &HashMap<Arc<str>, ServiceSpec>) -> Result<(), Error> {
-    let name = &route.name;
-    if host.is_empty() {
-        return Err(conflict(format!("route {name} has no host")));
-    }
-    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-        return Err(conflict(format!("route {name}: prefix {:?} needs a slash at both ends", route.prefix)));
-    }
-    if route.services.iter().map(|s| u64::from(s.weight)).sum::<u64>() == 0 {
-        return Err(conflict(format!("route {name} has no service with a weight above 0")));
-    }
-    if route.timeout.is_zero() || route.max_attempts == 0 {
-        return Err(conflict(format!("route {name}: time-out and attempts must be above 0")));
-    }
-    match route.services.iter().find(|s| !services.contains_key(&s.service)) {
-        Some(entry) => Err(conflict(format!("route {name} names unknown service {}", entry.service))),
-        None => Ok(()),
-    }
+/// Returns whether a version comes into force in a process that knows another one.
+pub fn is_later(version: u64, known: Option<u64>) -> bool {
+    known.is_none_or(|known| version > known)
 }
 
 impl Config {
@@ -149,16 +149,26 @@
         routes: Vec<(Arc<str>, Route)>,
         services: HashMap<Arc<str>, ServiceSpec>,
     ) -> Result<Self, Error> {
-        let mut seen = HashSet::new();
+        Self::build(version, limits, routes, services).map_err(|findings| findings[0].to_error())
+    }
+
+    /// Builds a configuration as [`Config::new`] does, and returns all conflicts.
+    ///
+    /// # Errors
+    ///
+    /// Findings with `Code::ConfigService`, at least one.
+    pub fn build(
+        version: u64,
+        limits: Limits,
+        routes: Vec<(Arc<str>, Route)>,
+        services: HashMap<Arc<str>, ServiceSpec>,
+    ) -> Result<Self, Vec<Finding>> {
+        let findings = conflict::find_conflicts(&routes, &services);
+        if !findings.is_empty() {
+            return Err(findings);
+        }
         let mut hosts: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for (host, route) in routes {
-            check_route(&host, &route, &services)?;
-            if !seen.insert((host.clone(), route.prefix.clone())) {
-                return Err(conflict(format!(
-                    "route {} has the host and prefix of another route",
-                    route.name
-                )));
-            }
             hosts.entry(host).or_default().push(Arc::new(route));
         }
         for routes in hosts.values_mut() {
