Test that no process takes a configuration with errors of the check

The stand-in's operator can write a document with faults.

Seen failing with the faults of the decoder ignored.

--- a/crates/catkin-edge/tests/config.rs
+++ b/crates/catkin-edge/tests/config.rs
@@ -4,8 +4,11 @@
 
 use {
     actix_http::Method,
-    catkin_standin::users::{Config, Route, put_config},
+    catkin_platform::config::Inspection,
+    catkin_route::config::Severity,
+    catkin_standin::users::{Config, Route, put_config, put_document, to_document},
     common::{Edge, Fleet, plan, send},
+    serde_json::json,
     std::time::{Duration, Instant},
 };
 
@@ -94,3 +97,49 @@
     }
     fleet.check();
 }
+
+/// A configuration that `catkinctl check` finds errors in must not come into force
+/// in any process, and must not keep the next one from it.
+#[actix_rt::test]
+async fn configurations_with_errors_stay_out_of_force() {
+    let fleet = Fleet::start(2).await;
+    let rule = "/listeners/0/rules/0";
+    let faults = [
+        ("unknown_service", "/action/trafficSplit/0/service", json!("none")),
+        ("long_timeout", "/action/timeoutMs", json!(1e9)),
+        ("no_weight", "/action/trafficSplit/0/weight", json!(0)),
+        ("same_place", "/match/pathPrefix", json!("/new/")),
+        ("below_zero", "/action/timeoutMs", json!(-1)),
+    ];
+    let valid = |version| to_document(&plan_with_route(version));
+    let mut documents: Vec<_> = faults.iter().map(|(code, ..)| (*code, valid(2))).collect();
+    for ((_, document), (_, field, value)) in documents.iter_mut().zip(&faults) {
+        *document.pointer_mut(&format!("{rule}{field}")).unwrap() = value.clone();
+    }
+    for host in [json!(""), json!(null)] {
+        let mut document = valid(2);
+        document["listeners"][0]["hostname"] = host;
+        documents.push(("no_host", document));
+    }
+    for (code, document) in &documents {
+        let inspection = Inspection::new(document.to_string().as_bytes());
+        let errors = inspection.findings.iter().filter(|f| f.severity == Severity::Error);
+        assert_eq!(errors.map(|f| f.code.to_string()).collect::<Vec<_>>(), [*code]);
+        put_document(&fleet.store, document);
+        sleep(100).await;
+    }
+    let text = valid(2).to_string();
+    fleet.store.put("keyed.op", "config", &text.as_bytes()[..text.len() - 1]);
+    put_document(&fleet.store, &valid(1));
+    actix_rt::time::sleep(APPLY_TIME).await;
+    for edge in &fleet.edges {
+        assert!(!has_new_route(&fleet, edge).await, "a configuration with an error is in force");
+        assert_eq!(fleet.get(edge, 1).await.unwrap().status, 200);
+    }
+    put_document(&fleet.store, &valid(2));
+    actix_rt::time::sleep(APPLY_TIME).await;
+    for edge in &fleet.edges {
+        assert!(has_new_route(&fleet, edge).await, "a valid configuration is not in force");
+    }
+    fleet.check();
+}
--- a/crates/catkin-standin/src/users/mod.rs
+++ b/crates/catkin-standin/src/users/mod.rs
@@ -16,7 +16,7 @@
 
 pub use {
     invariants::InvariantChecker,
-    operator::{Config, Route, evacuate, put_config, withdraw_evacuation},
+    operator::{Config, Route, evacuate, put_config, put_document, to_document, withdraw_evacuation},
     server::{Server, ServerFaults},
     store::{Store, StoreMode},
 };
--- a/crates/catkin-standin/src/users/operator.rs
+++ b/crates/catkin-standin/src/users/operator.rs
@@ -38,16 +38,25 @@
 
 /// Writes a configuration for the host `h`.
 pub fn put_config(store: &Store, config: &Config) {
+    put_document(store, &to_document(config));
+}
+
+/// Writes a configuration as a document, which may have faults.
+pub fn put_document(store: &Store, document: &Value) {
+    store.put("keyed.op", "config", document.to_string().as_bytes());
+}
+
+/// Returns the document of a configuration for the host `h`.
+pub fn to_document(config: &Config) -> Value {
     let rules: Vec<Value> = config.routes.iter().map(|route| rule(config, route)).collect();
     let cluster = |(name, keyed): &(&str, bool)| json!({ "name": name, "healthPath": "/health", "maxConns": 100, "sharded": keyed, "coldPerS": config.cold_per_s });
     let clusters: Vec<Value> = config.services.iter().map(cluster).collect();
-    let document = json!({
+    json!({
         "configVersion": format!("{:08x}", config.version),
         "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
         "listeners": [{ "hostname": "h", "rules": rules }],
         "clusters": clusters,
-    });
-    store.put("keyed.op", "config", document.to_string().as_bytes());
+    })
 }
 
 /// Evacuates a zone.
