Move the messages of links to catkin-route

The messages are built of types of catkin-route only. There, a test without I/O can measure and bound their sizes; the edge program keeps the framing. No change of the encoding.

--- a/crates/catkin-edge/src/link.rs
+++ b/crates/catkin-edge/src/link.rs
@@ -6,7 +6,7 @@
 //!
 //! | module | responsibility |
 //! |---|---|
-//! | `message` | messages and their framing |
+//! | `message` | framing of the messages |
 //! | `peers` | state that all links of the leader share |
 //! | `report` | side of the reporting process |
 //! | `serve` | side of the leader |
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -2,7 +2,6 @@
 //! messages that are made once for many processes.
 
 use {
-    super::message::{Listing, Report, TableUpdate},
     crate::{
         lead,
         node::{Node, VersionedOwners},
@@ -16,6 +15,7 @@
         delta::Delta,
         directory::{Incarnation, Target},
         level::Levels,
+        message::{Listing, Report, TableUpdate},
         pace::Share,
         quotas::{Counts, Quotas},
         rate::RequestRate,
@@ -150,7 +150,8 @@
             return Ok(Some(listing.clone()));
         }
         let age = (now.since(node.directory_feed.checked_at()) + LISTING_AGE_MAX).as_micros();
-        let listing = Rc::new(Listing::new(to, age, &node.directory.borrow().listing(now))?);
+        let listing =
+            Rc::new(Listing::new(to, age, &node.directory.borrow().listing(now)).map_err(io::Error::other)?);
         *cached = Some((now, listing.clone()));
         Ok(Some(listing))
     }
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -2,10 +2,7 @@
 //! answers.
 
 use {
-    super::message::{
-        KeyCounts, LINK_TIMEOUT, LeaderMessage, LeaderState, Message, MessageReader, Report, TableUpdate,
-        TopicChanges, connect, write,
-    },
+    super::message::{LINK_TIMEOUT, MessageReader, connect, into_batch, write},
     crate::{
         node::{Node, VersionedOwners, sleep},
         sync,
@@ -14,6 +11,7 @@
     catkin_route::{
         directory::Target,
         level::Levels,
+        message::{KeyCounts, LeaderMessage, LeaderState, Message, Report, TableUpdate, TopicChanges},
         owners::ProcessId,
         quotas::{Counts, TargetQuota},
         report_times::ReportTimes,
@@ -149,11 +147,11 @@
     let [configs, targets] = changes;
     if let Some(changes) = configs {
         let at = at(&changes);
-        sync::apply_forwarded_configs(node, &changes.into_batch(), at);
+        sync::apply_forwarded_configs(node, &into_batch(changes), at);
     }
     if let Some(changes) = targets {
         let at = at(&changes);
-        sync::apply_forwarded_targets(node, &changes.into_batch(), at);
+        sync::apply_forwarded_targets(node, &into_batch(changes), at);
     }
 }
 
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -2,10 +2,7 @@
 
 use {
     super::{
-        message::{
-            LINK_TIMEOUT, LeaderMessage, LeaderState, Listing, Message, MessageReader, Report, Stopped,
-            TableUpdate, TopicChanges, write,
-        },
+        message::{LINK_TIMEOUT, MessageReader, changes_since, newest_changes, write},
         peers::Peers,
     },
     crate::{
@@ -14,7 +11,13 @@
     },
     catkin::types::{Span, Time},
     catkin_net::set_socket_options,
-    catkin_route::{cold::TokenGrant, level::Levels, pace::Share, peer_view::PeerView},
+    catkin_route::{
+        cold::TokenGrant,
+        level::Levels,
+        message::{LeaderMessage, LeaderState, Listing, Message, Report, Stopped, TableUpdate, TopicChanges},
+        pace::Share,
+        peer_view::PeerView,
+    },
     std::{io, rc::Rc},
     tokio::net::{TcpListener, TcpStream},
 };
@@ -80,10 +83,10 @@
         let now = node.now();
         let [config, directory] = self.view.next_offsets();
         let configs = match config {
-            Some(from) => TopicChanges::new(&node.config_feed, from, now),
-            None => TopicChanges::newest(&node.config_feed, now),
+            Some(from) => changes_since(&node.config_feed, from, now),
+            None => newest_changes(&node.config_feed, now),
         };
-        [configs, directory.and_then(|from| TopicChanges::new(&node.directory_feed, from, now))]
+        [configs, directory.and_then(|from| changes_since(&node.directory_feed, from, now))]
     }
 
     /// Returns a listing of the directory if the process has no position in it.
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`succession`] | which process takes over from a leader |
 //! | [`balance`] | which keys move to another target |
 //! | [`level`] | how the loads of all targets are encoded for all processes |
+//! | [`message`] | what processes and their leader send to each other |
 //! | [`load`] | which target gets a request |
 //! | [`cold`] | which requests a cold target gets, and from which process |
 //! | [`admission`] | which requests are refused at once under overload |
@@ -51,6 +52,7 @@
 pub mod granter;
 pub mod level;
 pub mod load;
+pub mod message;
 pub mod owners;
 pub mod pace;
 pub mod pause;
--- /dev/null
+++ b/crates/catkin-route/src/message.rs
@@ -0,0 +1,189 @@
+//! Messages between the edge processes and their leader.
+//!
+//! Each process reports to the leader, which answers each report with a state.
+//! Both are encoded by `postcard`; the edge program frames them.
+
+use {
+    crate::{
+        admission::{self, FleetShares},
+        announced::LimitReport,
+        backlog::{Change, Payload},
+        cold::TokenGrant,
+        delta::Delta,
+        directory::{Entry, Incarnation},
+        level::Levels,
+        owners::Owners,
+        pace::Share,
+        peer_view::NextOffsets,
+        quotas::Counts,
+        spill::{ZoneReport, ZoneTable},
+    },
+    catkin::{Code, Error},
+    serde::{Deserialize, Serialize},
+    std::{rc::Rc, sync::Arc},
+};
+
+/// Message of a process to the leader or to an earlier leader.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Message {
+    /// Loads of the process, and the offsets that it knows.
+    Report(Box<Report>),
+    /// Request to stop leading, for the process with this run id.
+    Stop(u64),
+}
+
+/// Keys and the number of requests for each.
+pub type KeyCounts = Vec<(u16, u16)>;
+
+/// Report of a process to the leader.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// VM of the process.
+    pub vm: Arc<str>,
+    /// Run id of the leader that the report is for.
+    pub leader: u64,
+    /// Number of states that were received on this link.
+    pub received: u64,
+    /// Offset of the newest known table of owners.
+    pub offset: Option<u64>,
+    /// Offsets of the next records of the configuration and the directory.
+    pub next_offsets: NextOffsets,
+    /// Requests by service and key since the last report.
+    pub key_counts: Vec<(Arc<str>, KeyCounts)>,
+    /// Whether the process has the resources to lead, as the edge
+    /// program decides.
+    pub strong: bool,
+    /// Requests of the process in progress at each target.
+    pub in_flight: Counts,
+    /// Requests of the process that are queued for each target.
+    pub queued: Counts,
+    /// Mean time of a request at each target, in seconds; targets without a
+    /// measurement are left out.
+    pub service_times: Vec<(Arc<str>, f32)>,
+    /// What the process has observed of the limits of targets.
+    pub limits: Vec<LimitReport>,
+    /// Listed targets that said in an answer that they leave.
+    pub leaving: Vec<Incarnation>,
+    /// Requests by service and rank since the last report.
+    pub admission: admission::Report,
+    /// What the process asked of the services without keys, if targets lie in
+    /// several zones.
+    pub zones: Option<ZoneReport>,
+}
+
+/// Confirms that the asked process of this VM does not lead.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Stopped;
+
+/// Message of the leader to a process.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum LeaderMessage {
+    /// State that the leader sends.
+    State(Box<LeaderState>),
+    /// The process that the report is for does not lead.
+    NotLeader,
+}
+
+/// State that the leader sends to a process.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct LeaderState {
+    /// Number of processes that report to the leader.
+    pub peer_count: u32,
+    /// Whether the process should be a standby of the leader.
+    pub standby: bool,
+    /// Time since the leader last reached the store, in microseconds.
+    pub store_age: u64,
+    /// Quotas of the process at targets; present in an answer to a report.
+    pub quotas: Option<Counts>,
+    /// Share of the process at cold targets, once the leader knows the number of
+    /// processes; present in an answer to a report.
+    pub share: Option<Share>,
+    /// Tokens of the process for cold targets; present in an answer to a report.
+    pub tokens: Vec<TokenGrant>,
+    /// Loads of all targets by service, if they are due.
+    pub levels: Option<Rc<Vec<Levels>>>,
+    /// Newest observations of the limits of targets; present in an answer to a
+    /// report.
+    pub limits: Vec<LimitReport>,
+    /// Listed targets that said in an answer that they leave; present in an answer
+    /// to a report.
+    pub leaving: Vec<Incarnation>,
+    /// Listed targets that were in doubt and stay; present in an answer to a
+    /// report.
+    pub staying: Vec<Incarnation>,
+    /// Which requests are admitted; present in an answer to a report.
+    pub admission: Option<FleetShares>,
+    /// Shares of the requests without keys that leave their zone, if targets lie
+    /// in several zones; present in an answer to a report.
+    pub zones: Option<Rc<ZoneTable>>,
+    /// Whether busy targets with keys accept requests within quotas only.
+    pub use_quotas: bool,
+    /// Newer table of owners.
+    pub table: Option<TableUpdate>,
+    /// Changes of the configuration and of the directory.
+    pub changes: [Option<TopicChanges>; 2],
+    /// Complete listing of the directory, for a process without a position.
+    pub listing: Option<Rc<Listing>>,
+}
+
+/// Complete listing of the directory.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Listing {
+    /// Offset at which a reader continues.
+    pub to: u64,
+    /// Greatest time since the leader read the store, in microseconds.
+    pub age: u64,
+    /// Entries, encoded and compressed.
+    entries: Payload,
+}
+
+impl Listing {
+    /// Creates a listing of entries, which are compressed.
+    ///
+    /// # Errors
+    ///
+    /// `Code::Internal` if the encoder or the compressor fails.
+    pub fn new(to: u64, age: u64, entries: &Vec<Entry>) -> Result<Self, Error> {
+        let bytes = postcard::to_stdvec(entries).map_err(|e| Error::new(Code::Internal, e.to_string()))?;
+        Ok(Self { to, age, entries: Payload::new(&bytes.into())? })
+    }
+
+    /// Returns the entries.
+    ///
+    /// # Errors
+    ///
+    /// `Code::BadFrame` if the bytes are not a listing.
+    pub fn entries(&self) -> Result<Vec<Entry>, Error> {
+        let bytes = self.entries.decode()?;
+        postcard::from_bytes(&bytes).map_err(|e| Error::new(Code::BadFrame, e.to_string()))
+    }
+}
+
+/// Update of the table of owners.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum TableUpdate {
+    /// Offset and full table.
+    Full(u64, Rc<Owners>),
+    /// Delta to an older table.
+    Delta {
+        /// Offset of the older table.
+        from: u64,
+        /// Offset of the newer table.
+        to: u64,
+        /// Delta between the two tables.
+        delta: Rc<Delta>,
+    },
+}
+
+/// Changes of one topic between two offsets.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TopicChanges {
+    /// First offset that the changes cover.
+    pub from: u64,
+    /// Offset after the last one.
+    pub to: u64,
+    /// Time since the leader read the store, in microseconds.
+    pub age: u64,
+    /// Changes in offset order; records without effect are left out.
+    pub records: Vec<Change>,
+}
