Reports name targets by their numbers

Each report named the targets of its counts by ids of some 13 bytes. They are now named by their number in the order of the ids, once the leader has said on the link that it knows the same targets (a checksum of the ids); others by their ids, as before.

--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -15,7 +15,8 @@
         delta::Delta,
         directory::{Incarnation, Target},
         level::{LevelBoard, LevelUpdate, Levels},
-        message::{Listing, Report, TableUpdate},
+        message::{Listing, Report, ReportedCounts, TableUpdate},
+        numbering::{NumberingId, Numberings},
         pace::Share,
         quotas::{Counts, Quotas},
         rate::RequestRate,
@@ -66,6 +67,7 @@
     spill: RefCell<SpillBoard>,
     cached: RefCell<Option<CachedDelta>>,
     levels: RefCell<FleetLevels>,
+    numberings: RefCell<Numberings>,
     /// Last listing of the directory and when it was made.
     listing: RefCell<Option<(Time, Rc<Listing>)>>,
 }
@@ -180,7 +182,7 @@
 
     /// Hands out tokens for cold targets with keys to a process that has
     /// reported.
-    pub(super) fn tokens(&self, node: &Node, report: &Report) -> Vec<TokenGrant> {
+    pub(super) fn tokens(&self, node: &Node, vm: &str) -> Vec<TokenGrant> {
         let (directory, config) = (node.directory.borrow(), node.config.borrow());
         let (now, quotas) = (node.now(), self.quotas.borrow());
         let cold = |id: &str| -> Option<(Incarnation, RequestRate)> {
@@ -189,7 +191,7 @@
         };
         let mut tokens = self.tokens.borrow_mut();
         tokens.retain(|incarnation| directory.current(incarnation).is_some_and(|t| t.cold_until > now));
-        tokens.allot(now, &report.queued, cold, |id| quotas.load(id).queue_length)
+        tokens.allot(now, quotas.queued(vm), cold, |id| quotas.load(id).queue_length)
     }
 
     /// Returns whether there are so many processes that quotas are used.
@@ -239,13 +241,30 @@
         strong.chain(weak).take(STANDBY_COUNT).any(|(other, _)| **other == *vm)
     }
 
-    /// Records the report of a process. Returns the number of processes.
-    pub(super) fn record(&self, node: &Node, report: &Report) -> u32 {
+    /// Returns the numbering of the targets.
+    pub(super) fn numbering(&self, node: &Node) -> NumberingId {
+        self.numberings.borrow_mut().newest(&node.directory.borrow()).id()
+    }
+
+    /// Takes the counts out of a report.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidData` if the report names targets by a numbering that is no longer
+    /// known; the process names them by their ids on its next link.
+    pub(super) fn take_counts(&self, report: &mut Report) -> io::Result<ReportedCounts> {
+        let numbering = report.numbering.and_then(|id| self.numberings.borrow().find(id));
+        report.take_counts(numbering.as_deref()).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+
+    /// Records the report of a process and its counts. Returns the number of
+    /// processes.
+    pub(super) fn record(&self, node: &Node, report: &Report, counts: ReportedCounts) -> u32 {
         let now = node.now();
         let mut reports = self.reports.borrow_mut();
         reports.insert(report.vm.clone(), Peer { reported_at: now, strong: report.strong });
         reports.retain(|_, peer| now.since(peer.reported_at) < PEER_TIMEOUT);
-        let (in_flight, queued) = (report.in_flight.clone(), report.queued.clone());
+        let ReportedCounts { in_flight, queued, service_times } = counts;
         if let Some(zones) = &report.zones {
             self.spill.borrow_mut().report(now, &report.vm, zones);
         }
@@ -258,7 +277,7 @@
                     loads.add_requests(service, *key, f32::from(*count));
                 }
             }
-            for (target, seconds) in &report.service_times {
+            for (target, seconds) in &service_times {
                 loads.record_service_time(target, *seconds);
             }
             for limit in &report.limits {
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -12,6 +12,7 @@
         directory::Target,
         level::{LevelCopy, Levels},
         message::{KeyCounts, LeaderMessage, LeaderState, Message, Report, TableUpdate, TopicChanges},
+        numbering::{ByTarget, Numbering, NumberingId, Numberings},
         owners::ProcessId,
         peer_view::Known,
         quotas::{Counts, TargetQuota},
@@ -29,11 +30,33 @@
 /// Least time between a report and a further one that requests a quota.
 const QUOTA_REPORT_INTERVAL_MIN: Span = Span::from_millis(60);
 
-fn build_report(node: &Node, leader: &ProcessId, received: u64, levels: Option<u64>) -> Report {
+/// What a process has received on one link to a leader.
+#[derive(Default)]
+struct LinkState {
+    /// Number of states.
+    received: u64,
+    /// Numbering of the targets that the leader knows.
+    leader_numbering: Option<NumberingId>,
+    /// Numberings of the targets that this process knows.
+    numberings: Numberings,
+    levels: LevelCopy,
+}
+
+impl LinkState {
+    /// Returns the numbering of the targets, if the leader knows the same ones.
+    fn numbering(&mut self, node: &Node) -> Option<Rc<Numbering>> {
+        let newest = self.numberings.newest(&node.directory.borrow());
+        (self.leader_numbering == Some(newest.id())).then_some(newest)
+    }
+}
+
+fn build_report(node: &Node, leader: &ProcessId, link: &mut LinkState) -> Report {
     let mut key_counts: HashMap<Arc<str>, KeyCounts> = HashMap::new();
     for ((service, key), count) in node.key_counts.take() {
         key_counts.entry(service).or_default().push((key, count));
     }
+    let numbering = link.numbering(node);
+    let numbering = numbering.as_deref();
     let service_times = node.loads.borrow_mut().take_service_times();
     let in_flight = node.loads.borrow().in_flight();
     let queued = node.loads.borrow().queue_lengths();
@@ -46,13 +69,14 @@
     Report {
         vm: node.identity.vm.clone(),
         leader: leader.run_id,
-        received,
-        known: Known { table, next_offsets, levels },
+        received: link.received,
+        numbering: numbering.map(Numbering::id),
+        known: Known { table, next_offsets, levels: link.levels.version() },
         strong,
-        in_flight,
-        queued,
+        in_flight: ByTarget::new(in_flight, numbering),
+        queued: ByTarget::new(queued, numbering),
         key_counts,
-        service_times,
+        service_times: ByTarget::new(service_times, numbering),
         limits,
         leaving: node.directory.borrow().leaving(),
         admission: node.admission.borrow_mut().report(node.now()),
@@ -92,7 +116,7 @@
 }
 
 /// Applies a state that the leader has sent after a time.
-fn apply_state(node: &Node, state: LeaderState, held: &mut LevelCopy, now: Time, sent_after: Time) {
+fn apply_state(node: &Node, state: LeaderState, link: &mut LinkState, now: Time, sent_after: Time) {
     node.last_leader_answer.set(now);
     node.forwarded_at.set(node.forwarded_at.get().max(sent_after));
     let mut peer_count = node.peer_count.get();
@@ -123,6 +147,9 @@
             Err(error) => log::warn!(error:display; "invalid listing of the directory ignored"),
         }
     }
+    if state.numbering.is_some() {
+        link.leader_numbering = state.numbering;
+    }
     if let Some(shares) = &state.admission {
         node.admission.borrow_mut().apply(now, shares);
     }
@@ -131,7 +158,7 @@
     }
     // Loads refer to the targets of the newest directory.
     if let Some(allotted) = state.quotas {
-        let levels = state.levels.as_ref().and_then(|update| held.apply(update));
+        let levels = state.levels.as_ref().and_then(|update| link.levels.apply(update));
         apply_loads(node, now, levels, state.use_quotas, &allotted);
         sync::apply_leaving(node, &state.leaving);
         sync::apply_staying(node, &state.staying);
@@ -214,8 +241,7 @@
     let mut last_answer = node.now();
     let mut last_report = last_answer;
     let mut reports = ReportTimes::new(last_answer);
-    let mut received = 0;
-    let mut levels = LevelCopy::default();
+    let mut link = LinkState::default();
     let mut is_answered = true;
     loop {
         let due = tokio::select! {
@@ -224,14 +250,14 @@
                 last_answer = node.now();
                 match answer {
                     LeaderMessage::State(state) => {
-                        received += 1;
+                        link.received += 1;
                         if state.quotas.is_some() {
                             is_answered = true;
                             if let Some(delay) = reports.answered(last_answer) {
                                 node.metrics.record_link_delay(delay);
                             }
                         }
-                        apply_state(node, *state, &mut levels, last_answer, reports.sent_after());
+                        apply_state(node, *state, &mut link, last_answer, reports.sent_after());
                     }
                     LeaderMessage::NotLeader => return Ok(()),
                 }
@@ -250,11 +276,7 @@
         node.quota_wanted.set(false);
         is_answered = false;
         reports.sent(last_report);
-        write(
-            &mut writer,
-            &Message::Report(Box::new(build_report(node, leader, received, levels.version()))),
-        )
-        .await?;
+        write(&mut writer, &Message::Report(Box::new(build_report(node, leader, &mut link)))).await?;
     }
 }
 
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -14,7 +14,11 @@
     catkin_route::{
         cold::TokenGrant,
         level::LevelUpdate,
-        message::{LeaderMessage, LeaderState, Listing, Message, Report, Stopped, TableUpdate, TopicChanges},
+        message::{
+            LeaderMessage, LeaderState, Listing, Message, Report, ReportedCounts, Stopped, TableUpdate,
+            TopicChanges,
+        },
+        numbering::NumberingId,
         pace::Share,
         peer_view::{Known, PeerView},
     },
@@ -59,11 +63,13 @@
     share: Option<Share>,
     /// When loads of targets were last sent.
     levels_sent_at: Time,
+    /// Numbering that was last sent.
+    numbering: Option<NumberingId>,
 }
 
 impl PeerState {
-    fn update(&mut self, node: &Node, peers: &Peers, report: &Report) {
-        self.count = peers.record(node, report);
+    fn update(&mut self, node: &Node, peers: &Peers, report: &Report, counts: ReportedCounts) {
+        self.count = peers.record(node, report, counts);
         self.share = peers.share(node, &report.vm);
         self.standby = peers.is_standby(node, &report.vm);
         self.view.report(report.received, report.known);
@@ -97,6 +103,13 @@
         }
     }
 
+    /// Returns the numbering of the targets if the process does not know it.
+    fn numbering(&mut self, node: &Node, peers: &Peers) -> Option<NumberingId> {
+        let newest = Some(peers.numbering(node));
+        let known = std::mem::replace(&mut self.numbering, newest);
+        newest.filter(|_| known != newest)
+    }
+
     /// Returns the loads of targets if they are due.
     fn levels(&mut self, node: &Node, peers: &Peers) -> Option<LevelUpdate> {
         let now = node.now();
@@ -146,10 +159,11 @@
         let mut quotas = None;
         let mut tokens: Vec<TokenGrant> = Vec::new();
         match message.map(|m| postcard::from_bytes(&m)).transpose().map_err(io::Error::other)? {
-            Some(Message::Report(report)) => {
-                state.update(node, peers, &report);
+            Some(Message::Report(mut report)) => {
+                let counts = peers.take_counts(&mut report)?;
+                state.update(node, peers, &report, counts);
                 quotas = Some(peers.allot(node, &report.vm));
-                tokens = peers.tokens(node, &report);
+                tokens = peers.tokens(node, &report.vm);
                 leader = report.leader;
             }
             Some(Message::Stop(run_id)) => {
@@ -197,6 +211,7 @@
                 staying,
                 admission,
                 zones,
+                numbering: state.numbering(node, peers),
                 use_quotas,
                 table,
                 changes,
--- a/crates/catkin-route/src/cold.rs
+++ b/crates/catkin-route/src/cold.rs
@@ -15,7 +15,6 @@
     crate::{
         directory::{Incarnation, Target},
         pace::{Share, SlotGrid},
-        quotas::Counts,
         rate::RequestRate,
     },
     catkin::types::{Span, Time},
@@ -274,7 +273,7 @@
     pub fn allot(
         &mut self,
         now: Time,
-        queued: &Counts,
+        queued: &[(Arc<str>, u32)],
         cold: impl Fn(&str) -> Option<(Incarnation, RequestRate)>,
         queue_length: impl Fn(&str) -> u32,
     ) -> Vec<TokenGrant> {
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`subset`] | in which order a process considers targets |
 //! | [`succession`] | which process takes over from a leader |
 //! | [`balance`] | which keys move to another target |
+//! | [`numbering`] | how messages name targets |
 //! | [`level`] | how the loads of all targets are encoded for all processes |
 //! | [`message`] | what processes and their leader send to each other |
 //! | [`load`] | which target gets a request |
@@ -53,6 +54,7 @@
 pub mod level;
 pub mod load;
 pub mod message;
+pub mod numbering;
 pub mod owners;
 pub mod pace;
 pub mod pause;
--- a/crates/catkin-route/src/message.rs
+++ b/crates/catkin-route/src/message.rs
@@ -12,6 +12,7 @@
         delta::Delta,
         directory::{Entry, Incarnation},
         level::LevelUpdate,
+        numbering::{ByTarget, Numbering, NumberingId},
         owners::Owners,
         pace::Share,
         peer_view::Known,
@@ -51,13 +52,15 @@
     /// Whether the process has the resources to lead, as the edge
     /// program decides.
     pub strong: bool,
+    /// Numbering of the targets below, if any of them is named by its number.
+    pub numbering: Option<NumberingId>,
     /// Requests of the process in progress at each target.
-    pub in_flight: Counts,
+    pub in_flight: ByTarget<u32>,
     /// Requests of the process that are queued for each target.
-    pub queued: Counts,
+    pub queued: ByTarget<u32>,
     /// Mean time of a request at each target, in seconds; targets without a
     /// measurement are left out.
-    pub service_times: Vec<(Arc<str>, f32)>,
+    pub service_times: ByTarget<f32>,
     /// What the process has observed of the limits of targets.
     pub limits: Vec<LimitReport>,
     /// Listed targets that said in an answer that they leave.
@@ -69,6 +72,29 @@
     pub zones: Option<ZoneReport>,
 }
 
+/// Counts of a report, by the ids of targets.
+#[derive(Clone, Debug, Default)]
+pub struct ReportedCounts {
+    /// Requests of the process in progress at each target.
+    pub in_flight: Counts,
+    /// Requests of the process that are queued for each target.
+    pub queued: Counts,
+    /// Mean time of a request at each target, in seconds.
+    pub service_times: Vec<(Arc<str>, f32)>,
+}
+
+impl Report {
+    /// Takes the counts of targets out of the report. Returns `None` if it names
+    /// targets by a numbering that is not known.
+    pub fn take_counts(&mut self, numbering: Option<&Numbering>) -> Option<ReportedCounts> {
+        Some(ReportedCounts {
+            in_flight: std::mem::take(&mut self.in_flight).resolve(numbering)?,
+            queued: std::mem::take(&mut self.queued).resolve(numbering)?,
+            service_times: std::mem::take(&mut self.service_times).resolve(numbering)?,
+        })
+    }
+}
+
 /// Confirms that the asked process of this VM does not lead.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Stopped;
@@ -114,6 +140,9 @@
     /// Shares of the requests without keys that leave their zone, if targets lie
     /// in several zones; present in an answer to a report.
     pub zones: Option<Rc<ZoneTable>>,
+    /// Numbering of the targets that the leader knows, if it has changed on this link
+    /// since it was last sent.
+    pub numbering: Option<NumberingId>,
     /// Whether busy targets with keys accept requests within quotas only.
     pub use_quotas: bool,
     /// Newer table of owners.
--- a/crates/catkin-route/src/quotas.rs
+++ b/crates/catkin-route/src/quotas.rs
@@ -92,6 +92,11 @@
         self.reports.len()
     }
 
+    /// Returns the requests that a process has queued for targets, by its last report.
+    pub fn queued(&self, vm: &str) -> &[(Arc<str>, u32)] {
+        self.reports.get(vm).map_or(&[], |report| &report.queued)
+    }
+
     /// Returns the load of a target by the reports of all processes.
     pub fn load(&self, id: &str) -> TargetLoad {
         let total = self.totals.get(id).copied().unwrap_or(0);
--- a/crates/catkin-route/tests/message_sizes.rs
+++ b/crates/catkin-route/tests/message_sizes.rs
@@ -12,6 +12,7 @@
         directory::{Directory, Entry, Incarnation, Target},
         level::{LevelBoard, LevelCopy, LevelUpdate, Levels},
         message::{LeaderState, Report, TableUpdate},
+        numbering::{ByTarget, Numbering},
         owners::{Owners, Row},
         pace::Share,
         peer_view::Known,
@@ -82,9 +83,9 @@
     }
 
     fn add_report(&mut self, report: &Report) {
-        let Report { vm, leader, received, known, key_counts, strong, .. } = report;
+        let Report { vm, leader, received, known, key_counts, strong, numbering, .. } = report;
         let Report { in_flight, queued, service_times, limits, leaving, admission, zones, .. } = report;
-        let ids = (vm, leader, received, known, strong);
+        let ids = (vm, leader, received, known, strong, numbering);
         let fields = [
             ("process and offsets", size(&ids)),
             ("key_counts", size(key_counts)),
@@ -106,10 +107,10 @@
 
     fn add_state(&mut self, state: &LeaderState) {
         let LeaderState { peer_count, standby, store_age, quotas, share, tokens, levels, .. } = state;
-        let LeaderState { limits, leaving, staying, admission, zones, use_quotas, .. } = state;
+        let LeaderState { limits, leaving, staying, admission, zones, use_quotas, numbering, .. } = state;
         let LeaderState { table, changes, listing, .. } = state;
         let fields = [
-            ("count and age", size(&(peer_count, standby, store_age, use_quotas))),
+            ("count and age", size(&(peer_count, standby, store_age, use_quotas, numbering))),
             ("quotas", size(quotas)),
             ("share, tokens", size(share) + size(tokens)),
             ("levels", size(levels)),
@@ -179,6 +180,7 @@
     ends: BTreeMap<u64, Vec<(usize, usize)>>,
     quotas: Quotas,
     levels: LevelBoard,
+    numbering: Numbering,
     levels_at: u64,
     table: Rc<Owners>,
     offset: u64,
@@ -251,6 +253,7 @@
             }
         });
         let processes = processes.collect();
+        let numbering = Numbering::new(&directory);
         Self {
             rng,
             now: 0,
@@ -262,6 +265,7 @@
             ends: BTreeMap::new(),
             quotas: Quotas::default(),
             levels: LevelBoard::default(),
+            numbering,
             levels_at: 0,
             table: Rc::new(table),
             offset: 1_200,
@@ -373,6 +377,7 @@
             let counts = |rank| RankCounts { came: 5, ended: 5, busy_ms: 1_250, ..RankCounts::new(rank) };
             (SERVICES[*s].0.into(), vec![counts(1), counts(2)])
         };
+        let times = process.measured.drain().map(|t| (self.ids[t].clone(), 0.25)).collect();
         let demands: Vec<_> = process.demands.drain().collect();
         let name = |s: usize| SERVICES[s].0.into();
         Report {
@@ -386,9 +391,10 @@
             },
             key_counts: key_counts.into_iter().map(|(s, keys)| (name(s), keys)).collect(),
             strong: true,
-            in_flight: counts(in_flight),
-            queued: counts(queued),
-            service_times: process.measured.drain().map(|t| (self.ids[t].clone(), 0.25)).collect(),
+            numbering: Some(self.numbering.id()),
+            in_flight: ByTarget::new(counts(in_flight), Some(&self.numbering)),
+            queued: ByTarget::new(counts(queued), Some(&self.numbering)),
+            service_times: ByTarget::new(times, Some(&self.numbering)),
             limits: Vec::new(),
             leaving: Vec::new(),
             admission: demands.iter().map(|(s, _)| s).filter(|s| **s < 2).map(ranks).collect(),
@@ -401,14 +407,15 @@
 
     /// Exchanges a report and its answer.
     fn report(&mut self, p: usize) {
-        let report = self.build_report(p);
+        let mut report = self.build_report(p);
         self.tally.add_report(&report);
         let process = &mut self.processes[p];
         (process.last_report, process.wants_quota) = (self.now, false);
         if self.now >= process.next_report {
             process.next_report = self.now + REPORT_INTERVAL_MS;
         }
-        self.quotas.report(at(self.now), &report.vm, report.in_flight, report.queued);
+        let counts = report.take_counts(Some(&self.numbering)).unwrap();
+        self.quotas.report(at(self.now), &report.vm, counts.in_flight, counts.queued);
         let is_keyed = |id: &str| SERVICES[service_of(&self.starts, self.numbers[id])].1;
         let allotted = self.quotas.allot(&report.vm, |id| is_keyed(id).then_some(SLOTS));
         let levels = self.levels(p);
@@ -516,6 +523,7 @@
         staying: Vec::new(),
         admission: None,
         zones: None,
+        numbering: None,
         use_quotas: true,
         table: None,
         changes: [None, None],
