One encoded copy of the table of owners for all links, and links write it in turn

A full table (51 bytes a target) was encoded twice for each link, 150 kB each at 3,000 targets, and all links wrote theirs at once. The table and the listing of the directory are now messages of their own, encoded once and shared; those above 8 kB are written by 8 links at a time, while the others go on answering reports.

A new leader raises the fences of all rows, so every process got the full table from it.

--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -7,13 +7,14 @@
     catkin_net::{Held, set_socket_options},
     catkin_route::message::TopicChanges,
     serde::Serialize,
-    std::{io, net::SocketAddr},
+    std::{io, net::SocketAddr, pin::pin},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
             TcpStream,
             tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
+        sync::SemaphorePermit,
     },
 };
 
@@ -24,6 +25,15 @@
 /// so after a cut a new attempt is sooner than one in progress.
 const CONNECT_TIMEOUT: Span = Span::from_millis(400);
 
+/// Size of a message from which on links write in turn. Hundreds of full tables at
+/// once would fill the buffers of all connections, and on a slow link of the leader
+/// all of them would be late.
+const LARGE_BYTES_MIN: usize = 8 << 10;
+
+/// Longest turn of a link. 100 kB, the table of 3,000 targets, take as long at
+/// 4 Mbit/s.
+const TURN_MAX: Span = Span::from_millis(200);
+
 /// Largest accepted message.
 pub(super) const MESSAGE_BYTES_MAX: usize = 4 << 20;
 
@@ -55,13 +65,45 @@
     Ok(stream)
 }
 
+/// Encoded message with its length in front. Links that send the same message share
+/// its bytes.
+#[derive(Clone, Debug)]
+pub(super) struct Frame(Bytes);
+
+impl Frame {
+    pub(super) fn new<T: Serialize>(message: &T) -> io::Result<Self> {
+        let mut bytes = postcard::to_extend(message, vec![0; 4]).map_err(io::Error::other)?;
+        let length = u32::try_from(bytes.len() - 4).map_err(io::Error::other)?;
+        bytes[..4].copy_from_slice(&length.to_be_bytes());
+        Ok(Self(bytes.into()))
+    }
+
+    /// Returns whether the message is large enough that links write such ones in turn.
+    pub(super) fn is_large(&self) -> bool {
+        self.0.len() > LARGE_BYTES_MIN
+    }
+}
+
 pub(super) async fn write<T: Serialize>(stream: &mut OwnedWriteHalf, message: &T) -> io::Result<()> {
-    let body = postcard::to_stdvec(message).map_err(io::Error::other)?;
-    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
-    let mut bytes = Vec::with_capacity(4 + body.len());
-    bytes.extend_from_slice(&length.to_be_bytes());
-    bytes.extend_from_slice(&body);
-    tokio::time::timeout(LINK_TIMEOUT.as_duration(), stream.write_all(&bytes)).await?
+    write_frame(stream, &Frame::new(message)?, None).await
+}
+
+/// Writes a message, and ends the turn of the link once it is written or has taken
+/// [`TURN_MAX`]: a link that is cut off must not keep the others waiting.
+pub(super) async fn write_frame(
+    stream: &mut OwnedWriteHalf,
+    frame: &Frame,
+    turn: Option<SemaphorePermit<'_>>,
+) -> io::Result<()> {
+    let mut written = pin!(tokio::time::timeout(LINK_TIMEOUT.as_duration(), stream.write_all(&frame.0)));
+    if let Some(turn) = turn {
+        let in_turn = tokio::time::timeout(TURN_MAX.as_duration(), &mut written).await;
+        drop(turn);
+        if let Ok(written) = in_turn {
+            return written?;
+        }
+    }
+    written.await?
 }
 
 /// Reader of whole messages. Cancelling a read loses no bytes.
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -2,6 +2,7 @@
 //! messages that are made once for many processes.
 
 use {
+    super::message::Frame,
     crate::{
         lead,
         node::{Node, VersionedOwners},
@@ -15,7 +16,7 @@
         delta::Delta,
         directory::{Incarnation, Target},
         level::{LevelBoard, LevelUpdate, Levels},
-        message::{Listing, Report, ReportedCounts, TableUpdate},
+        message::{LeaderMessage, Listing, Report, ReportedCounts, TableUpdate},
         numbering::{NumberingId, Numberings},
         pace::Share,
         quotas::{Counts, Quotas},
@@ -23,6 +24,7 @@
         spill::{CrossingCost, ShareChange, SpillBoard, TargetState, ZoneTable},
     },
     std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
+    tokio::sync::{Semaphore, SemaphorePermit},
 };
 
 /// Age of the last report from which on a process is not counted.
@@ -34,6 +36,9 @@
 /// Time for which a listing of the directory is sent to further processes.
 const LISTING_AGE_MAX: Span = Span::from_millis(300);
 
+/// Links that write a large message at the same time.
+const TURNS: usize = 8;
+
 /// Number of standbys of the leader.
 const STANDBY_COUNT: usize = 3;
 
@@ -51,9 +56,45 @@
     (target.cold_until > now).then_some(cold.rate)
 }
 
-/// Offset of the older table, offset of the newer table, and their delta
-/// if there is one.
-type CachedDelta = (u64, u64, Option<Rc<Delta>>);
+/// Encoded messages with the newest table.
+#[derive(Debug, Default)]
+struct TableFrames {
+    /// Offset of the newest table.
+    offset: u64,
+    /// Messages by the offset of the table that the process has.
+    frames: BTreeMap<Option<u64>, Frame>,
+}
+
+/// Encoded listing of the directory.
+#[derive(Clone, Debug)]
+pub(super) struct ListingFrame {
+    made_at: Time,
+    /// Offset at which a reader continues.
+    pub(super) to: u64,
+    pub(super) frame: Frame,
+}
+
+/// Turns of the links that write large messages.
+#[derive(Debug)]
+pub(super) struct Turns(Semaphore);
+
+impl Turns {
+    /// Waits for a turn.
+    pub(super) async fn next(&self) -> io::Result<SemaphorePermit<'_>> {
+        self.0.acquire().await.map_err(io::Error::other)
+    }
+
+    /// Returns a turn if there is one now.
+    pub(super) fn take(&self) -> Option<SemaphorePermit<'_>> {
+        self.0.try_acquire().ok()
+    }
+}
+
+impl Default for Turns {
+    fn default() -> Self {
+        Self(Semaphore::new(TURNS))
+    }
+}
 
 /// State that is shared by all links of the leader.
 #[derive(Debug, Default)]
@@ -65,11 +106,13 @@
     admission: RefCell<FleetAdmission>,
     /// Shares of requests that leave their zone.
     spill: RefCell<SpillBoard>,
-    cached: RefCell<Option<CachedDelta>>,
+    tables: RefCell<TableFrames>,
     levels: RefCell<FleetLevels>,
     numberings: RefCell<Numberings>,
-    /// Last listing of the directory and when it was made.
-    listing: RefCell<Option<(Time, Rc<Listing>)>>,
+    /// Last listing of the directory.
+    listing: RefCell<Option<ListingFrame>>,
+    /// Turns of the links that write large messages.
+    pub(super) turns: Turns,
 }
 
 /// Levels of all targets, and when they were last counted.
@@ -139,21 +182,23 @@
     /// Returns a listing of the directory. It is made once for all processes
     /// that ask within a while, and the changes since are forwarded. That the
     /// targets of a zone are cold after an evacuation is not among these.
-    pub(super) fn listing(&self, node: &Node) -> io::Result<Option<Rc<Listing>>> {
+    pub(super) fn listing(&self, node: &Node) -> io::Result<Option<ListingFrame>> {
         let Some(to) = node.directory_feed.next_offset() else { return Ok(None) };
         let now = node.now();
         let mut cached = self.listing.borrow_mut();
-        if let Some((made_at, listing)) = &*cached
-            && now.since(*made_at) < LISTING_AGE_MAX
-            && *made_at >= node.directory.borrow().readmitted_at()
+        if let Some(listing) = &*cached
+            && now.since(listing.made_at) < LISTING_AGE_MAX
+            && listing.made_at >= node.directory.borrow().readmitted_at()
             && node.directory_feed.since(listing.to).is_some()
         {
             return Ok(Some(listing.clone()));
         }
         let age = (now.since(node.directory_feed.checked_at()) + LISTING_AGE_MAX).as_micros();
-        let listing =
-            Rc::new(Listing::new(to, age, &node.directory.borrow().listing(now)).map_err(io::Error::other)?);
-        *cached = Some((now, listing.clone()));
+        let entries = node.directory.borrow().listing(now);
+        let listing = Listing::new(to, age, &entries).map_err(io::Error::other)?;
+        let frame = Frame::new(&LeaderMessage::Listing(listing))?;
+        let listing = ListingFrame { made_at: now, to, frame };
+        *cached = Some(listing.clone());
         Ok(Some(listing))
     }
 
@@ -199,18 +244,26 @@
         self.quotas.borrow().use_quotas()
     }
 
-    /// Returns the delta between two tables. Most links need the same one,
-    /// so the last one is cached.
-    pub(super) fn delta(&self, old: &VersionedOwners, new: &VersionedOwners) -> Option<TableUpdate> {
-        let mut cached = self.cached.borrow_mut();
-        let (from, to) = (old.offset, new.offset);
-        let matching = cached.as_ref().filter(|cached| (cached.0, cached.1) == (from, to));
-        let delta = match matching {
-            Some(cached) => cached.2.clone(),
-            None => Delta::new(&old.table, &new.table).map(Rc::new),
+    /// Returns the message with the newest table, for a process that has an older one
+    /// or none. It is encoded once for all links that need the same one.
+    pub(super) fn table(&self, old: Option<&VersionedOwners>, newest: &VersionedOwners) -> io::Result<Frame> {
+        let mut cached = self.tables.borrow_mut();
+        if cached.offset != newest.offset {
+            *cached = TableFrames { offset: newest.offset, frames: BTreeMap::new() };
+        }
+        let from = old.map(|old| old.offset);
+        if let Some(frame) = cached.frames.get(&from) {
+            return Ok(frame.clone());
+        }
+        let to = newest.offset;
+        let delta = old.and_then(|old| Delta::new(&old.table, &newest.table));
+        let update = match (from, delta) {
+            (Some(from), Some(delta)) => TableUpdate::Delta { from, to, delta },
+            _ => TableUpdate::full(to, &newest.table).map_err(io::Error::other)?,
         };
-        *cached = Some((from, to, delta.clone()));
-        Some(TableUpdate::Delta { from, to, delta: delta? })
+        let frame = Frame::new(&LeaderMessage::Table(update))?;
+        cached.frames.insert(from, frame.clone());
+        Ok(frame)
     }
 
     /// Returns which requests are admitted.
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -11,7 +11,9 @@
     catkin_route::{
         directory::Target,
         level::{LevelCopy, Levels},
-        message::{KeyCounts, LeaderMessage, LeaderState, Message, Report, TableUpdate, TopicChanges},
+        message::{
+            KeyCounts, LeaderMessage, LeaderState, Listing, Message, Report, TableUpdate, TopicChanges,
+        },
         numbering::{ByTarget, Numbering, NumberingId, Numberings},
         owners::ProcessId,
         peer_view::Known,
@@ -115,38 +117,48 @@
     }
 }
 
-/// Applies a state that the leader has sent after a time.
-fn apply_state(node: &Node, state: LeaderState, link: &mut LinkState, now: Time, sent_after: Time) {
+/// Records that a message of the leader has arrived, which it has sent after a time.
+fn note_message(node: &Node, now: Time, sent_after: Time) {
     node.last_leader_answer.set(now);
     node.forwarded_at.set(node.forwarded_at.get().max(sent_after));
+}
+
+/// Applies a table of owners that the leader has sent.
+fn apply_table(node: &Node, update: &TableUpdate) {
+    let known = node.owners();
+    match update.apply(known.as_ref().map(|known| (known.offset, &*known.table))) {
+        Ok(Some((offset, table))) => node.update_owners(offset, Rc::new(table)),
+        Ok(None) => {}
+        Err(error) => log::warn!(error:display; "invalid table of owners ignored"),
+    }
+}
+
+/// Applies a listing of the directory that the leader has sent after a time.
+fn apply_listing(node: &Node, listing: &Listing, sent_after: Time) {
+    // The leader reports to itself as well; it already has its own changes.
+    if node.is_leader.get() {
+        return;
+    }
+    let at = sent_after.before(Span::from_micros(listing.age));
+    match listing.entries() {
+        Ok(entries) => sync::apply_listing(node, entries, listing.to, at),
+        Err(error) => log::warn!(error:display; "invalid listing of the directory ignored"),
+    }
+}
+
+/// Applies a state that the leader has sent after a time.
+fn apply_state(node: &Node, state: LeaderState, link: &mut LinkState, now: Time, sent_after: Time) {
+    note_message(node, now, sent_after);
     let mut peer_count = node.peer_count.get();
     peer_count.update(now, state.peer_count);
     node.peer_count.set(peer_count);
     node.is_standby.set(state.standby);
-    match state.table {
-        Some(TableUpdate::Full(offset, table)) => node.update_owners(offset, table),
-        Some(TableUpdate::Delta { from, to, delta }) => {
-            if let Some(old) = node.owners().filter(|o| o.offset == from) {
-                node.update_owners(to, Rc::new(delta.apply(&old.table)));
-            }
-        }
-        None => {}
-    }
     // The leader reports to itself as well; it already has its own changes.
     if !node.is_leader.get() {
         let contact = now.before(Span::from_micros(state.store_age));
         node.leader_store_contact.set(node.leader_store_contact.get().max(contact));
         apply_changes(node, state.changes, sent_after);
     }
-    if let Some(listing) = state.listing
-        && !node.is_leader.get()
-    {
-        let at = sent_after.before(Span::from_micros(listing.age));
-        match listing.entries() {
-            Ok(entries) => sync::apply_listing(node, entries, listing.to, at),
-            Err(error) => log::warn!(error:display; "invalid listing of the directory ignored"),
-        }
-    }
     if state.numbering.is_some() {
         link.leader_numbering = state.numbering;
     }
@@ -248,9 +260,17 @@
             message = messages.next() => {
                 let answer: LeaderMessage = postcard::from_bytes(&message?).map_err(io::Error::other)?;
                 last_answer = node.now();
+                link.received += 1;
                 match answer {
+                    LeaderMessage::Table(update) => {
+                        note_message(node, last_answer, reports.sent_after());
+                        apply_table(node, &update);
+                    }
+                    LeaderMessage::Listing(listing) => {
+                        note_message(node, last_answer, reports.sent_after());
+                        apply_listing(node, &listing, reports.sent_after());
+                    }
                     LeaderMessage::State(state) => {
-                        link.received += 1;
                         if state.quotas.is_some() {
                             is_answered = true;
                             if let Some(delay) = reports.answered(last_answer) {
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        message::{LINK_TIMEOUT, MessageReader, changes_since, newest_changes, write},
-        peers::Peers,
+        message::{Frame, LINK_TIMEOUT, MessageReader, changes_since, newest_changes, write, write_frame},
+        peers::{ListingFrame, Peers},
     },
     crate::{
         lead,
@@ -14,16 +14,16 @@
     catkin_route::{
         cold::TokenGrant,
         level::LevelUpdate,
-        message::{
-            LeaderMessage, LeaderState, Listing, Message, Report, ReportedCounts, Stopped, TableUpdate,
-            TopicChanges,
-        },
+        message::{LeaderMessage, LeaderState, Message, Report, ReportedCounts, Stopped, TopicChanges},
         numbering::NumberingId,
         pace::Share,
         peer_view::{Known, PeerView},
     },
     std::{io, rc::Rc},
-    tokio::net::{TcpListener, TcpStream},
+    tokio::{
+        net::{TcpListener, TcpStream, tcp::OwnedWriteHalf},
+        sync::SemaphorePermit,
+    },
 };
 
 /// Least time between two messages to a process with the loads of targets.
@@ -76,12 +76,17 @@
         self.table = self.table.take().filter(|owners| Some(owners.offset) == self.view.known().table);
     }
 
-    /// Returns the newest table if it is newer than the known one, as a delta
-    /// if possible.
-    fn table_update(&self, newest: Option<&VersionedOwners>, peers: &Peers) -> Option<TableUpdate> {
-        let newer = newest.filter(|o| self.view.known().table.is_none_or(|known| known < o.offset))?;
-        let update = self.table.as_ref().and_then(|old| peers.delta(old, newer));
-        Some(update.unwrap_or(TableUpdate::Full(newer.offset, newer.table.clone())))
+    /// Returns the newest table if it is newer than the known one, as a message.
+    fn newer_table(&self, node: &Node, peers: &Peers) -> io::Result<Option<(VersionedOwners, Frame)>> {
+        let known = self.view.known().table;
+        let Some(newest) = node.owners().filter(|o| known.is_none_or(|known| known < o.offset)) else {
+            return Ok(None);
+        };
+        let earlier = node.earlier_owners.borrow();
+        let mut tables = self.table.iter().chain(&*earlier);
+        let old = tables.find(|old| Some(old.offset) == known);
+        let frame = peers.table(old, &newest)?;
+        Ok(Some((newest, frame)))
     }
 
     /// Returns the changes of the configuration and of the directory.
@@ -96,7 +101,7 @@
     }
 
     /// Returns a listing of the directory if the process has no position in it.
-    fn listing(&self, node: &Node, peers: &Peers) -> io::Result<Option<Rc<Listing>>> {
+    fn listing(&self, node: &Node, peers: &Peers) -> io::Result<Option<ListingFrame>> {
         match self.view.known().next_offsets[1] {
             None => peers.listing(node),
             Some(_) => Ok(None),
@@ -121,22 +126,44 @@
     }
 
     /// Records what the process will know once it has received a state.
-    fn note_sent(&mut self, state: &LeaderState, newest: Option<VersionedOwners>) {
+    fn note_sent(&mut self, state: &LeaderState) {
         let known = self.view.known();
-        let table = match state.table {
-            Some(_) => newest.as_ref().map(|owners| owners.offset),
-            None => known.table,
-        };
         let levels = state.levels.as_ref().map(LevelUpdate::version).or(known.levels);
-        if state.table.is_some() {
-            self.table = newest;
+        let next_offsets = [0, 1].map(|i| state.changes[i].as_ref().map(|c| c.to).or(known.next_offsets[i]));
+        self.view.note_sent(Known { next_offsets, levels, ..known });
+    }
+
+    /// Sends the newest table of owners and a listing of the directory, if the process
+    /// needs them. A large one waits for a turn; the link goes on meanwhile. Returns
+    /// whether it waits.
+    async fn send_large(
+        &mut self,
+        node: &Node,
+        peers: &Peers,
+        writer: &mut OwnedWriteHalf,
+        mut turn: Option<SemaphorePermit<'_>>,
+    ) -> io::Result<bool> {
+        if let Some((newest, frame)) = self.newer_table(node, peers)? {
+            turn = turn.or_else(|| peers.turns.take());
+            if frame.is_large() && turn.is_none() {
+                return Ok(true);
+            }
+            let known = Known { table: Some(newest.offset), ..self.view.known() };
+            self.view.note_sent(known);
+            self.table = Some(newest);
+            write_frame(writer, &frame, turn.take_if(|_| frame.is_large())).await?;
         }
-        let mut next_offsets =
-            [0, 1].map(|i| state.changes[i].as_ref().map(|c| c.to).or(known.next_offsets[i]));
-        if let Some(listing) = &state.listing {
-            next_offsets[1] = Some(listing.to);
+        if let Some(listing) = self.listing(node, peers)? {
+            turn = turn.or_else(|| peers.turns.take());
+            if listing.frame.is_large() && turn.is_none() {
+                return Ok(true);
+            }
+            let mut known = self.view.known();
+            known.next_offsets[1] = Some(listing.to);
+            self.view.note_sent(known);
+            write_frame(writer, &listing.frame, turn).await?;
         }
-        self.view.note_sent(Known { table, next_offsets, levels });
+        Ok(false)
     }
 }
 
@@ -149,12 +176,18 @@
     let mut targets = node.directory_feed.subscribe();
     let mut state = PeerState::default();
     let mut leader = node.identity.run_id;
+    let mut awaits_turn = false;
     loop {
+        let mut turn = None;
         let message = tokio::select! {
             message = tokio::time::timeout(LINK_TIMEOUT.as_duration(), messages.next()) => Some(message??),
             changed = owners.changed() => changed.map(|()| None).map_err(io::Error::other)?,
             changed = configs.changed() => changed.map(|()| None).map_err(io::Error::other)?,
             changed = targets.changed() => changed.map(|()| None).map_err(io::Error::other)?,
+            next = peers.turns.next(), if awaits_turn => {
+                turn = Some(next?);
+                None
+            }
         };
         let mut quotas = None;
         let mut tokens: Vec<TokenGrant> = Vec::new();
@@ -178,15 +211,13 @@
         if !node.is_leader.get() || leader != node.identity.run_id {
             return write(&mut writer, &LeaderMessage::NotLeader).await;
         }
-        let newest = node.owners();
-        let table = state.table_update(newest.as_ref(), peers);
+        awaits_turn = state.send_large(node, peers, &mut writer, turn).await?;
         let changes = state.changes(node);
         let has_records = changes.iter().flatten().any(|c| !c.records.is_empty());
         // Without a change nothing is sent; the answer to the next report has
         // the current age of the store's last answer.
-        if quotas.is_some() || table.is_some() || has_records {
+        if quotas.is_some() || has_records {
             let store_age = node.last_join.get().map_or(u64::MAX, |at| node.now().since(at).as_micros());
-            let listing = state.listing(node, peers)?;
             let levels = quotas.as_ref().and_then(|_| state.levels(node, peers));
             let limits = match quotas {
                 Some(_) => lead::with_loads(|loads| loads.limit_reports(node.now())),
@@ -213,11 +244,9 @@
                 zones,
                 numbering: state.numbering(node, peers),
                 use_quotas,
-                table,
                 changes,
-                listing,
             };
-            state.note_sent(&leader_state, newest);
+            state.note_sent(&leader_state);
             write(&mut writer, &LeaderMessage::State(Box::new(leader_state))).await?;
         }
     }
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -24,7 +24,7 @@
     },
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, HashSet},
+        collections::{HashMap, HashSet, VecDeque},
         rc::Rc,
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
@@ -84,6 +84,8 @@
     pub(crate) directory_read: Cell<bool>,
     /// Newest known table of owners.
     pub(crate) owners: watch::Sender<Option<VersionedOwners>>,
+    /// Tables of owners before the newest known one, the oldest first.
+    pub(crate) earlier_owners: RefCell<VecDeque<VersionedOwners>>,
     /// Loads of targets as seen by this process.
     pub(crate) loads: RefCell<LocalLoads>,
     /// Admission of requests under overload.
@@ -166,6 +168,11 @@
     heartbeat.scale(MISSED_HEARTBEATS) + REMOVAL_DELAY_MAX
 }
 
+/// Earlier tables of owners that a process keeps: once it leads, it tells processes
+/// that have one of them the changes only. The claim is one table later than theirs,
+/// or two if the last leader's newest table did not reach them.
+const EARLIER_TABLES_MAX: usize = 2;
+
 /// Number of edge processes that is assumed before the leader has counted them.
 const PEERS_DEFAULT: u32 = 12;
 
@@ -208,6 +215,7 @@
             ),
             directory_read: Cell::new(false),
             owners: watch::Sender::new(None),
+            earlier_owners: RefCell::default(),
             pool: Pool::default(),
             key_counts: RefCell::default(),
             waiters: WaitQueue::default(),
@@ -271,7 +279,12 @@
         }
         log::info!(version = offset, leader = &*table.leader.vm; "table of owners changed");
         self.directory.borrow_mut().learn_owners(self.now(), &table);
-        self.owners.send_replace(Some(VersionedOwners { offset, table }));
+        let earlier = self.owners.send_replace(Some(VersionedOwners { offset, table }));
+        let mut earlier_owners = self.earlier_owners.borrow_mut();
+        earlier_owners.extend(earlier);
+        if earlier_owners.len() > EARLIER_TABLES_MAX {
+            earlier_owners.pop_front();
+        }
         self.waiters.notify_all();
     }
 
--- a/crates/catkin-route/src/message.rs
+++ b/crates/catkin-route/src/message.rs
@@ -43,7 +43,7 @@
     pub vm: Arc<str>,
     /// Run id of the leader that the report is for.
     pub leader: u64,
-    /// Number of states that were received on this link.
+    /// Number of messages that were received on this link.
     pub received: u64,
     /// What the process knows of what the leader sends.
     pub known: Known,
@@ -104,6 +104,10 @@
 pub enum LeaderMessage {
     /// State that the leader sends.
     State(Box<LeaderState>),
+    /// Newer table of owners.
+    Table(TableUpdate),
+    /// Complete listing of the directory, for a process without a position.
+    Listing(Listing),
     /// The process that the report is for does not lead.
     NotLeader,
 }
@@ -145,12 +149,8 @@
     pub numbering: Option<NumberingId>,
     /// Whether busy targets with keys accept requests within quotas only.
     pub use_quotas: bool,
-    /// Newer table of owners.
-    pub table: Option<TableUpdate>,
     /// Changes of the configuration and of the directory.
     pub changes: [Option<TopicChanges>; 2],
-    /// Complete listing of the directory, for a process without a position.
-    pub listing: Option<Rc<Listing>>,
 }
 
 /// Complete listing of the directory.
@@ -189,8 +189,13 @@
 /// Update of the table of owners.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum TableUpdate {
-    /// Offset and full table.
-    Full(u64, Rc<Owners>),
+    /// Full table.
+    Full {
+        /// Offset of the table.
+        offset: u64,
+        /// The table, encoded and compressed.
+        table: Payload,
+    },
     /// Delta to an older table.
     Delta {
         /// Offset of the older table.
@@ -198,10 +203,38 @@
         /// Offset of the newer table.
         to: u64,
         /// Delta between the two tables.
-        delta: Rc<Delta>,
+        delta: Delta,
     },
 }
 
+impl TableUpdate {
+    /// Creates an update with a full table.
+    ///
+    /// # Errors
+    ///
+    /// `Code::Internal` if the encoder or the compressor fails.
+    pub fn full(offset: u64, table: &Owners) -> Result<Self, Error> {
+        Ok(Self::Full { offset, table: Payload::new(&table.encode()?.into())? })
+    }
+
+    /// Returns the newer table and its offset, or `None` if the update is for a
+    /// process with another table. `known` is the table of this process and its
+    /// offset.
+    ///
+    /// # Errors
+    ///
+    /// `Code::BadFrame` or `Code::ForeignRecord` if the bytes are not a table.
+    pub fn apply(&self, known: Option<(u64, &Owners)>) -> Result<Option<(u64, Owners)>, Error> {
+        match self {
+            Self::Full { offset, table } => Ok(Some((*offset, Owners::decode(&table.decode()?)?))),
+            Self::Delta { from, to, delta } => {
+                let old = known.filter(|(offset, _)| offset == from);
+                Ok(old.map(|(_, old)| (*to, delta.apply(old))))
+            }
+        }
+    }
+}
+
 /// Changes of one topic between two offsets.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct TopicChanges {
--- a/crates/catkin-route/src/peer_view.rs
+++ b/crates/catkin-route/src/peer_view.rs
@@ -14,7 +14,7 @@
 /// State of the process at the other end of a link.
 #[derive(Clone, Debug, Default)]
 pub struct PeerView {
-    /// Number of states that were sent on the link.
+    /// Number of messages that were sent on the link.
     sent: u64,
     known: Known,
 }
@@ -31,8 +31,8 @@
 }
 
 impl PeerView {
-    /// Applies a report of the process, which has received a number of states on
-    /// the link. The report counts only if no state is on its way: otherwise the
+    /// Applies a report of the process, which has received a number of messages
+    /// on the link. The report counts only if none is on its way: otherwise the
     /// process will know more than it says.
     pub fn report(&mut self, received: u64, known: Known) {
         if received == self.sent {
@@ -40,7 +40,7 @@
         }
     }
 
-    /// Counts a state that is sent, and records what the process will know.
+    /// Counts a message that is sent, and records what the process will know.
     pub fn note_sent(&mut self, known: Known) {
         self.sent += 1;
         self.known = known;
--- a/crates/catkin-route/tests/delta.rs
+++ b/crates/catkin-route/tests/delta.rs
@@ -38,7 +38,14 @@
 fn any_table() -> impl Strategy<Value = Owners> {
     let bounds = prop::collection::vec(any::<u16>(), 0..12);
     let owners = prop::collection::vec(prop::option::weighted(0.9, 0_u8..4), 1..12);
-    (bounds, owners).prop_map(|(bounds, owners)| table(rows(bounds, &owners)))
+    (bounds, owners, any::<bool>(), 1_u64..3).prop_map(|(bounds, owners, is_other, fence)| {
+        let mut rows = rows(bounds, &owners);
+        for row in rows.iter_mut().skip(1) {
+            row.fence = fence;
+        }
+        let leader = leader(if is_other { "y" } else { "x" });
+        Owners { leader, ..table(rows) }
+    })
 }
 
 proptest! {
@@ -84,3 +91,24 @@
     let new = table(vec![row(0, 9, "a", 1)]);
     assert_eq!(Delta::new(&old, &new), None);
 }
+
+/// A new leader raises the fences of all rows. If it sent the full table of thousands
+/// of targets to hundreds of processes, they would be late with its first moves.
+#[test]
+fn new_leader_is_told_without_the_rows() {
+    let bounds: Vec<u16> = (0..200).map(|i| i * 300).collect();
+    let owners: Vec<_> = (0..100).map(Some).collect();
+    let old = table(rows(bounds, &owners));
+    let mut new = catkin_route::granter::claim(&leader("y"), LEASE_TIMES.duration, Some(&old), 7);
+    let delta = Delta::new(&old, &new).unwrap();
+    assert_eq!(delta.apply(&old), new);
+    let size = postcard::to_stdvec(&delta).unwrap().len();
+    assert!(size < 100, "{size} bytes for a claim");
+    // Processes that get the claim with the first move need one row more.
+    (new.services.get_mut(SERVICE).unwrap()[0].target, new.services.get_mut(SERVICE).unwrap()[0].fence) =
+        ("t7".into(), 9);
+    let delta = Delta::new(&old, &new).unwrap();
+    assert_eq!(delta.apply(&old), new);
+    let size = postcard::to_stdvec(&delta).unwrap().len();
+    assert!(size < 150, "{size} bytes for a claim and a move");
+}
--- a/crates/catkin-route/tests/message_sizes.rs
+++ b/crates/catkin-route/tests/message_sizes.rs
@@ -11,7 +11,7 @@
         delta::Delta,
         directory::{Directory, Entry, Incarnation, Target},
         level::{LevelBoard, LevelCopy, LevelUpdate, Levels},
-        message::{LeaderState, Report, TableUpdate},
+        message::{LeaderMessage, LeaderState, Report, TableUpdate},
         numbering::{ByTarget, Numbering},
         owners::{Owners, Row},
         pace::Share,
@@ -107,8 +107,9 @@
 
     fn add_state(&mut self, state: &LeaderState) {
         let LeaderState { peer_count, standby, store_age, quotas, share, tokens, levels, .. } = state;
-        let LeaderState { limits, leaving, staying, admission, zones, use_quotas, numbering, .. } = state;
-        let LeaderState { table, changes, listing, .. } = state;
+        let LeaderState {
+            limits, leaving, staying, admission, zones, use_quotas, numbering, changes, ..
+        } = state;
         let fields = [
             ("count and age", size(&(peer_count, standby, store_age, use_quotas, numbering))),
             ("quotas", size(quotas)),
@@ -117,8 +118,7 @@
             ("limits, leaving, staying", size(limits) + size(leaving) + size(staying)),
             ("admission", size(admission)),
             ("zones", size(zones)),
-            ("table", size(table)),
-            ("changes, listing", size(changes) + size(listing)),
+            ("changes", size(changes)),
         ];
         let sum: usize = fields.iter().map(|(_, bytes)| bytes).sum();
         assert_eq!(sum, size(state), "a field is missing");
@@ -471,12 +471,15 @@
         let rows = table.services.get_mut(SERVICES[0].0).unwrap();
         let (i, dest) = (self.rng.random_range(0..rows.len()), self.rng.random_range(0..count));
         (rows[i].target, rows[i].fence) = (self.ids[dest].clone(), self.offset);
-        let delta = Rc::new(Delta::new(&self.table, &table).unwrap());
+        let delta = Delta::new(&self.table, &table).unwrap();
         self.table = Rc::new(table);
-        let update = || TableUpdate::Delta { from: self.offset - 1, to: self.offset, delta: delta.clone() };
+        let message =
+            LeaderMessage::Table(TableUpdate::Delta { from: self.offset - 1, to: self.offset, delta });
         for process in &mut self.processes {
             process.received += 1;
-            self.tally.add_state(&LeaderState { table: Some(update()), ..empty_state() });
+            self.tally.add("table", "frame", FRAME_BYTES);
+            self.tally.add("table", "delta", size(&message));
+            *self.tally.messages.entry("table").or_default() += 1;
         }
     }
 
@@ -525,9 +528,7 @@
         zones: None,
         numbering: None,
         use_quotas: true,
-        table: None,
         changes: [None, None],
-        listing: None,
     }
 }
 
