Bound what the system holds for a link, and test a leader with 300 full tables

The system holds up to 4 MB for each connection that is slower than what is written to it, which counts toward the memory of a VM. The leader's end of a link now has 32 kB.

--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -10,7 +10,7 @@
         node::{Node, VersionedOwners, sleep},
     },
     catkin::types::{Span, Time},
-    catkin_net::set_socket_options,
+    catkin_net::{limit_send_buffer, set_socket_options},
     catkin_route::{
         cold::TokenGrant,
         level::LevelUpdate,
@@ -29,6 +29,10 @@
 /// Least time between two messages to a process with the loads of targets.
 const LEVELS_INTERVAL: Span = Span::from_millis(200);
 
+/// Bytes that the system holds for a link. Without a bound it holds up to 4 MB for each
+/// of hundreds of links that are slower than what is written to them.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+
 /// Accepts links from processes.
 pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener) {
     let peers = Rc::new(Peers::new(node.settings.crossing_cost()));
@@ -169,6 +173,7 @@
 
 async fn serve_link(node: &Rc<Node>, peers: &Peers, stream: TcpStream) -> io::Result<()> {
     set_socket_options(&stream);
+    limit_send_buffer(&stream, SEND_BUFFER_BYTES);
     let (reader, mut writer) = stream.into_split();
     let mut messages = MessageReader::new(reader)?;
     let mut owners = node.owners.subscribe();
--- /dev/null
+++ b/crates/catkin-edge/tests/links.rs
@@ -0,0 +1,203 @@
+//! Links of a real leader with hundreds of processes, which the test plays.
+
+mod common;
+
+use {
+    bytes::BytesMut,
+    catkin::types::Span,
+    catkin_route::{
+        message::{LeaderMessage, Message, Report, TableUpdate},
+        numbering::ByTarget,
+        owners::{Owners, ProcessId, Row},
+        peer_view::Known,
+    },
+    catkin_standin::users::{Store, put_config},
+    common::{Edge, free_addr, plan},
+    futures_util::future::join_all,
+    std::{
+        io,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{io::AsyncWriteExt, net::TcpSocket},
+};
+
+const PROCESSES: usize = 300;
+
+const TARGETS: usize = 3_000;
+
+/// Memory that a leader of that many processes may need.
+const MEMORY_MAX_MB: u64 = 60;
+
+/// Time in which every process must have the table.
+const TABLE_WITHIN: Duration = Duration::from_secs(15);
+
+/// Buffer of the receiving end, so that the leader's end can't write a whole table at
+/// once, as on a slow link.
+const RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
+
+/// Time for which a process reads nothing at first. After 1.5 s the leader closes the
+/// link.
+const UNREAD_TIME: Duration = Duration::from_millis(1_000);
+
+/// Returns a table with a row for each target, which no process lists.
+fn table() -> Owners {
+    let row = |i: usize| Row {
+        from: u16::try_from(i * 21).unwrap(),
+        to: u16::try_from(i * 21 + 20).unwrap(),
+        target: format!("i-{:010x}", i.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24).into(),
+        started: 1_700_000_000_000 + (i as u64 * 7_919) % 1_000_000,
+        fence: 1_200,
+        handover: None,
+    };
+    Owners {
+        leader: ProcessId { vm: "earlier".into(), run_id: 1, addr: free_addr() },
+        earlier_leaders: Vec::new(),
+        lease_duration: Span::from_secs(3),
+        services: [("keyed".into(), (0..TARGETS).map(row).collect())].into(),
+    }
+}
+
+/// Lists as many targets of a service without keys, which get no commands.
+fn list_targets(store: &Store) {
+    for i in 0..TARGETS {
+        let id = format!("p-{:010x}", i.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24);
+        let entry = format!(
+            r#"{{"address":"10.0.{}.{}:8080","born":17000000{i:05},"info":{{"service":"plain","zone":"z","slots":6}},"status":{{"state":"ready"}}}}"#,
+            i / 250,
+            i % 250
+        );
+        store.put("keyed.servers", &id, entry.as_bytes());
+    }
+}
+
+fn report(vm: usize, leader: u64, received: u64, known: Known) -> Vec<u8> {
+    let report = Report {
+        vm: format!("vm-{vm}").into(),
+        leader,
+        received,
+        known,
+        key_counts: Vec::new(),
+        strong: false,
+        numbering: None,
+        in_flight: ByTarget::default(),
+        queued: ByTarget::default(),
+        service_times: ByTarget::default(),
+        limits: Vec::new(),
+        leaving: Vec::new(),
+        admission: Vec::new(),
+        zones: None,
+    };
+    let body = postcard::to_stdvec(&Message::Report(Box::new(report))).unwrap();
+    [&u32::try_from(body.len()).unwrap().to_be_bytes()[..], &body].concat()
+}
+
+/// What a process got on one link.
+#[derive(Default)]
+struct Received {
+    rows: usize,
+    entries: usize,
+}
+
+/// Plays a process without any state until it has the table and a listing. It reads
+/// nothing for a while and then some 400 kB a second.
+async fn run_process(vm: usize, addr: SocketAddr, leader: u64) -> io::Result<Received> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    let mut stream = socket.connect(addr).await?;
+    let (mut count, mut buffer) = (0, BytesMut::new());
+    let (mut received, mut known) = (Received::default(), Known::default());
+    let mut reported_at: Option<Instant> = None;
+    let read_from = Instant::now() + UNREAD_TIME;
+    while received.rows == 0 || received.entries == 0 {
+        if reported_at.is_none_or(|at| at.elapsed() > Duration::from_millis(400)) {
+            reported_at = Some(Instant::now());
+            stream.write_all(&report(vm, leader, count, known)).await?;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+        if Instant::now() < read_from {
+            continue;
+        }
+        let mut part = [0; 4 << 10];
+        let read = match stream.try_read(&mut part) {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
+            read => read?,
+        };
+        buffer.extend_from_slice(&part[..read]);
+        while let Some(head) = buffer.first_chunk::<4>() {
+            let length = u32::from_be_bytes(*head) as usize;
+            if buffer.len() < 4 + length {
+                break;
+            }
+            let message = buffer.split_to(4 + length);
+            count += 1;
+            match postcard::from_bytes(&message[4..]).map_err(io::Error::other)? {
+                LeaderMessage::State(_) => {}
+                LeaderMessage::Table(update) => {
+                    assert!(matches!(update, TableUpdate::Full { .. }), "the process has no table");
+                    let (offset, table) = update.apply(None).unwrap().unwrap();
+                    (known.table, received.rows) = (Some(offset), table.services["keyed"].len());
+                }
+                LeaderMessage::Listing(listing) => {
+                    known.next_offsets[1] = Some(listing.to);
+                    received.entries = listing.entries().unwrap().len();
+                }
+                LeaderMessage::NotLeader => return Err(io::ErrorKind::NotConnected.into()),
+            }
+        }
+    }
+    Ok(received)
+}
+
+/// Starts a process that leads a fleet with [`TARGETS`] rows in its table.
+async fn start_leader() -> (Store, Edge, SocketAddr, u64) {
+    let store = Store::default();
+    let store_addr = store.start().await;
+    put_config(&store, &plan(1));
+    list_targets(&store);
+    store.put("keyed.owners", "table", &table().encode().unwrap());
+    let peers = free_addr();
+    let edge = Edge::start_at("edge-0", store_addr, peers, "");
+    let until = Instant::now() + Duration::from_secs(20);
+    loop {
+        let newest = Owners::decode(&store.newest("keyed.owners")["table"]).unwrap();
+        if &*newest.leader.vm == "edge-0" {
+            return (store, edge, peers, newest.leader.run_id);
+        }
+        assert!(Instant::now() < until, "no leader");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// After the loss of all machines every process asks for the full state at once. With
+/// a copy for each link the leader of 300 needed 169 MB, and the smallest VMs have
+/// 120 MB.
+#[actix_rt::test]
+async fn full_tables_on_all_links_take_little_memory() {
+    let (_store, leader, addr, run_id) = start_leader().await;
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    let before = leader.memory_peak_mb();
+    let started = Instant::now();
+    let run = |vm: usize| async move {
+        // A link on which nothing arrives for too long is closed and opened again.
+        loop {
+            match run_process(vm, addr, run_id).await {
+                Ok(received) => return (received, started.elapsed()),
+                Err(_) if started.elapsed() < TABLE_WITHIN => {
+                    actix_rt::time::sleep(Duration::from_millis(250)).await;
+                }
+                Err(error) => panic!("no state for process {vm}: {error}"),
+            }
+        }
+    };
+    let all = join_all((0..PROCESSES).map(run)).await;
+    let peak = leader.memory_peak_mb();
+    let last = all.iter().map(|(_, took)| *took).max().unwrap();
+    println!("peak {peak} MB, {before} MB before the links; last process after {last:?}");
+    for (received, _) in &all {
+        assert_eq!((received.rows, received.entries), (TARGETS, TARGETS));
+    }
+    assert!(last < TABLE_WITHIN, "the last process had the table after {last:?}");
+    assert!(peak < MEMORY_MAX_MB, "{peak} MB, {before} MB before the links");
+}
--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -60,6 +60,13 @@
     let _ = socket.set_tcp_keepalive(&probes);
 }
 
+/// Bounds the bytes that the system holds for a connection until the other end has
+/// taken them.
+pub fn limit_send_buffer(stream: &TcpStream, bytes: usize) {
+    // The system reserves twice the size, for its own bookkeeping.
+    let _ = SockRef::from(stream).set_send_buffer_size(bytes);
+}
+
 /// Creates a request head without headers.
 pub fn request_head(method: Method, uri: Uri) -> RequestHead {
     let mut head = RequestHead::default();
--- a/crates/catkin-net/src/lib.rs
+++ b/crates/catkin-net/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use {
     clock::{BootClock, MonotonicClock},
-    exchange::{Conn, ExchangeError, HttpAnswer, request_head, set_socket_options},
+    exchange::{Conn, ExchangeError, HttpAnswer, limit_send_buffer, request_head, set_socket_options},
     held::{Held, held, limit_held},
     http::{Connections, listen, reply_json, reply_text, serve, serve_limited},
     json::{get, is_unsent, list_vms, post, read_body},
