Reserve the buffer of an exchange only for bytes that have arrived

Each exchange reserved 16 kB while it waited for its answer. After a claim a leader sends grants to all targets at once, 3,000 at the planned size.

--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -311,18 +311,28 @@
         }
     }
 
-    /// Waits until the socket can be read or written, and does one of them.
+    /// Waits until the socket can be read or written, and does one of them. Thousands of
+    /// exchanges may wait at once, so a buffer is reserved only for bytes that have
+    /// arrived.
     async fn read_or_write(&mut self, out: &mut Outgoing) -> io::Result<()> {
-        self.buffer.reserve(READ_BUFFER_BYTES);
         if out.is_done() {
+            self.stream.readable().await?;
+            self.buffer.reserve(READ_BUFFER_BYTES);
             self.received += check_read(self.stream.read_buf(&mut self.buffer).await)?;
             return Ok(());
         }
-        let (mut reader, mut writer) = self.stream.split();
+        let (reader, mut writer) = self.stream.split();
         let written = tokio::select! {
             biased;
-            read = reader.read_buf(&mut self.buffer) => {
-                self.received += check_read(read)?;
+            readable = reader.readable() => {
+                readable?;
+                self.buffer.reserve(READ_BUFFER_BYTES);
+                // Nothing may have arrived after all, and the request must be written.
+                match reader.try_read_buf(&mut self.buffer) {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    read => self.received += check_read(read)?,
+                }
+                tokio::task::coop::consume_budget().await;
                 return Ok(());
             }
             written = writer.write(out.remaining()) => written,
