--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -2,7 +2,7 @@
 //! messages that are made once for many processes.
 
 use {
-    super::message::{Listing, Report, TableUpdate},
+    super::message::Frame,
     crate::{
         lead,
         node::{Node, VersionedOwners},
@@ -15,13 +15,16 @@
         config::Config,
         delta::Delta,
         directory::{Incarnation, Target},
-        level::Levels,
+        level::{LevelBoard, LevelUpdate, Levels},
+        message::{LeaderMessage, Listing, Report, ReportedCounts, TableUpdate},
+        numbering::{NumberingId, Numberings},
         pace::Share,
         quotas::{Counts, Quotas},
         rate::RequestRate,
         spill::{CrossingCost, ShareChange, SpillBoard, TargetState, ZoneTable},
     },
     std::{cell::RefCell, collections::BTreeMap, io, rc::Rc, sync::Arc},
+    tokio::sync::{Semaphore, SemaphorePermit},
 };
 
 /// Age of the last report from which on a process is not counted.
@@ -33,6 +36,9 @@
 /// Time for which a listing of the directory is sent to further processes.
 const LISTING_AGE_MAX: Span = Span::from_millis(300);
 
+/// Links that write a large message at the same time.
+const TURNS: usize = 8;
+
 /// Number of standbys of the leader.
 const STANDBY_COUNT: usize = 3;
 
@@ -50,9 +56,45 @@
     (target.cold_until > now).then_some(cold.rate)
 }
 
-/// Offset of the older table, offset of the newer table, and their delta
-/// if there is one.
-type CachedDelta = (u64, u64, Option<Rc<Delta>>);
+/// Encoded messages with the newest table.
+#[derive(Debug, Default)]
+struct TableFrames {
+    /// Offset of the newest table.
+    offset: u64,
+    /// Messages by the offset of the table that the process has.
+    frames: BTreeMap<Option<u64>, Frame>,
+}
+
+/// Encoded listing of the directory.
+#[derive(Clone, Debug)]
+pub(super) struct ListingFrame {
+    made_at: Time,
+    /// Offset at which a reader continues.
+    pub(super) to: u64,
+    pub(super) frame: Frame,
+}
+
+/// Turns of the links that write large messages.
+#[derive(Debug)]
+pub(super) struct Turns(Semaphore);
+
+impl Turns {
+    /// Waits for a turn.
+    pub(super) async fn next(&self) -> io::Result<SemaphorePermit<'_>> {
+        self.0.acquire().await.map_err(io::Error::other)
+    }
+
+    /// Returns a turn if there is one now.
+    pub(super) fn take(&self) -> Option<SemaphorePermit<'_>> {
+        self.0.try_acquire().ok()
+    }
+}
+
+impl Default for Turns {
+    fn default() -> Self {
+        Self(Semaphore::new(TURNS))
+    }
+}
 
 /// State that is shared by all links of the leader.
 #[derive(Debug, Default)]
@@ -64,19 +106,22 @@
     admission: RefCell<FleetAdmission>,
     /// Shares of requests that leave their zone.
     spill: RefCell<SpillBoard>,
-    cached: RefCell<Option<CachedDelta>>,
-    levels: RefCell<Option<CachedLevels>>,
-    /// Last listing of the directory and when it was made.
-    listing: RefCell<Option<(Time, Rc<Listing>)>>,
+    tables: RefCell<TableFrames>,
+    levels: RefCell<FleetLevels>,
+    numberings: RefCell<Numberings>,
+    /// Last listing of the directory.
+    listing: RefCell<Option<ListingFrame>>,
+    /// Turns of the links that write large messages.
+    pub(super) turns: Turns,
 }
 
-/// Levels that were made at a time.
-#[derive(Debug)]
-struct CachedLevels {
-    made_at: Time,
-    /// Counter of the directory's changes.
+/// Levels of all targets, and when they were last counted.
+#[derive(Debug, Default)]
+struct FleetLevels {
+    counted_at: Option<Time>,
+    /// Counter of the directory's changes at that time.
     directory_changes: u64,
-    levels: Rc<Vec<Levels>>,
+    board: LevelBoard,
 }
 
 impl Peers {
@@ -114,44 +159,46 @@
         (table.zones.len() > 1).then_some(table)
     }
 
-    /// Returns the loads of all targets. All links share them for a while.
-    pub(super) fn levels(&self, node: &Node, now: Time) -> Rc<Vec<Levels>> {
+    /// Returns the loads of all targets for a process that holds a version of
+    /// them, or none. All links share them for a while.
+    pub(super) fn levels(&self, node: &Node, now: Time, held: Option<u64>) -> Option<LevelUpdate> {
         let directory = node.directory.borrow();
-        let mut cached = self.levels.borrow_mut();
-        if let Some(known) = &*cached
-            && known.directory_changes == directory.changes()
-            && now.since(known.made_at) < LEVELS_AGE_MAX
-        {
-            return known.levels.clone();
+        let mut levels = self.levels.borrow_mut();
+        let is_new = levels.directory_changes == directory.changes()
+            && levels.counted_at.is_some_and(|at| now.since(at) < LEVELS_AGE_MAX);
+        if is_new {
+            return levels.board.update(held);
         }
         let quotas = self.quotas.borrow();
         let pack = |service: &Arc<str>| {
             let targets: Vec<&Target> = directory.of_service(service).collect();
             Levels::new(service.clone(), &targets, |id| quotas.load(id))
         };
-        let levels = Rc::new(directory.services().map(pack).collect::<Vec<_>>());
-        let directory_changes = directory.changes();
-        *cached = Some(CachedLevels { made_at: now, directory_changes, levels: levels.clone() });
-        levels
+        levels.board.set(directory.services().map(pack).collect());
+        (levels.counted_at, levels.directory_changes) = (Some(now), directory.changes());
+        levels.board.update(held)
     }
 
     /// Returns a listing of the directory. It is made once for all processes
     /// that ask within a while, and the changes since are forwarded. That the
     /// targets of a zone are cold after an evacuation is not among these.
-    pub(super) fn listing(&self, node: &Node) -> io::Result<Option<Rc<Listing>>> {
+    pub(super) fn listing(&self, node: &Node) -> io::Result<Option<ListingFrame>> {
         let Some(to) = node.directory_feed.next_offset() else { return Ok(None) };
         let now = node.now();
         let mut cached = self.listing.borrow_mut();
-        if let Some((made_at, listing)) = &*cached
-            && now.since(*made_at) < LISTING_AGE_MAX
-            && *made_at >= node.directory.borrow().readmitted_at()
+        if let Some(listing) = &*cached
+            && now.since(listing.made_at) < LISTING_AGE_MAX
+            && listing.made_at >= node.directory.borrow().readmitted_at()
             && node.directory_feed.since(listing.to).is_some()
         {
             return Ok(Some(listing.clone()));
         }
         let age = (now.since(node.directory_feed.checked_at()) + LISTING_AGE_MAX).as_micros();
-        let listing = Rc::new(Listing::new(to, age, &node.directory.borrow().listing(now))?);
-        *cached = Some((now, listing.clone()));
+        let entries = node.directory.borrow().listing(now);
+        let listing = Listing::new(to, age, &entries).map_err(io::Error::other)?;
+        let frame = Frame::new(&LeaderMessage::Listing(listing))?;
+        let listing = ListingFrame { made_at: now, to, frame };
+        *cached = Some(listing.clone());
         Ok(Some(listing))
     }
 
@@ -180,7 +227,7 @@
 
     /// Hands out tokens for cold targets with keys to a process that has
     /// reported.
-    pub(super) fn tokens(&self, node: &Node, report: &Report) -> Vec<TokenGrant> {
+    pub(super) fn tokens(&self, node: &Node, vm: &str) -> Vec<TokenGrant> {
         let (directory, config) = (node.directory.borrow(), node.config.borrow());
         let (now, quotas) = (node.now(), self.quotas.borrow());
         let cold = |id: &str| -> Option<(Incarnation, RequestRate)> {
@@ -189,7 +236,7 @@
         };
         let mut tokens = self.tokens.borrow_mut();
         tokens.retain(|incarnation| directory.current(incarnation).is_some_and(|t| t.cold_until > now));
-        tokens.allot(now, &report.queued, cold, |id| quotas.load(id).queue_length)
+        tokens.allot(now, quotas.queued(vm), cold, |id| quotas.load(id).queue_length)
     }
 
     /// Returns whether there are so many processes that quotas are used.
@@ -197,18 +244,26 @@
         self.quotas.borrow().use_quotas()
     }
 
-    /// Returns the delta between two tables. Most links need the same one,
-    /// so the last one is cached.
-    pub(super) fn delta(&self, old: &VersionedOwners, new: &VersionedOwners) -> Option<TableUpdate> {
-        let mut cached = self.cached.borrow_mut();
-        let (from, to) = (old.offset, new.offset);
-        let matching = cached.as_ref().filter(|cached| (cached.0, cached.1) == (from, to));
-        let delta = match matching {
-            Some(cached) => cached.2.clone(),
-            None => Delta::new(&old.table, &new.table).map(Rc::new),
+    /// Returns the message with the newest table, for a process that has an older one
+    /// or none. It is encoded once for all links that need the same one.
+    pub(super) fn table(&self, old: Option<&VersionedOwners>, newest: &VersionedOwners) -> io::Result<Frame> {
+        let mut cached = self.tables.borrow_mut();
+        if cached.offset != newest.offset {
+            *cached = TableFrames { offset: newest.offset, frames: BTreeMap::new() };
+        }
+        let from = old.map(|old| old.offset);
+        if let Some(frame) = cached.frames.get(&from) {
+            return Ok(frame.clone());
+        }
+        let to = newest.offset;
+        let delta = old.and_then(|old| Delta::new(&old.table, &newest.table));
+        let update = match (from, delta) {
+            (Some(from), Some(delta)) => TableUpdate::Delta { from, to, delta },
+            _ => TableUpdate::full(to, &newest.table).map_err(io::Error::other)?,
         };
-        *cached = Some((from, to, delta.clone()));
-        Some(TableUpdate::Delta { from, to, delta: delta? })
+        let frame = Frame::new(&LeaderMessage::Table(update))?;
+        cached.frames.insert(from, frame.clone());
+        Ok(frame)
     }
 
     /// Returns which requests are admitted.
@@ -239,13 +294,30 @@
         strong.chain(weak).take(STANDBY_COUNT).any(|(other, _)| **other == *vm)
     }
 
-    /// Records the report of a process. Returns the number of processes.
-    pub(super) fn record(&self, node: &Node, report: &Report) -> u32 {
+    /// Returns the numbering of the targets.
+    pub(super) fn numbering(&self, node: &Node) -> NumberingId {
+        self.numberings.borrow_mut().newest(&node.directory.borrow()).id()
+    }
+
+    /// Takes the counts out of a report.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidData` if the report names targets by a numbering that is no longer
+    /// known; the process names them by their ids on its next link.
+    pub(super) fn take_counts(&self, report: &mut Report) -> io::Result<ReportedCounts> {
+        let numbering = report.numbering.and_then(|id| self.numberings.borrow().find(id));
+        report.take_counts(numbering.as_deref()).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+
+    /// Records the report of a process and its counts. Returns the number of
+    /// processes.
+    pub(super) fn record(&self, node: &Node, report: &Report, counts: ReportedCounts) -> u32 {
         let now = node.now();
         let mut reports = self.reports.borrow_mut();
         reports.insert(report.vm.clone(), Peer { reported_at: now, strong: report.strong });
         reports.retain(|_, peer| now.since(peer.reported_at) < PEER_TIMEOUT);
-        let (in_flight, queued) = (report.in_flight.clone(), report.queued.clone());
+        let ReportedCounts { in_flight, queued, service_times } = counts;
         if let Some(zones) = &report.zones {
             self.spill.borrow_mut().report(now, &report.vm, zones);
         }
@@ -258,7 +330,7 @@
                     loads.add_requests(service, *key, f32::from(*count));
                 }
             }
-            for (target, times) in &report.service_times {
+            for (target, times) in &service_times {
                 loads.record_service_times(target, *times);
             }
             for limit in &report.limits {
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -2,10 +2,7 @@
 //! answers.
 
 use {
-    super::message::{
-        KeyCounts, LINK_TIMEOUT, LeaderMessage, LeaderState, Message, MessageReader, Report, TableUpdate,
-        TopicChanges, connect, write,
-    },
+    super::message::{LINK_TIMEOUT, MessageReader, connect, into_batch, write},
     crate::{
         node::{Node, VersionedOwners, sleep},
         sync,
@@ -13,8 +10,14 @@
     catkin::types::{Span, Time},
     catkin_route::{
         directory::Target,
-        level::Levels,
+        level::{LevelCopy, Levels},
+        message::{
+            KeyCounts, LeaderMessage, LeaderState, Listing, Message, Report, TableUpdate, TopicChanges,
+        },
+        numbering::{ByTarget, Numbering, NumberingId, Numberings},
         owners::ProcessId,
+        pacing::ReportPacing,
+        peer_view::Known,
         quotas::{Counts, TargetQuota},
         report_times::ReportTimes,
     },
@@ -30,34 +33,73 @@
 /// Least time between a report and a further one that requests a quota.
 const QUOTA_REPORT_INTERVAL_MIN: Span = Span::from_millis(60);
 
-fn build_report(node: &Node, leader: &ProcessId, received: u64) -> Report {
+/// What a process has received on one link to a leader.
+struct LinkState {
+    /// Number of states.
+    received: u64,
+    /// Numbering of the targets that the leader knows.
+    leader_numbering: Option<NumberingId>,
+    /// Numbering of the targets that this process knows.
+    numberings: Numberings,
+    levels: LevelCopy,
+    pacing: ReportPacing,
+}
+
+impl LinkState {
+    fn new() -> Self {
+        Self {
+            received: 0,
+            leader_numbering: None,
+            numberings: Numberings::new(1),
+            levels: LevelCopy::default(),
+            pacing: ReportPacing::default(),
+        }
+    }
+
+    /// Returns the numbering of the targets, if the leader knows the same ones.
+    fn numbering(&mut self, node: &Node) -> Option<Rc<Numbering>> {
+        let newest = self.numberings.newest(&node.directory.borrow());
+        (self.leader_numbering == Some(newest.id())).then_some(newest)
+    }
+}
+
+fn build_report(node: &Node, leader: &ProcessId, link: &mut LinkState) -> Report {
+    let now = node.now();
+    let is_full = link.pacing.is_full(now, node.peers());
     let mut key_counts: HashMap<Arc<str>, KeyCounts> = HashMap::new();
-    for ((service, key), count) in node.key_counts.take() {
+    for ((service, key), count) in if is_full { node.key_counts.take() } else { HashMap::new() } {
         key_counts.entry(service).or_default().push((key, count));
     }
-    let service_times = node.loads.borrow_mut().take_service_times(received == 0);
+    let numbering = link.numbering(node);
+    let numbering = numbering.as_deref();
+    let mut service_times = Vec::new();
+    if is_full {
+        service_times = node.loads.borrow_mut().take_service_times(link.received == 0);
+    }
     let in_flight = node.loads.borrow().in_flight();
     let queued = node.loads.borrow().queue_lengths();
-    let limits = node.loads.borrow().limit_reports(node.now());
-    let zones = node.loads.borrow_mut().spill().take_report(&node.directory.borrow());
-    let offset = node.owners().map(|o| o.offset);
+    let limits = node.loads.borrow().limit_reports(now);
+    let zones =
+        is_full.then(|| node.loads.borrow_mut().spill().take_report(&node.directory.borrow())).flatten();
+    let admission = if is_full { node.admission.borrow_mut().report(now) } else { Vec::new() };
+    let table = node.owners().map(|o| o.offset);
     let next_offsets = [node.config_feed.next_offset(), node.directory_feed.next_offset()];
     let strong = node.is_strong();
     let key_counts = key_counts.into_iter().collect();
     Report {
         vm: node.identity.vm.clone(),
         leader: leader.run_id,
-        received,
-        offset,
-        next_offsets,
+        received: link.received,
+        numbering: numbering.map(Numbering::id),
+        known: Known { table, next_offsets, levels: link.levels.version() },
         strong,
-        in_flight,
-        queued,
+        in_flight: ByTarget::new(in_flight, numbering),
+        queued: ByTarget::new(queued, numbering),
         key_counts,
-        service_times,
+        service_times: ByTarget::new(service_times, numbering),
         limits,
         leaving: node.directory.borrow().leaving(),
-        admission: node.admission.borrow_mut().report(node.now()),
+        admission,
         zones,
     }
 }
@@ -93,37 +135,50 @@
     }
 }
 
-/// Applies a state that the leader has sent after a time.
-fn apply_state(node: &Node, state: LeaderState, now: Time, sent_after: Time) {
+/// Records that a message of the leader has arrived, which it has sent after a time.
+fn note_message(node: &Node, now: Time, sent_after: Time) {
     node.last_leader_answer.set(now);
     node.forwarded_at.set(node.forwarded_at.get().max(sent_after));
+}
+
+/// Applies a table of owners that the leader has sent.
+fn apply_table(node: &Node, update: &TableUpdate) {
+    let known = node.owners();
+    match update.apply(known.as_ref().map(|known| (known.offset, &*known.table))) {
+        Ok(Some((offset, table))) => node.update_owners(offset, Rc::new(table)),
+        Ok(None) => {}
+        Err(error) => log::warn!(error:display; "invalid table of owners ignored"),
+    }
+}
+
+/// Applies a listing of the directory that the leader has sent after a time.
+fn apply_listing(node: &Node, listing: &Listing, sent_after: Time) {
+    // The leader reports to itself as well; it already has its own changes.
+    if node.is_leader.get() {
+        return;
+    }
+    let at = sent_after.before(Span::from_micros(listing.age));
+    match listing.entries() {
+        Ok(entries) => sync::apply_listing(node, entries, listing.to, at),
+        Err(error) => log::warn!(error:display; "invalid listing of the directory ignored"),
+    }
+}
+
+/// Applies a state that the leader has sent after a time.
+fn apply_state(node: &Node, state: LeaderState, link: &mut LinkState, now: Time, sent_after: Time) {
+    note_message(node, now, sent_after);
     let mut peer_count = node.peer_count.get();
     peer_count.update(now, state.peer_count);
     node.peer_count.set(peer_count);
     node.is_standby.set(state.standby);
-    match state.table {
-        Some(TableUpdate::Full(offset, table)) => node.update_owners(offset, table),
-        Some(TableUpdate::Delta { from, to, delta }) => {
-            if let Some(old) = node.owners().filter(|o| o.offset == from) {
-                node.update_owners(to, Rc::new(delta.apply(&old.table)));
-            }
-        }
-        None => {}
-    }
     // The leader reports to itself as well; it already has its own changes.
     if !node.is_leader.get() {
         let contact = now.before(Span::from_micros(state.store_age));
         node.leader_store_contact.set(node.leader_store_contact.get().max(contact));
         apply_changes(node, state.changes, sent_after);
     }
-    if let Some(listing) = state.listing
-        && !node.is_leader.get()
-    {
-        let at = sent_after.before(Span::from_micros(listing.age));
-        match listing.entries() {
-            Ok(entries) => sync::apply_listing(node, entries, listing.to, at),
-            Err(error) => log::warn!(error:display; "invalid listing of the directory ignored"),
-        }
+    if state.numbering.is_some() {
+        link.leader_numbering = state.numbering;
     }
     if let Some(shares) = &state.admission {
         node.admission.borrow_mut().apply(now, shares);
@@ -133,7 +188,8 @@
     }
     // Loads refer to the targets of the newest directory.
     if let Some(allotted) = state.quotas {
-        apply_loads(node, now, state.levels.as_deref(), state.use_quotas, &allotted);
+        let levels = state.levels.as_ref().and_then(|update| link.levels.apply(update));
+        apply_loads(node, now, levels, state.use_quotas, &allotted);
         sync::apply_leaving(node, &state.leaving);
         sync::apply_staying(node, &state.staying);
         let directory = node.directory.borrow();
@@ -149,17 +205,17 @@
     let [configs, targets] = changes;
     if let Some(changes) = configs {
         let at = at(&changes);
-        sync::apply_forwarded_configs(node, &changes.into_batch(), at);
+        sync::apply_forwarded_configs(node, &into_batch(changes), at);
     }
     if let Some(changes) = targets {
         let at = at(&changes);
-        sync::apply_forwarded_targets(node, &changes.into_batch(), at);
+        sync::apply_forwarded_targets(node, &into_batch(changes), at);
     }
 }
 
 /// Applies quotas and the loads of targets. Loads of other targets than the
 /// known ones are ignored; a message for the same directory follows.
-fn apply_loads(node: &Node, now: Time, levels: Option<&Vec<Levels>>, use_quotas: bool, allotted: &Counts) {
+fn apply_loads(node: &Node, now: Time, levels: Option<&[Levels]>, use_quotas: bool, allotted: &Counts) {
     let (directory, config) = (node.directory.borrow(), node.config.borrow());
     let mut loads = node.loads.borrow_mut();
     let peers = node.peers();
@@ -215,23 +271,31 @@
     let mut last_answer = node.now();
     let mut last_report = last_answer;
     let mut reports = ReportTimes::new(last_answer);
-    let mut received = 0;
+    let mut link = LinkState::new();
     let mut is_answered = true;
     loop {
         let due = tokio::select! {
             message = messages.next() => {
                 let answer: LeaderMessage = postcard::from_bytes(&message?).map_err(io::Error::other)?;
                 last_answer = node.now();
+                link.received += 1;
                 match answer {
+                    LeaderMessage::Table(update) => {
+                        note_message(node, last_answer, reports.sent_after());
+                        apply_table(node, &update);
+                    }
+                    LeaderMessage::Listing(listing) => {
+                        note_message(node, last_answer, reports.sent_after());
+                        apply_listing(node, &listing, reports.sent_after());
+                    }
                     LeaderMessage::State(state) => {
-                        received += 1;
                         if state.quotas.is_some() {
                             is_answered = true;
                             if let Some(delay) = reports.answered(last_answer) {
                                 node.metrics.record_link_delay(delay);
                             }
                         }
-                        apply_state(node, *state, last_answer, reports.sent_after());
+                        apply_state(node, *state, &mut link, last_answer, reports.sent_after());
                     }
                     LeaderMessage::NotLeader => return Ok(()),
                 }
@@ -250,7 +314,7 @@
         node.quota_wanted.set(false);
         is_answered = false;
         reports.sent(last_report);
-        write(&mut writer, &Message::Report(Box::new(build_report(node, leader, received)))).await?;
+        write(&mut writer, &Message::Report(Box::new(build_report(node, leader, &mut link)))).await?;
     }
 }
 
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -2,25 +2,34 @@
 
 use {
     super::{
-        message::{
-            LINK_TIMEOUT, LeaderMessage, LeaderState, Listing, Message, MessageReader, Report, Stopped,
-            TableUpdate, TopicChanges, write,
-        },
-        peers::Peers,
+        message::{Frame, LINK_TIMEOUT, MessageReader, changes_since, newest_changes, write, write_frame},
+        peers::{ListingFrame, Peers},
     },
     crate::{
         lead,
         node::{Node, VersionedOwners, sleep},
     },
     catkin::types::{Span, Time},
-    catkin_net::set_socket_options,
-    catkin_route::{cold::TokenGrant, level::Levels, pace::Share, peer_view::PeerView},
+    catkin_net::{limit_send_buffer, set_socket_options},
+    catkin_route::{
+        cold::TokenGrant,
+        level::LevelUpdate,
+        message::{LeaderMessage, LeaderState, Message, Report, ReportedCounts, Stopped, TopicChanges},
+        numbering::NumberingId,
+        pace::Share,
+        pacing::{ZonePacing, levels_interval},
+        peer_view::{Known, PeerView},
+    },
     std::{io, rc::Rc},
-    tokio::net::{TcpListener, TcpStream},
+    tokio::{
+        net::{TcpListener, TcpStream, tcp::OwnedWriteHalf},
+        sync::SemaphorePermit,
+    },
 };
 
-/// Least time between two messages to a process with the loads of targets.
-const LEVELS_INTERVAL: Span = Span::from_millis(200);
+/// Bytes that the system holds for a link. Without a bound it holds up to 4 MB for each
+/// of hundreds of links that are slower than what is written to them.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
 
 /// Accepts links from processes.
 pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener) {
@@ -56,74 +65,114 @@
     share: Option<Share>,
     /// When loads of targets were last sent.
     levels_sent_at: Time,
+    /// Numbering that was last sent.
+    numbering: Option<NumberingId>,
+    zones: ZonePacing,
 }
 
 impl PeerState {
-    fn update(&mut self, node: &Node, peers: &Peers, report: &Report) {
-        self.count = peers.record(node, report);
+    fn update(&mut self, node: &Node, peers: &Peers, report: &Report, counts: ReportedCounts) {
+        self.count = peers.record(node, report, counts);
         self.share = peers.share(node, &report.vm);
         self.standby = peers.is_standby(node, &report.vm);
-        self.view.report(report.received, report.offset, report.next_offsets);
-        self.table = self.table.take().filter(|owners| Some(owners.offset) == self.view.table());
+        self.view.report(report.received, report.known);
+        self.table = self.table.take().filter(|owners| Some(owners.offset) == self.view.known().table);
     }
 
-    /// Returns the newest table if it is newer than the known one, as a delta
-    /// if possible.
-    fn table_update(&self, newest: Option<&VersionedOwners>, peers: &Peers) -> Option<TableUpdate> {
-        let newer = newest.filter(|o| self.view.table().is_none_or(|known| known < o.offset))?;
-        let update = self.table.as_ref().and_then(|old| peers.delta(old, newer));
-        Some(update.unwrap_or(TableUpdate::Full(newer.offset, newer.table.clone())))
+    /// Returns the newest table if it is newer than the known one, as a message.
+    fn newer_table(&self, node: &Node, peers: &Peers) -> io::Result<Option<(VersionedOwners, Frame)>> {
+        let known = self.view.known().table;
+        let Some(newest) = node.owners().filter(|o| known.is_none_or(|known| known < o.offset)) else {
+            return Ok(None);
+        };
+        let earlier = node.earlier_owners.borrow();
+        let mut tables = self.table.iter().chain(&*earlier);
+        let old = tables.find(|old| Some(old.offset) == known);
+        let frame = peers.table(old, &newest)?;
+        Ok(Some((newest, frame)))
     }
 
     /// Returns the changes of the configuration and of the directory.
     fn changes(&self, node: &Node) -> [Option<TopicChanges>; 2] {
         let now = node.now();
-        let [config, directory] = self.view.next_offsets();
+        let [config, directory] = self.view.known().next_offsets;
         let configs = match config {
-            Some(from) => TopicChanges::new(&node.config_feed, from, now),
-            None => TopicChanges::newest(&node.config_feed, now),
+            Some(from) => changes_since(&node.config_feed, from, now),
+            None => newest_changes(&node.config_feed, now),
         };
-        [configs, directory.and_then(|from| TopicChanges::new(&node.directory_feed, from, now))]
+        [configs, directory.and_then(|from| changes_since(&node.directory_feed, from, now))]
     }
 
     /// Returns a listing of the directory if the process has no position in it.
-    fn listing(&self, node: &Node, peers: &Peers) -> io::Result<Option<Rc<Listing>>> {
-        match self.view.next_offsets()[1] {
+    fn listing(&self, node: &Node, peers: &Peers) -> io::Result<Option<ListingFrame>> {
+        match self.view.known().next_offsets[1] {
             None => peers.listing(node),
             Some(_) => Ok(None),
         }
     }
 
+    /// Returns the numbering of the targets if the process does not know it.
+    fn numbering(&mut self, node: &Node, peers: &Peers) -> Option<NumberingId> {
+        let newest = Some(peers.numbering(node));
+        let known = std::mem::replace(&mut self.numbering, newest);
+        newest.filter(|_| known != newest)
+    }
+
     /// Returns the loads of targets if they are due.
-    fn levels(&mut self, node: &Node, peers: &Peers) -> Option<Rc<Vec<Levels>>> {
+    fn levels(&mut self, node: &Node, peers: &Peers) -> Option<LevelUpdate> {
         let now = node.now();
-        if now.since(self.levels_sent_at) < LEVELS_INTERVAL {
+        if now.since(self.levels_sent_at) < levels_interval(self.count) {
             return None;
         }
         self.levels_sent_at = now;
-        Some(peers.levels(node, now))
+        peers.levels(node, now, self.view.known().levels)
     }
 
     /// Records what the process will know once it has received a state.
-    fn note_sent(&mut self, state: &LeaderState, newest: Option<VersionedOwners>) {
-        let table = match state.table {
-            Some(_) => newest.as_ref().map(|owners| owners.offset),
-            None => self.view.table(),
-        };
-        if state.table.is_some() {
-            self.table = newest;
+    fn note_sent(&mut self, state: &LeaderState) {
+        let known = self.view.known();
+        let levels = state.levels.as_ref().map(LevelUpdate::version).or(known.levels);
+        let next_offsets = [0, 1].map(|i| state.changes[i].as_ref().map(|c| c.to).or(known.next_offsets[i]));
+        self.view.note_sent(Known { next_offsets, levels, ..known });
+    }
+
+    /// Sends the newest table of owners and a listing of the directory, if the process
+    /// needs them. A large one waits for a turn; the link goes on meanwhile. Returns
+    /// whether it waits.
+    async fn send_large(
+        &mut self,
+        node: &Node,
+        peers: &Peers,
+        writer: &mut OwnedWriteHalf,
+        mut turn: Option<SemaphorePermit<'_>>,
+    ) -> io::Result<bool> {
+        if let Some((newest, frame)) = self.newer_table(node, peers)? {
+            turn = turn.or_else(|| peers.turns.take());
+            if frame.is_large() && turn.is_none() {
+                return Ok(true);
+            }
+            let known = Known { table: Some(newest.offset), ..self.view.known() };
+            self.view.note_sent(known);
+            self.table = Some(newest);
+            write_frame(writer, &frame, turn.take_if(|_| frame.is_large())).await?;
         }
-        let known = self.view.next_offsets();
-        let mut next_offsets = [0, 1].map(|i| state.changes[i].as_ref().map(|c| c.to).or(known[i]));
-        if let Some(listing) = &state.listing {
-            next_offsets[1] = Some(listing.to);
+        if let Some(listing) = self.listing(node, peers)? {
+            turn = turn.or_else(|| peers.turns.take());
+            if listing.frame.is_large() && turn.is_none() {
+                return Ok(true);
+            }
+            let mut known = self.view.known();
+            known.next_offsets[1] = Some(listing.to);
+            self.view.note_sent(known);
+            write_frame(writer, &listing.frame, turn).await?;
         }
-        self.view.note_sent(table, next_offsets);
+        Ok(false)
     }
 }
 
 async fn serve_link(node: &Rc<Node>, peers: &Peers, stream: TcpStream) -> io::Result<()> {
     set_socket_options(&stream);
+    limit_send_buffer(&stream, SEND_BUFFER_BYTES);
     let (reader, mut writer) = stream.into_split();
     let mut messages = MessageReader::new(reader)?;
     let mut owners = node.owners.subscribe();
@@ -131,20 +180,27 @@
     let mut targets = node.directory_feed.subscribe();
     let mut state = PeerState::default();
     let mut leader = node.identity.run_id;
+    let mut awaits_turn = false;
     loop {
+        let mut turn = None;
         let message = tokio::select! {
             message = tokio::time::timeout(LINK_TIMEOUT.as_duration(), messages.next()) => Some(message??),
             changed = owners.changed() => changed.map(|()| None).map_err(io::Error::other)?,
             changed = configs.changed() => changed.map(|()| None).map_err(io::Error::other)?,
             changed = targets.changed() => changed.map(|()| None).map_err(io::Error::other)?,
+            next = peers.turns.next(), if awaits_turn => {
+                turn = Some(next?);
+                None
+            }
         };
         let mut quotas = None;
         let mut tokens: Vec<TokenGrant> = Vec::new();
         match message.map(|m| postcard::from_bytes(&m)).transpose().map_err(io::Error::other)? {
-            Some(Message::Report(report)) => {
-                state.update(node, peers, &report);
+            Some(Message::Report(mut report)) => {
+                let counts = peers.take_counts(&mut report)?;
+                state.update(node, peers, &report, counts);
                 quotas = Some(peers.allot(node, &report.vm));
-                tokens = peers.tokens(node, &report);
+                tokens = peers.tokens(node, &report.vm);
                 leader = report.leader;
             }
             Some(Message::Stop(run_id)) => {
@@ -159,15 +215,13 @@
         if !node.is_leader.get() || leader != node.identity.run_id {
             return write(&mut writer, &LeaderMessage::NotLeader).await;
         }
-        let newest = node.owners();
-        let table = state.table_update(newest.as_ref(), peers);
+        awaits_turn = state.send_large(node, peers, &mut writer, turn).await?;
         let changes = state.changes(node);
         let has_records = changes.iter().flatten().any(|c| !c.records.is_empty());
         // Without a change nothing is sent; the answer to the next report has
         // the current age of the store's last answer.
-        if quotas.is_some() || table.is_some() || has_records {
+        if quotas.is_some() || has_records {
             let store_age = node.last_join.get().map_or(u64::MAX, |at| node.now().since(at).as_micros());
-            let listing = state.listing(node, peers)?;
             let levels = quotas.as_ref().and_then(|_| state.levels(node, peers));
             let limits = match quotas {
                 Some(_) => lead::with_loads(|loads| loads.limit_reports(node.now())),
@@ -177,6 +231,7 @@
             let staying = if quotas.is_some() { node.directory.borrow().staying() } else { Vec::new() };
             let admission = quotas.as_ref().map(|_| peers.admission(node.now()));
             let zones = quotas.as_ref().and_then(|_| peers.zones(node));
+            let zones = zones.and_then(|zones| state.zones.due(node.now(), zones));
             let use_quotas = peers.use_quotas();
             let PeerState { count: peer_count, standby, share, .. } = state;
             let leader_state = LeaderState {
@@ -192,12 +247,11 @@
                 staying,
                 admission,
                 zones,
+                numbering: state.numbering(node, peers),
                 use_quotas,
-                table,
                 changes,
-                listing,
             };
-            state.note_sent(&leader_state, newest);
+            state.note_sent(&leader_state);
             write(&mut writer, &LeaderMessage::State(Box::new(leader_state))).await?;
         }
     }
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -18,7 +18,9 @@
 //! | [`subset`] | in which order a process considers targets |
 //! | [`succession`] | which process takes over from a leader |
 //! | [`balance`] | which keys move to another target |
+//! | [`numbering`] | how messages name targets |
 //! | [`level`] | how the loads of all targets are encoded for all processes |
+//! | [`message`] | what processes and their leader send to each other |
 //! | [`load`] | which target gets a request |
 //! | [`cold`] | which requests a cold target gets, and from which process |
 //! | [`admission`] | which requests are refused at once under overload |
@@ -27,6 +29,7 @@
 //! | [`pace`] | when a process may send to a target that bounds all processes |
 //! | [`announced`] | which announcements of a target are in force |
 //! | [`pause`] | when a target that wanted no requests gets some again |
+//! | [`pacing`] | which parts of messages are due |
 //! | [`peer_count`] | how many processes there are |
 //! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
@@ -52,8 +55,11 @@
 pub mod granter;
 pub mod level;
 pub mod load;
+pub mod message;
+pub mod numbering;
 pub mod owners;
 pub mod pace;
+pub mod pacing;
 pub mod pause;
 pub mod peer_count;
 pub mod peer_view;
