Keep the last places at busy targets with keys for the most urgent requests

Cause: the leader allotted quotas without regard to ranks. Each process sends its own requests in the order of their ranks, but seldom has two ranks for one target, so urgent requests waited for half of their latency objective and were refused while less urgent ones of other processes were sent.

Change: reports name the queued requests of the most urgent rank; less urgent ones get quotas up to half of a target's queue.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -88,6 +88,8 @@
 struct QueuePlace<'a> {
     node: &'a Node,
     incarnation: Option<Incarnation>,
+    /// Whether the request has the most urgent of several ranks.
+    is_urgent: bool,
 }
 
 impl QueuePlace<'_> {
@@ -99,9 +101,15 @@
         let mut loads = self.node.loads.borrow_mut();
         if let Some(incarnation) = &self.incarnation {
             loads.count_queued(incarnation, false);
+            if self.is_urgent {
+                loads.count_urgent(incarnation, false);
+            }
         }
         if let Some(incarnation) = incarnation {
             loads.count_queued(incarnation, true);
+            if self.is_urgent {
+                loads.count_urgent(incarnation, true);
+            }
         }
         self.incarnation = incarnation.cloned();
         self.node.quota_wanted.set(self.incarnation.is_some() || self.node.quota_wanted.get());
@@ -190,6 +198,12 @@
     Some(admitted)
 }
 
+/// Returns whether a request has the most urgent of several ranks of its service.
+fn is_most_urgent(node: &Node, routed: &RoutedRequest<'_>) -> bool {
+    let ranks = node.config.borrow().as_ref().and_then(|c| c.ranks.get(&routed.service).copied());
+    ranks.is_some_and(|ranks| !ranks.is_single() && routed.route.priority <= ranks.first)
+}
+
 /// Returns how far a request without a key may fill a target.
 fn fill_factor(node: &Node, routed: &RoutedRequest<'_>, now: Time) -> FillFactor {
     let ranks = node.config.borrow().as_ref().and_then(|c| c.ranks.get(&routed.service).copied());
@@ -278,7 +292,7 @@
     let wait_max = routed.route.latency_objective.scale(WAIT_FRACTION);
     let started = node.now();
     let wait_until = routed.incoming.arrived.after(wait_max).max(started.after(TIME_LEFT_MIN));
-    let mut place = QueuePlace { node, incarnation: None };
+    let mut place = QueuePlace { node, incarnation: None, is_urgent: is_most_urgent(node, routed) };
     let mut waiting = None;
     if attempts.is_empty()
         && let Err(error) = check_admission(node, routed)
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -14,12 +14,12 @@
         cold::{TokenGrant, Tokens},
         config::Config,
         delta::Delta,
-        directory::{Incarnation, Target},
+        directory::{Entry, Incarnation, Target},
         level::{LevelBoard, LevelUpdate, Levels},
         message::{LeaderMessage, Listing, Report, ReportedCounts, TableUpdate},
         numbering::{NumberingId, Numberings},
         pace::Share,
-        quotas::{Counts, Quotas},
+        quotas::{Counts, Quotas, Room},
         rate::RequestRate,
         spill::{CrossingCost, ShareChange, SpillBoard, TargetState, ZoneTable},
     },
@@ -210,12 +210,17 @@
             config.as_ref().and_then(|c| c.services.get(service)).is_some_and(|service| service.keyed)
         };
         let now = node.now();
-        let slots = |id: &str| {
+        let has_ranks = |service: &str| {
+            config.as_ref().and_then(|c| c.ranks.get(service)).is_some_and(|ranks| !ranks.is_single())
+        };
+        let room = |id: &str| {
             let target = directory.get(id)?;
+            let Entry { service, slots, .. } = &target.entry;
             let is_limited = cold_rate(config.as_deref(), now, target).is_some();
-            (keyed(&target.entry.service) && !is_limited).then_some(target.entry.slots)
+            let room = Room::new(*slots).with_ranks(has_ranks(service));
+            (keyed(service) && !is_limited).then_some(room)
         };
-        self.quotas.borrow_mut().allot(vm, slots)
+        self.quotas.borrow_mut().allot(vm, room)
     }
 
     /// Records that a process has reported, and returns its share at cold
@@ -317,11 +322,12 @@
         let mut reports = self.reports.borrow_mut();
         reports.insert(report.vm.clone(), Peer { reported_at: now, strong: report.strong });
         reports.retain(|_, peer| now.since(peer.reported_at) < PEER_TIMEOUT);
-        let ReportedCounts { in_flight, queued, service_times } = counts;
+        let ReportedCounts { in_flight, queued, urgent, service_times } = counts;
         if let Some(zones) = &report.zones {
             self.spill.borrow_mut().report(now, &report.vm, zones);
         }
         let count = self.quotas.borrow_mut().report(now, &report.vm, in_flight, queued);
+        self.quotas.borrow_mut().record_urgent(&report.vm, urgent);
         let may_refuse = |service: &str| self.is_busy(node, service);
         self.admission.borrow_mut().record(now, &report.admission, may_refuse);
         lead::with_loads(|loads| {
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -78,6 +78,7 @@
     }
     let in_flight = node.loads.borrow().in_flight();
     let queued = node.loads.borrow().queue_lengths();
+    let urgent = node.loads.borrow().urgent_lengths();
     let limits = node.loads.borrow().limit_reports(now);
     let zones =
         is_full.then(|| node.loads.borrow_mut().spill().take_report(&node.directory.borrow())).flatten();
@@ -95,6 +96,7 @@
         strong,
         in_flight: ByTarget::new(in_flight, numbering),
         queued: ByTarget::new(queued, numbering),
+        urgent: ByTarget::new(urgent, numbering),
         key_counts,
         service_times: ByTarget::new(service_times, numbering),
         limits,
--- a/crates/catkin-edge/tests/links.rs
+++ b/crates/catkin-edge/tests/links.rs
@@ -122,6 +122,7 @@
         numbering: None,
         in_flight: ByTarget::default(),
         queued: ByTarget::default(),
+        urgent: ByTarget::default(),
         service_times: ByTarget::default(),
         limits: Vec::new(),
         leaving: Vec::new(),
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -158,8 +158,8 @@
             .entry(incarnation.id.clone())
             .or_insert_with(|| TargetState::new(incarnation.clone()));
         if state.incarnation != *incarnation {
-            let TargetState { in_flight, queued, .. } = *state;
-            *state = TargetState { in_flight, queued, ..TargetState::new(incarnation.clone()) };
+            let TargetState { in_flight, queued, urgent, .. } = *state;
+            *state = TargetState { in_flight, queued, urgent, ..TargetState::new(incarnation.clone()) };
         }
         state
     }
@@ -458,6 +458,20 @@
         state.queued = if enters { state.queued + 1 } else { state.queued.saturating_sub(1) };
     }
 
+    /// Counts a request of the most urgent rank that enters or leaves the queue for a
+    /// target, beside [`LocalLoads::count_queued`].
+    pub fn count_urgent(&mut self, incarnation: &Incarnation, enters: bool) {
+        let state = self.state(incarnation);
+        state.urgent = if enters { state.urgent + 1 } else { state.urgent.saturating_sub(1) };
+    }
+
+    /// Returns how many of the queued requests for each target have the most urgent
+    /// rank.
+    pub fn urgent_lengths(&self) -> Vec<(Arc<str>, u32)> {
+        let some = self.targets.iter().filter(|(_, state)| state.urgent > 0);
+        some.map(|(id, state)| (id.clone(), state.urgent)).collect()
+    }
+
     /// Returns the queue length of this process for each target that has one.
     pub fn queue_lengths(&self) -> Vec<(Arc<str>, u32)> {
         let some = self.targets.iter().filter(|(_, state)| state.queued > 0);
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -84,6 +84,8 @@
     pub(super) backoff_end: Time,
     /// Requests of this process that are queued for the target.
     pub(super) queued: u32,
+    /// Those of the most urgent rank among them.
+    pub(super) urgent: u32,
     pub(super) announced: Announced,
     pub(super) cold: ColdState,
 }
@@ -114,6 +116,7 @@
             backoff: Span::ZERO,
             backoff_end: zero,
             queued: 0,
+            urgent: 0,
             announced: Announced::default(),
             cold: ColdState::default(),
         }
--- a/crates/catkin-route/src/message.rs
+++ b/crates/catkin-route/src/message.rs
@@ -60,6 +60,8 @@
     pub in_flight: ByTarget<u32>,
     /// Requests of the process that are queued for each target.
     pub queued: ByTarget<u32>,
+    /// Those of the most urgent of several ranks among them.
+    pub urgent: ByTarget<u32>,
     /// Times that requests took at targets since the last report that had them; recent
     /// ones for a new leader. Targets without a measurement are left out.
     pub service_times: ByTarget<TimeSum>,
@@ -81,6 +83,8 @@
     pub in_flight: Counts,
     /// Requests of the process that are queued for each target.
     pub queued: Counts,
+    /// Those of the most urgent of several ranks among them.
+    pub urgent: Counts,
     /// Times that requests took at targets.
     pub service_times: Vec<(Arc<str>, TimeSum)>,
 }
@@ -92,6 +96,7 @@
         Some(ReportedCounts {
             in_flight: std::mem::take(&mut self.in_flight).resolve(numbering)?,
             queued: std::mem::take(&mut self.queued).resolve(numbering)?,
+            urgent: std::mem::take(&mut self.urgent).resolve(numbering)?,
             service_times: std::mem::take(&mut self.service_times).resolve(numbering)?,
         })
     }
--- a/crates/catkin-route/src/quotas.rs
+++ b/crates/catkin-route/src/quotas.rs
@@ -5,6 +5,10 @@
 //! queued requests would send at once. The leader knows the requests of all
 //! processes at a target. Where a target is busy it allots quotas, and a
 //! process sends a request there only within its quota.
+//!
+//! Where a service gets requests of several ranks, the last places in the queue of a
+//! target are for the most urgent ones: one process seldom has requests of two ranks
+//! for the same target, so the order in which it sends them decides little.
 
 use {
     crate::{level::TargetLoad, rank::FILL_FACTOR_MAX},
@@ -22,6 +26,10 @@
 /// may fill a part of a target's slots by itself.
 const QUOTA_PROCESSES_MIN: usize = 17;
 
+/// Requests at a target, as a multiple of its slots, up to which requests of less
+/// urgent ranks get quotas: half of the queue.
+const ORDINARY_FILL_MAX: f64 = f64::midpoint(1.0, FILL_FACTOR_MAX);
+
 /// The quota of a process at a busy target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetQuota {
@@ -33,6 +41,34 @@
     pub queue_length: u32,
 }
 
+/// Room of a target for requests under quotas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    slots: u32,
+    has_ranks: bool,
+}
+
+impl Room {
+    /// Creates the room of a target whose requests all have the same rank.
+    pub fn new(slots: u32) -> Self {
+        Self { slots, has_ranks: false }
+    }
+
+    /// Sets whether its service gets requests of several ranks.
+    #[must_use]
+    pub fn with_ranks(self, has_ranks: bool) -> Self {
+        Self { has_ranks, ..self }
+    }
+
+    /// Returns how many of the queued requests may be sent to the target, which has
+    /// `total` requests. `urgent` of them have the most urgent rank.
+    fn quota(self, total: u32, queued: u32, urgent: u32) -> u32 {
+        let free = |fill: f64| ((fill * f64::from(self.slots)) as u32).saturating_sub(total);
+        let urgent = free(FILL_FACTOR_MAX).min(if self.has_ranks { urgent } else { queued });
+        free(ORDINARY_FILL_MAX).min(queued).max(urgent)
+    }
+}
+
 /// Counts by the id of a target.
 pub type Counts = Vec<(Arc<str>, u32)>;
 
@@ -44,6 +80,8 @@
     in_flight: Counts,
     /// Requests of the process that are queued for targets.
     queued: Counts,
+    /// Those of the most urgent rank among them.
+    urgent: Counts,
     /// Quotas that the process got since the report.
     allotted: Counts,
 }
@@ -78,7 +116,7 @@
     pub fn report(&mut self, now: Time, vm: &Arc<str>, in_flight: Counts, queued: Counts) -> usize {
         add(&mut self.totals, &in_flight);
         add(&mut self.queue_lengths, &queued);
-        let report = Report { received_at: now, in_flight, queued, allotted: Vec::new() };
+        let report = Report { received_at: now, in_flight, queued, ..Report::default() };
         let old = self.reports.insert(vm.clone(), report);
         let removed =
             self.reports.extract_if(.., |_, report| now.since(report.received_at) >= REPORT_AGE_MAX);
@@ -92,6 +130,14 @@
         self.reports.len()
     }
 
+    /// Records how many of the queued requests in the last report of a process have
+    /// the most urgent rank.
+    pub fn record_urgent(&mut self, vm: &str, urgent: Counts) {
+        if let Some(report) = self.reports.get_mut(vm) {
+            report.urgent = urgent;
+        }
+    }
+
     /// Returns the requests that a process has queued for targets, by its last report.
     pub fn queued(&self, vm: &str) -> &[(Arc<str>, u32)] {
         self.reports.get(vm).map_or(&[], |report| &report.queued)
@@ -104,18 +150,18 @@
     }
 
     /// Allots quotas to a process that has reported: the requests that it may
-    /// send to targets for which it has queued some. `slots` returns the slots
-    /// of targets for which quotas may be used.
-    pub fn allot(&mut self, vm: &str, slots: impl Fn(&str) -> Option<u32>) -> Counts {
+    /// send to targets for which it has queued some. `room` returns the room of
+    /// targets for which quotas may be used.
+    pub fn allot(&mut self, vm: &str, room: impl Fn(&str) -> Option<Room>) -> Counts {
         if !self.use_quotas() {
             return Vec::new();
         }
         let Some(report) = self.reports.get_mut(vm) else { return Vec::new() };
         for (id, count) in &report.queued {
-            let Some(slots) = slots(id) else { continue };
+            let Some(room) = room(id) else { continue };
             let total = self.totals.entry(id.clone()).or_default();
-            let requests_max = (FILL_FACTOR_MAX * f64::from(slots)) as u32;
-            let quota = requests_max.saturating_sub(*total).min(*count);
+            let urgent = report.urgent.iter().find(|(other, _)| other == id).map_or(0, |(_, urgent)| *urgent);
+            let quota = room.quota(*total, *count, urgent);
             *total += quota;
             if quota > 0 {
                 report.allotted.push((id.clone(), quota));
--- a/crates/catkin-route/tests/message_sizes.rs
+++ b/crates/catkin-route/tests/message_sizes.rs
@@ -17,7 +17,7 @@
         pace::Share,
         pacing::{ReportPacing, ZonePacing, levels_interval},
         peer_view::Known,
-        quotas::Quotas,
+        quotas::{Quotas, Room},
         service_time::TimeSum,
         spill::{Demand, ZoneReport, ZoneTable},
         subset::{self, Subsets},
@@ -85,13 +85,15 @@
 
     fn add_report(&mut self, report: &Report) {
         let Report { vm, leader, received, known, key_counts, strong, numbering, .. } = report;
-        let Report { in_flight, queued, service_times, limits, leaving, admission, zones, .. } = report;
+        let Report { in_flight, queued, urgent, service_times, limits, leaving, admission, zones, .. } =
+            report;
         let ids = (vm, leader, received, known, strong, numbering);
         let fields = [
             ("process and offsets", size(&ids)),
             ("key_counts", size(key_counts)),
             ("in_flight", size(in_flight)),
             ("queued", size(queued)),
+            ("urgent", size(urgent)),
             ("service_times", size(service_times)),
             ("limits, leaving", size(limits) + size(leaving)),
             ("admission", size(admission)),
@@ -407,6 +409,7 @@
             numbering: Some(self.numbering.id()),
             in_flight: ByTarget::new(counts(in_flight), Some(&self.numbering)),
             queued: ByTarget::new(counts(queued), Some(&self.numbering)),
+            urgent: ByTarget::default(),
             service_times: ByTarget::new(times, Some(&self.numbering)),
             limits: Vec::new(),
             leaving: Vec::new(),
@@ -430,7 +433,7 @@
         let counts = report.take_counts(Some(&self.numbering)).unwrap();
         self.quotas.report(at(self.now), &report.vm, counts.in_flight, counts.queued);
         let is_keyed = |id: &str| SERVICES[service_of(&self.starts, self.numbers[id])].1;
-        let allotted = self.quotas.allot(&report.vm, |id| is_keyed(id).then_some(SLOTS));
+        let allotted = self.quotas.allot(&report.vm, |id| is_keyed(id).then_some(Room::new(SLOTS)));
         let levels = self.levels(p);
         let state = LeaderState {
             peer_count: PROCESSES as u32,
--- a/crates/catkin-route/tests/quotas.rs
+++ b/crates/catkin-route/tests/quotas.rs
@@ -2,7 +2,7 @@
 
 use {
     catkin::types::Time,
-    catkin_route::quotas::Quotas,
+    catkin_route::quotas::{Quotas, Room},
     std::{collections::VecDeque, sync::Arc},
 };
 
@@ -16,8 +16,8 @@
     Time::from_micros(millis * 1_000)
 }
 
-fn slots(id: &str) -> Option<u32> {
-    (id == "t").then_some(SLOTS)
+fn slots(id: &str) -> Option<Room> {
+    (id == "t").then_some(Room::new(SLOTS))
 }
 
 fn vm(i: usize) -> Arc<str> {
@@ -102,3 +102,27 @@
     assert!(quotas.allot(&vm(0), slots).is_empty());
     assert!(!quotas.use_quotas());
 }
+
+/// Requests of a less urgent rank must not take all places at a target: an urgent one
+/// of another process then waited behind them, although each process sends its own in
+/// the order of their ranks.
+#[test]
+fn last_places_are_for_urgent_requests() {
+    let mut quotas = Quotas::default();
+    let room = |_: &str| Some(Room::new(SLOTS).with_ranks(true));
+    let queue = |count| vec![("t".into(), count)];
+    for i in 0..40 {
+        quotas.report(at(0), &vm(i), Vec::new(), Vec::new());
+    }
+    // Half of the queue and all slots.
+    quotas.report(at(1), &vm(0), Vec::new(), queue(20));
+    assert_eq!(quotas.allot(&vm(0), room), queue(10));
+    quotas.report(at(2), &vm(1), Vec::new(), queue(4));
+    assert!(quotas.allot(&vm(1), room).is_empty());
+    quotas.report(at(3), &vm(2), Vec::new(), queue(9));
+    quotas.record_urgent(&vm(2), queue(3));
+    assert_eq!(quotas.allot(&vm(2), room), queue(3));
+    // Without ranks the places are for all.
+    quotas.report(at(4), &vm(3), Vec::new(), queue(4));
+    assert_eq!(quotas.allot(&vm(3), slots), queue(2));
+}
