--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -1,7 +1,10 @@
 //! Framing of the messages between edge processes.
 
 use {
-    crate::feed::{self, Feed},
+    crate::{
+        feed::{self, Feed},
+        metrics::Metrics,
+    },
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
     catkin_net::{Held, set_socket_options},
@@ -68,34 +71,42 @@
 /// Encoded message with its length in front. Links that send the same message share
 /// its bytes.
 #[derive(Clone, Debug)]
-pub(super) struct Frame(Bytes);
+pub(super) struct Frame {
+    /// Kind of the message in the metrics.
+    kind: &'static str,
+    bytes: Bytes,
+}
 
 impl Frame {
-    pub(super) fn new<T: Serialize>(message: &T) -> io::Result<Self> {
+    pub(super) fn new<T: Serialize>(kind: &'static str, message: &T) -> io::Result<Self> {
         let mut bytes = postcard::to_extend(message, vec![0; 4]).map_err(io::Error::other)?;
         let length = u32::try_from(bytes.len() - 4).map_err(io::Error::other)?;
         bytes[..4].copy_from_slice(&length.to_be_bytes());
-        Ok(Self(bytes.into()))
+        Ok(Self { kind, bytes: bytes.into() })
     }
 
     /// Returns whether the message is large enough that links write such ones in turn.
     pub(super) fn is_large(&self) -> bool {
-        self.0.len() > LARGE_BYTES_MIN
+        self.bytes.len() > LARGE_BYTES_MIN
     }
 }
 
+/// Writes a message that the metrics don't count.
 pub(super) async fn write<T: Serialize>(stream: &mut OwnedWriteHalf, message: &T) -> io::Result<()> {
-    write_frame(stream, &Frame::new(message)?, None).await
+    let frame = Frame::new("other", message)?;
+    tokio::time::timeout(LINK_TIMEOUT.as_duration(), stream.write_all(&frame.bytes)).await?
 }
 
 /// Writes a message, and ends the turn of the link once it is written or has taken
 /// [`TURN_MAX`]: a link that is cut off must not keep the others waiting.
 pub(super) async fn write_frame(
+    metrics: &Metrics,
     stream: &mut OwnedWriteHalf,
     frame: &Frame,
     turn: Option<SemaphorePermit<'_>>,
 ) -> io::Result<()> {
-    let mut written = pin!(tokio::time::timeout(LINK_TIMEOUT.as_duration(), stream.write_all(&frame.0)));
+    metrics.count_link_bytes(frame.kind, frame.bytes.len());
+    let mut written = pin!(tokio::time::timeout(LINK_TIMEOUT.as_duration(), stream.write_all(&frame.bytes)));
     if let Some(turn) = turn {
         let in_turn = tokio::time::timeout(TURN_MAX.as_duration(), &mut written).await;
         drop(turn);
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -196,7 +196,7 @@
         let age = (now.since(node.directory_feed.checked_at()) + LISTING_AGE_MAX).as_micros();
         let entries = node.directory.borrow().listing(now);
         let listing = Listing::new(to, age, &entries).map_err(io::Error::other)?;
-        let frame = Frame::new(&LeaderMessage::Listing(listing))?;
+        let frame = Frame::new("listing", &LeaderMessage::Listing(listing))?;
         let listing = ListingFrame { made_at: now, to, frame };
         *cached = Some(listing.clone());
         Ok(Some(listing))
@@ -261,7 +261,8 @@
             (Some(from), Some(delta)) => TableUpdate::Delta { from, to, delta },
             _ => TableUpdate::full(to, &newest.table).map_err(io::Error::other)?,
         };
-        let frame = Frame::new(&LeaderMessage::Table(update))?;
+        let kind = if matches!(update, TableUpdate::Full { .. }) { "full_table" } else { "table" };
+        let frame = Frame::new(kind, &LeaderMessage::Table(update))?;
         cached.frames.insert(from, frame.clone());
         Ok(frame)
     }
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -2,7 +2,7 @@
 //! answers.
 
 use {
-    super::message::{LINK_TIMEOUT, MessageReader, connect, into_batch, write},
+    super::message::{Frame, LINK_TIMEOUT, MessageReader, connect, into_batch, write, write_frame},
     crate::{
         node::{Node, VersionedOwners, sleep},
         sync,
@@ -311,7 +311,8 @@
         node.quota_wanted.set(false);
         is_answered = false;
         reports.sent(last_report);
-        write(&mut writer, &Message::Report(Box::new(build_report(node, leader, &mut link)))).await?;
+        let report = Message::Report(Box::new(build_report(node, leader, &mut link)));
+        write_frame(&node.metrics, &mut writer, &Frame::new("report", &report)?, None).await?;
     }
 }
 
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -154,7 +154,7 @@
             let known = Known { table: Some(newest.offset), ..self.view.known() };
             self.view.note_sent(known);
             self.table = Some(newest);
-            write_frame(writer, &frame, turn.take_if(|_| frame.is_large())).await?;
+            write_frame(&node.metrics, writer, &frame, turn.take_if(|_| frame.is_large())).await?;
         }
         if let Some(listing) = self.listing(node, peers)? {
             turn = turn.or_else(|| peers.turns.take());
@@ -164,7 +164,7 @@
             let mut known = self.view.known();
             known.next_offsets[1] = Some(listing.to);
             self.view.note_sent(known);
-            write_frame(writer, &listing.frame, turn).await?;
+            write_frame(&node.metrics, writer, &listing.frame, turn).await?;
         }
         Ok(false)
     }
@@ -252,7 +252,8 @@
                 changes,
             };
             state.note_sent(&leader_state);
-            write(&mut writer, &LeaderMessage::State(Box::new(leader_state))).await?;
+            let frame = Frame::new("state", &LeaderMessage::State(Box::new(leader_state)))?;
+            write_frame(&node.metrics, &mut writer, &frame, None).await?;
         }
     }
 }
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -50,6 +50,7 @@
     config_age: Gauge<f64, AtomicU64>,
     unknown_kinds: Gauge,
     link_delay: Histogram,
+    link_bytes: Family<KindLabel, Counter>,
     held: Gauge,
     evacuated_zones: Gauge,
     evacuated_ranges: Gauge,
@@ -87,6 +88,8 @@
         registry.register("unknown_route_kinds", help, unknown_kinds.clone());
         let link_delay = Histogram::new(LATENCY_BUCKETS_SECONDS);
         registry.register("link_delay_seconds", "Time from a report to its answer", link_delay.clone());
+        let link_bytes = Family::default();
+        registry.register("link_bytes", "Bytes sent on links between processes", link_bytes.clone());
         let held = Gauge::default();
         registry.register("held_bytes", "Bytes of requests, answers and messages", held.clone());
         let evacuated_zones = Gauge::default();
@@ -116,6 +119,7 @@
             config_age,
             unknown_kinds,
             link_delay,
+            link_bytes,
             held,
             evacuated_zones,
             evacuated_ranges,
@@ -165,6 +169,11 @@
         self.link_delay.observe(delay.as_secs_f64());
     }
 
+    /// Counts the bytes of a message on a link to another process.
+    pub(crate) fn count_link_bytes(&self, kind: &'static str, bytes: usize) {
+        self.link_bytes.get_or_create(&KindLabel { kind }).inc_by(bytes as u64);
+    }
+
     /// Counts an answer to a caller, and records its latency.
     pub(crate) fn count_answer(&self, end: &'static str, took: Span) {
         self.answers.get_or_create(&EndLabel { end }).inc();
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -84,7 +84,8 @@
     pub(crate) directory_read: Cell<bool>,
     /// Newest known table of owners.
     pub(crate) owners: watch::Sender<Option<VersionedOwners>>,
-    /// Tables of owners before the newest known one, the oldest first.
+    /// Tables of owners before the newest one, the oldest first; empty unless this process
+    /// leads.
     pub(crate) earlier_owners: RefCell<VecDeque<VersionedOwners>>,
     /// Loads of targets as seen by this process.
     pub(crate) loads: RefCell<LocalLoads>,
@@ -168,10 +169,10 @@
     heartbeat.scale(MISSED_HEARTBEATS) + REMOVAL_DELAY_MAX
 }
 
-/// Earlier tables of owners that a process keeps: once it leads, it tells processes
-/// that have one of them the changes only. The claim is one table later than theirs,
-/// or two if the last leader's newest table did not reach them.
-const EARLIER_TABLES_MAX: usize = 2;
+/// Earlier tables of owners that a leader keeps. Processes read its claim in the store
+/// and report it on their first link, up to a second later; a leader writes a table every
+/// 60 ms at most.
+const EARLIER_TABLES_MAX: usize = 16;
 
 /// Number of edge processes that is assumed before the leader has counted them.
 const PEERS_DEFAULT: u32 = 12;
@@ -280,12 +281,16 @@
         log::info!(version = offset, leader = &*table.leader.vm; "table of owners changed");
         self.directory.borrow_mut().learn_owners(self.now(), &table);
         let earlier = self.owners.send_replace(Some(VersionedOwners { offset, table }));
+        self.waiters.notify_all();
         let mut earlier_owners = self.earlier_owners.borrow_mut();
+        if !self.is_leader.get() {
+            earlier_owners.clear();
+            return;
+        }
         earlier_owners.extend(earlier);
         if earlier_owners.len() > EARLIER_TABLES_MAX {
             earlier_owners.pop_front();
         }
-        self.waiters.notify_all();
     }
 
     /// Replaces the configuration unless a newer one is known. Returns whether
