Reserve ports of test programs exclusively, and name processes that can't listen

A process whose port another program's process had bound meanwhile ended unseen, and the test judged the answers of the other fleet, which never knows its configuration.

Each program now holds the first port of its range; a port is not given twice before its process is gone; a fleet counts as started only once each process listens itself; a process that ends with an error fails the test with its message. The time limits are as before.

--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -2,8 +2,11 @@
 #![allow(dead_code)]
 
 pub(crate) mod holders;
+mod listeners;
+pub(crate) mod ports;
 pub(crate) mod target;
 
+pub(crate) use ports::free_addr;
 use {
     actix_http::{Method, ServiceConfig, header::HeaderName},
     bytes::Bytes,
@@ -19,12 +22,11 @@
         env,
         fs::{self, File},
         io,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::PathBuf,
         pin::pin,
         process::{Child, Command, Stdio},
         rc::Rc,
-        sync::atomic::{AtomicU16, Ordering},
         time::{Duration, Instant},
     },
     tokio::{
@@ -34,37 +36,15 @@
     },
 };
 
-/// First port of the tests; it is below the ports that the system assigns to
-/// clients.
-const PORTS_FROM: u16 = 20_000;
-
-/// Number of ports for one test program.
-const PORTS: u16 = 400;
-
-/// Returns a free port. The range depends on the process id, so that test
-/// programs that run at the same time seldom share one.
-fn port() -> u16 {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let base = PORTS_FROM + (std::process::id() % 30) as u16 * PORTS;
-    loop {
-        let port = base + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            return port;
-        }
-    }
-}
-
-/// Returns a free address on loopback.
-pub(crate) fn free_addr() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port()))
-}
-
 /// One edge process, which is killed when the value is dropped.
 pub(crate) struct Edge {
     pub(crate) callers: SocketAddr,
     pub(crate) admin: SocketAddr,
+    peers: SocketAddr,
     file: PathBuf,
     child: RefCell<Option<Child>>,
+    /// Processes that ended by themselves with an error.
+    failures: RefCell<Vec<String>>,
 }
 
 impl Edge {
@@ -87,14 +67,21 @@
             "vm: {name}\nzone: z\ncallers: {callers}\nadmin: {admin}\npeers: {peers}\nstore: {store}\nbounds: [\"graceS=5\"]\n{settings}"
         );
         fs::write(&file, text).unwrap();
-        let edge = Self { callers, admin, file, child: RefCell::new(None) };
+        let edge =
+            Self { callers, admin, peers, file, child: RefCell::default(), failures: RefCell::default() };
         edge.restart();
         edge
     }
 
     /// Starts the process again if it has ended.
     pub(crate) fn restart(&self) {
-        self.restart_with(self.output(), Stdio::null());
+        let errors = File::create(self.errors_file()).unwrap();
+        self.restart_with(self.output(), errors.into());
+    }
+
+    /// Returns the file with the errors of the last process.
+    fn errors_file(&self) -> PathBuf {
+        self.file.with_extension("err")
     }
 
     /// Starts the process again if it has ended, with its output and errors.
@@ -115,11 +102,61 @@
     /// Returns where the process writes its log: a file in the folder that the
     /// variable `EDGE_LOGS` names, or nowhere.
     fn output(&self) -> Stdio {
-        let Some(dir) = env::var_os("EDGE_LOGS") else { return Stdio::null() };
-        let file = PathBuf::from(dir).join(self.file.file_name().unwrap()).with_extension("log");
+        let Some(file) = self.log_file() else { return Stdio::null() };
         File::options().create(true).append(true).open(file).unwrap().into()
     }
 
+    fn log_file(&self) -> Option<PathBuf> {
+        let name = self.file.with_extension("log");
+        Some(PathBuf::from(env::var_os("EDGE_LOGS")?).join(name.file_name().unwrap()))
+    }
+
+    /// Waits until the process listens at its addresses.
+    ///
+    /// # Errors
+    ///
+    /// Describes the process if it ends with an error, or does not listen in time.
+    pub(crate) async fn wait_until_started(&self, within: Duration) -> Result<(), String> {
+        let until = Instant::now() + within;
+        while !self.is_listening() {
+            // A process that a test has ended may be started again meanwhile.
+            let _ = self.has_ended();
+            if !self.failures.borrow().is_empty() || Instant::now() >= until {
+                return Err(self.state());
+            }
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(())
+    }
+
+    /// Returns whether the process itself listens at its addresses. An answer does
+    /// not show that: another process may have taken the port.
+    fn is_listening(&self) -> bool {
+        let id = self.child.borrow().as_ref().map(Child::id);
+        let addrs = [self.callers, self.admin, self.peers];
+        id.is_some_and(|id| addrs.iter().all(|addr| listeners::listens(id, addr.port())))
+    }
+
+    /// Describes the process for the message of a failed test.
+    pub(crate) fn state(&self) -> String {
+        let errors = fs::read_to_string(self.errors_file()).unwrap_or_default();
+        format!(
+            "process at {}: ended: {}, listens itself: {}, failures: {:?}, errors: {:?}, log: {:?}",
+            self.callers,
+            self.has_ended(),
+            self.is_listening(),
+            self.failures.borrow(),
+            errors.trim(),
+            self.log_file()
+        )
+    }
+
+    /// Checks that no process has ended by itself with an error.
+    pub(crate) fn check_failures(&self) {
+        let _ = self.has_ended();
+        assert_eq!(*self.failures.borrow(), Vec::<String>::new(), "{}", self.state());
+    }
+
     /// Sends a signal to the process if it runs.
     pub(crate) fn signal(&self, signal: Signal) {
         if self.has_ended() {
@@ -158,7 +195,15 @@
 
     /// Returns whether no process runs.
     pub(crate) fn has_ended(&self) -> bool {
-        self.child.borrow_mut().as_mut().is_none_or(|child| child.try_wait().unwrap().is_some())
+        let mut child = self.child.borrow_mut();
+        let Some(running) = &mut *child else { return true };
+        let Some(status) = running.try_wait().unwrap() else { return false };
+        *child = None;
+        if status.code().is_some_and(|code| code != 0) {
+            let errors = fs::read_to_string(self.errors_file()).unwrap_or_default();
+            self.failures.borrow_mut().push(format!("{status}: {}", errors.trim()));
+        }
+        true
     }
 }
 
@@ -166,6 +211,10 @@
     fn drop(&mut self) {
         self.kill();
         let _ = fs::remove_file(&self.file);
+        let _ = fs::remove_file(self.errors_file());
+        for addr in [self.callers, self.admin, self.peers] {
+            ports::release(addr.port());
+        }
     }
 }
 
@@ -282,9 +331,13 @@
     pub(crate) async fn wait_until_serving(&self, within: Duration) {
         let until = Instant::now() + within;
         for edge in &self.edges {
+            edge.check_failures();
+            if let Err(state) = edge.wait_until_started(within).await {
+                panic!("not started within {within:?}: {state}");
+            }
             while self.get(edge, 1).await.is_none_or(|response| response.status != 200) {
-                let ended: Vec<bool> = self.edges.iter().map(Edge::has_ended).collect();
-                assert!(Instant::now() < until, "no service within {within:?}; ended: {ended:?}");
+                let states = || self.edges.iter().map(Edge::state).collect::<Vec<_>>();
+                assert!(Instant::now() < until, "no service within {within:?}: {:#?}", states());
                 actix_rt::time::sleep(Duration::from_millis(100)).await;
             }
         }
@@ -347,8 +400,10 @@
         response
     }
 
-    /// Checks that no violation is recorded.
+    /// Checks that no violation is recorded and that no process has ended with an
+    /// error.
     pub(crate) fn check(&self) {
+        self.edges.iter().for_each(Edge::check_failures);
         assert_eq!(self.checker.violations(), Vec::<String>::new());
     }
 }
--- a/crates/catkin-edge/tests/cut.rs
+++ b/crates/catkin-edge/tests/cut.rs
@@ -5,7 +5,7 @@
 use {
     actix_http::Method,
     catkin_standin::users::{Config, Route, StoreMode, put_config},
-    common::{Fleet, ProxyMode, plan, send},
+    common::{Edge, Fleet, ProxyMode, plan, send},
     futures_util::future::join_all,
     std::time::{Duration, Instant},
 };
@@ -38,10 +38,14 @@
     let config = async {
         loop {
             let response = send(edge, Method::GET, "/new/x", &fleet.id(), Some(1), Vec::new()).await;
-            if response.is_some_and(|response| response.status != 404) {
+            if response.as_ref().is_some_and(|response| response.status != 404) {
                 return ended.elapsed();
             }
-            assert!(ended.elapsed() < Duration::from_secs(10), "the configuration is still the old one");
+            assert!(
+                ended.elapsed() < Duration::from_secs(10),
+                "the configuration is still the old one; process {process}, last response {response:?}: {:#?}",
+                fleet.edges.iter().map(Edge::state).collect::<Vec<_>>()
+            );
             sleep(20).await;
         }
     };
