Show slow targets to the operator

The fourth figure of X-Server-Load steered requests unseen. Each process now counts by service the targets that are slow, their largest slowdown, and the requests that they get as a multiple of those of others in the same time; a target that stays slow for a second is logged, and the end of it. The metrics grow with the services only.

--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -2,12 +2,16 @@
 
 use {
     catkin::types::{Size, Span},
+    catkin_route::load::SlowTargets,
     prometheus_client::{
         encoding::{EncodeLabelSet, text},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
-    std::sync::{Arc, atomic::AtomicU64},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, atomic::AtomicU64},
+    },
 };
 
 /// Buckets of the latency histogram. They include the latency objectives and
@@ -56,6 +60,9 @@
     evacuated_requests: Gauge,
     admitted: Family<RankLabel, Gauge<f64, AtomicU64>>,
     overload_refusals: Family<RankLabel, Counter>,
+    slow_targets: Family<ServiceLabel, Gauge>,
+    slowdown_max: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    slow_work_ratio: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
 }
 
 impl Metrics {
@@ -103,6 +110,14 @@
         let overload_refusals = Family::default();
         let help = "Requests that were refused at once because their service has too little room";
         registry.register("overload_refusals", help, overload_refusals.clone());
+        let slow_targets = Family::default();
+        registry.register("slow_targets", "Targets that are slow by their reports", slow_targets.clone());
+        let slowdown_max = Family::default();
+        let help = "Largest slowdown that a slow target has reported; 1 if none is slow";
+        registry.register("slowdown_max", help, slowdown_max.clone());
+        let slow_work_ratio = Family::default();
+        let help = "Requests of a target while it is slow, as a multiple of those of other targets";
+        registry.register("slow_work_ratio", help, slow_work_ratio.clone());
         Self {
             registry,
             answers,
@@ -122,6 +137,9 @@
             evacuated_requests,
             admitted,
             overload_refusals,
+            slow_targets,
+            slowdown_max,
+            slow_work_ratio,
         }
     }
 
@@ -160,6 +178,21 @@
         self.overload_refusals.get_or_create(&RankLabel { service: service.to_owned(), rank }).inc();
     }
 
+    /// Replaces what is known of slow targets, by service.
+    pub(crate) fn set_slow(&self, services: BTreeMap<Arc<str>, SlowTargets>) {
+        self.slow_targets.clear();
+        self.slowdown_max.clear();
+        self.slow_work_ratio.clear();
+        for (service, slow) in services {
+            let label = ServiceLabel { service };
+            self.slow_targets.get_or_create(&label).set(i64::try_from(slow.count).unwrap_or(i64::MAX));
+            self.slowdown_max.get_or_create(&label).set(slow.slowdown_max);
+            if let Some(ratio) = slow.work_ratio {
+                self.slow_work_ratio.get_or_create(&label).set(ratio);
+            }
+        }
+    }
+
     /// Records the time from a report to the leader to its answer.
     pub(crate) fn record_link_delay(&self, delay: Span) {
         self.link_delay.observe(delay.as_secs_f64());
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -14,9 +14,9 @@
         backoff::Backoff,
         budget::{self, Budget},
         config::Config,
-        directory::Directory,
+        directory::{Directory, Incarnation},
         drain::Drain,
-        load::LocalLoads,
+        load::{LocalLoads, SlowChange, SlowReport},
         owners::{Owners, ProcessId},
         peer_count::PeerCount,
         rate::RequestRate,
@@ -380,6 +380,23 @@
         }
     }
 
+    /// Sets the metrics of slow targets, and logs which of them stay slow.
+    fn report_slow(&self, now: Time, directory: &Directory) {
+        let SlowReport { services, changes } = self.loads.borrow_mut().watch_slow(now, directory);
+        self.metrics.set_slow(services);
+        for (Incarnation { id, .. }, change) in changes {
+            match change {
+                SlowChange::Began(slowdown) if self.log_limiter.allow(now, "target is slow") => {
+                    log::info!(target_id = &*id, slowdown; "target is slow");
+                }
+                SlowChange::Ended(span) if self.log_limiter.allow(now, "target is no longer slow") => {
+                    log::info!(target_id = &*id, slow_ms = span.as_millis(); "target is no longer slow");
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Does the work that is due every second: expires entries and idle
     /// connections.
     pub(crate) fn sweep(&self) {
@@ -389,6 +406,7 @@
         self.loads.borrow_mut().retain(&directory);
         self.pool.sweep(now, &directory);
         self.report_admission(now);
+        self.report_slow(now, &directory);
         self.metrics.set_config_age(now.since(self.config_feed.checked_at()));
         self.metrics.set_held(catkin_net::held());
         drop(directory);
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -8,7 +8,10 @@
 
 pub(crate) use ports::free_addr;
 use {
-    actix_http::{Method, ServiceConfig, header::HeaderName},
+    actix_http::{
+        Method, ServiceConfig,
+        header::{HOST, HeaderName, HeaderValue},
+    },
     bytes::Bytes,
     catkin_net::Conn,
     catkin_route::owners::Owners,
@@ -408,6 +411,24 @@
     }
 }
 
+/// Returns the metrics of a process in the text format.
+pub(crate) async fn metrics(edge: &Edge) -> String {
+    let mut conn =
+        Conn::open(edge.admin, Duration::from_millis(500), ServiceConfig::default()).await.unwrap();
+    let mut head = catkin_net::request_head(Method::GET, "/metrics".parse().unwrap());
+    head.headers.insert(HOST, HeaderValue::from_static("h"));
+    let reply = conn.exchange(head, Vec::new(), false, |_| true).await.unwrap();
+    assert!(reply.head.status.is_success());
+    String::from_utf8_lossy(&reply.body).into_owned()
+}
+
+/// Returns the value of a metric with its labels.
+pub(crate) async fn metric(edge: &Edge, name: &str) -> Option<f64> {
+    let text = metrics(edge).await;
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value.map(|value| value.parse().unwrap())
+}
+
 /// Opens a connection of a caller.
 pub(crate) async fn open(edge: &Edge) -> Option<Conn> {
     Conn::open(edge.callers, Duration::from_millis(500), ServiceConfig::default()).await.ok()
--- a/crates/catkin-edge/tests/zones.rs
+++ b/crates/catkin-edge/tests/zones.rs
@@ -3,12 +3,7 @@
 mod common;
 
 use {
-    actix_http::{
-        Method, ServiceConfig,
-        header::{HOST, HeaderValue},
-    },
-    catkin_net::Conn,
-    common::{Edge, Fleet, Tally},
+    common::{Edge, Fleet, Tally, metrics},
     std::{rc::Rc, time::Duration},
 };
 
@@ -18,13 +13,7 @@
 
 /// Returns how many requests a process has sent to servers of other zones.
 async fn crossings(edge: &Edge) -> u32 {
-    let mut conn =
-        Conn::open(edge.admin, Duration::from_millis(500), ServiceConfig::default()).await.unwrap();
-    let mut head = catkin_net::request_head(Method::GET, "/metrics".parse().unwrap());
-    head.headers.insert(HOST, HeaderValue::from_static("h"));
-    let reply = conn.exchange(head, Vec::new(), false, |_| true).await.unwrap();
-    assert!(reply.head.status.is_success());
-    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    let text = metrics(edge).await;
     let lines = text.lines().filter(|line| line.starts_with("catkin_edge_sends_to_other_zones_total"));
     lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u32>().ok()).sum()
 }
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -3,8 +3,9 @@
 
 mod slowdown;
 mod state;
+mod watch;
 
-pub use state::Denial;
+pub use {state::Denial, watch::SlowChange};
 
 use {
     crate::{
@@ -20,7 +21,11 @@
     },
     catkin::types::{Span, Time},
     state::{QuotaState, TargetState},
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+    watch::WorkSplit,
 };
 
 /// Weight of a new measurement in the mean service time of a target.
@@ -92,6 +97,28 @@
     }
 }
 
+/// Slow targets of a service, as one process has heard of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SlowTargets {
+    /// Number of targets that are slow now.
+    pub count: usize,
+    /// Largest slowdown of them; 1 if there is none.
+    pub slowdown_max: f64,
+    /// Requests that a target gets while it is slow, as a multiple of those that
+    /// targets get at other times, over about the last 10 s; `None` if no target was
+    /// slow.
+    pub work_ratio: Option<f64>,
+}
+
+/// Slow targets as one process has heard of them.
+#[derive(Clone, Debug, Default)]
+pub struct SlowReport {
+    /// By service, those with known targets.
+    pub services: BTreeMap<Arc<str>, SlowTargets>,
+    /// Targets whose slowness has lasted, or has ended, since the last report.
+    pub changes: Vec<(Incarnation, SlowChange)>,
+}
+
 /// A search for a target.
 #[derive(Clone, Copy)]
 struct Query<'a> {
@@ -394,6 +421,7 @@
     pub fn begin(&mut self, now: Time, incarnation: &Incarnation, peers: u32) -> bool {
         let state = self.state(incarnation);
         state.in_flight += 1;
+        state.watch.count_request(now);
         state.announced.begin(now, peers);
         let is_cold = state.cold.begin();
         if let Some(quota) = self.quotas.get_mut(&incarnation.id) {
@@ -523,6 +551,7 @@
     pub fn record_report(&mut self, now: Time, incarnation: &Incarnation, requests: u32, slowdown: f64) {
         let state = self.state(incarnation);
         state.slowdown.record(now, slowdown);
+        state.watch.record(now, slowdown);
         state.reported_load = f64::from(requests);
         state.others_reported = f64::from(requests.saturating_sub(state.in_flight));
         state.reported_at = now;
@@ -612,6 +641,26 @@
         self.targets.iter_mut().filter_map(time).collect()
     }
 
+    /// Returns the slow targets, and changes since the last call. It must be called
+    /// every second.
+    pub fn watch_slow(&mut self, now: Time, directory: &Directory) -> SlowReport {
+        let (mut services, mut changes) = (BTreeMap::<_, (SlowTargets, WorkSplit)>::new(), Vec::new());
+        for state in self.targets.values_mut() {
+            let Some(target) = directory.current(&state.incarnation) else { continue };
+            let (is_slow, work, change) = state.watch.take(now, state.slowdown);
+            changes.extend(change.map(|change| (state.incarnation.clone(), change)));
+            let (slow, sum) = services.entry(target.entry.service.clone()).or_default();
+            slow.count += usize::from(is_slow);
+            let slowdown = if is_slow { state.slowdown.reported() } else { 1.0 };
+            slow.slowdown_max = slow.slowdown_max.max(slowdown);
+            sum.add(work);
+        }
+        let with_ratio = |(service, (slow, work)): (Arc<str>, (SlowTargets, WorkSplit))| {
+            (service, SlowTargets { work_ratio: work.ratio(), ..slow })
+        };
+        SlowReport { services: services.into_iter().map(with_ratio).collect(), changes }
+    }
+
     /// Removes targets that the directory does not have and for which no
     /// request is in flight or queued.
     pub fn retain(&mut self, directory: &Directory) {
--- a/crates/catkin-route/src/load/slowdown.rs
+++ b/crates/catkin-route/src/load/slowdown.rs
@@ -51,6 +51,11 @@
         1.0 + (self.reported - 1.0) * 0.5_f64.powf(half_lives)
     }
 
+    /// Returns the slowdown of the last report.
+    pub(super) fn reported(self) -> f64 {
+        self.reported
+    }
+
     /// Returns the lasting part: the mean of the last seconds.
     pub(super) fn mean(self) -> f64 {
         self.mean
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -1,7 +1,7 @@
 //! What a process knows of one target, and whether it sends it a request.
 
 use {
-    super::slowdown::Slowdown,
+    super::{slowdown::Slowdown, watch::SlowWatch},
     crate::{
         announced::Announced,
         cold::{ColdState, ColdTerms},
@@ -72,6 +72,7 @@
     /// Mean service time at the usual speed, without queueing, in seconds.
     pub(super) service_time: f64,
     pub(super) slowdown: Slowdown,
+    pub(super) watch: SlowWatch,
     pub(super) others_reported: f64,
     pub(super) reported_at: Time,
     /// Requests that the target reported with the last answer.
@@ -106,6 +107,7 @@
             in_flight: 0,
             service_time: SERVICE_TIME_DEFAULT_S,
             slowdown: Slowdown::default(),
+            watch: SlowWatch::default(),
             others_reported: 0.0,
             reported_at: zero,
             reported_load: 0.0,
--- a/crates/catkin-route/tests/slowdown.rs
+++ b/crates/catkin-route/tests/slowdown.rs
@@ -6,7 +6,7 @@
     catkin::types::Span,
     catkin_route::{
         directory::Directory,
-        load::{Completion, LocalLoads},
+        load::{Completion, LocalLoads, SlowChange, SlowReport, SlowTargets},
     },
     common::{
         at, entry,
@@ -86,3 +86,74 @@
     assert!((0.19..0.21).contains(&expected), "{expected}");
     assert!(lasting > 0.5, "{lasting}");
 }
+
+/// Replays two targets for some seconds, the first of which reports slowdowns by
+/// time, and gets `slow_requests` in a tenth of a second while it is slow; the other
+/// one gets 10, as it does otherwise. Returns the changes, and what is known of the
+/// service at the end.
+fn watch(seconds: u64, slowdown: impl Fn(u64) -> f64, slow_requests: u64) -> (Vec<SlowChange>, SlowTargets) {
+    let (a, b) = (incarnation("a", 1), incarnation("b", 1));
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    directory.put(at(0), entry("b", 1));
+    let mut loads = LocalLoads::new("z".into());
+    let (mut changes, mut slow) = (Vec::new(), SlowTargets::default());
+    for now in (1_000..1_000 + 1_000 * seconds).step_by(100) {
+        let reported = slowdown(now - 1_000);
+        loads.record_report(at(now), &a, 1, reported);
+        loads.record_report(at(now), &b, 1, 1.0);
+        let count = if reported > 1.0 { slow_requests } else { 10 };
+        for _ in 0..count {
+            loads.begin(at(now), &a, 1);
+        }
+        for _ in 0..10 {
+            loads.begin(at(now), &b, 1);
+        }
+        if now % 1_000 == 900 {
+            let SlowReport { services, changes: changed } = loads.watch_slow(at(now), &directory);
+            assert_eq!(services.len(), 1);
+            slow = services.into_values().next().unwrap();
+            changes
+                .extend(changed.into_iter().inspect(|(of, _)| assert_eq!(*of, a)).map(|(_, change)| change));
+        }
+    }
+    (changes, slow)
+}
+
+/// A line for each slow period of 400 ms would hide the targets that stay slow, and
+/// a report near the bound must not end and begin the slowness.
+#[test]
+fn slowness_that_lasts_is_announced_once() {
+    let (changes, slow) = watch(12, |now| if (700..1_100).contains(&(now % 2_000)) { 3.0 } else { 1.0 }, 10);
+    assert_eq!((changes, slow.count, slow.slowdown_max), (vec![], 0, 1.0));
+    let (changes, slow) = watch(5, |now| if now % 1_000 == 700 { 1.4 } else { 3.0 }, 10);
+    assert_eq!((changes, slow.count, slow.slowdown_max), (vec![SlowChange::Began(3.0)], 1, 3.0));
+    let (changes, slow) = watch(6, |now| if now < 3_000 { 3.0 } else { 1.0 }, 10);
+    let [SlowChange::Began(_), SlowChange::Ended(span)] = changes[..] else { panic!("{changes:?}") };
+    assert!((2_900..=4_000).contains(&span.as_millis()), "{span:?}");
+    assert_eq!((slow.count, slow.slowdown_max), (0, 1.0));
+}
+
+/// A target that gets no requests is not heard of: it must not count as slow for
+/// good.
+#[test]
+fn slowness_without_reports_ends() {
+    let mut directory = Directory::default();
+    directory.put(at(0), entry("a", 1));
+    let mut loads = LocalLoads::new("z".into());
+    loads.record_report(at(1_000), &incarnation("a", 1), 1, 3.0);
+    let mut count = |now| loads.watch_slow(at(now), &directory).services.into_values().next().unwrap().count;
+    assert_eq!((count(1_900), count(2_900)), (1, 0));
+}
+
+/// The operator sees how much less work slow targets get: compared for the same
+/// time, not by the number of requests, as a target is slow for a short time only.
+#[test]
+fn work_of_slow_targets_is_compared_for_the_same_time() {
+    let share = |slow_requests| {
+        watch(10, |now| if now % 1_000 < 400 { 3.0 } else { 1.0 }, slow_requests).1.work_ratio.unwrap()
+    };
+    assert!((0.9..1.1).contains(&share(10)), "{}", share(10));
+    assert!((0.2..0.45).contains(&share(3)), "{}", share(3));
+    assert_eq!(watch(3, |_| 1.0, 10).1.work_ratio, None);
+}
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -73,6 +73,8 @@
     received: Cell<u32>,
     health_checks: Cell<u32>,
     faults: Cell<ServerFaults>,
+    /// Time that work takes, as a multiple of the usual time.
+    slowdown: Cell<f64>,
     grants: RefCell<Vec<Grant>>,
     announcements: RefCell<Announcements>,
     cold: RefCell<Option<ColdTime>>,
@@ -152,6 +154,7 @@
             received: Cell::new(0),
             health_checks: Cell::new(0),
             faults: Cell::default(),
+            slowdown: Cell::new(1.0),
             grants: RefCell::default(),
             announcements: RefCell::default(),
             cold: RefCell::default(),
@@ -192,6 +195,17 @@
         self.inner.faults.set(faults);
     }
 
+    /// Sets the time that work takes, as a multiple of the usual time, which all
+    /// further answers report.
+    pub fn set_slowdown(&self, slowdown: f64) {
+        self.inner.slowdown.set(slowdown);
+    }
+
+    /// Returns the number of requests so far.
+    pub fn received(&self) -> u32 {
+        self.inner.received.get()
+    }
+
     /// Lets requests beyond the slots wait in a queue from now on. Otherwise all run
     /// at once.
     pub fn use_slots(&self) {
@@ -473,9 +487,10 @@
             Some(slots) => slots.acquire().await.ok(),
             None => None,
         };
-        actix_rt::time::sleep(inner.work_time).await;
+        actix_rt::time::sleep(inner.work_time.mul_f64(inner.slowdown.get())).await;
         let queued = if slot.is_some() { inner.running.get().saturating_sub(SLOTS) } else { 0 };
-        let load = format!("{},{queued},{SLOTS}", inner.running.get() - queued);
+        let percent = (inner.slowdown.get() * 100.0).round();
+        let load = format!("{},{queued},{SLOTS},{percent}", inner.running.get() - queued);
         drop((guard, slot));
         if every(faults.unanswered_every) {
             return pending().await;
