--- a/crates/catkin-route/src/load/slowdown.rs
+++ b/crates/catkin-route/src/load/slowdown.rs
@@ -72,6 +72,11 @@
         fade(self.reported, self.lasting(now), now.since(self.reported_at), HALF_LIFE)
     }
 
+    /// Returns the slowdown of the last report.
+    pub(super) fn reported(self) -> f64 {
+        self.reported
+    }
+
     /// Returns the mean of the last reports.
     pub(super) fn mean(self) -> f64 {
         self.kept.iter().sum::<f64>() / REPORTS as f64
