Decide which targets have stopped responding

Cause: each process found out by itself that a target no longer answers on open connections, and lost requests there up to their deadline.

A request without a byte for longer than the service's usual time, with a factor for the target's queue and slowness and an allowance for one slow period, while nothing else has come from the target, makes it suspect. The newest observation of any process decides. A process that has heard from no other target since suspects itself, and above 0.4 of a service's targets none is suspect. Suspect targets get no requests and no keys.

--- a/crates/catkin-route/src/attempts.rs
+++ b/crates/catkin-route/src/attempts.rs
@@ -131,6 +131,12 @@
         is_safe && has_attempt_left && now < self.deadline
     }
 
+    /// Returns whether a request that waits for an answer may be sent to another
+    /// target instead.
+    pub fn may_abandon(&self, now: Time) -> bool {
+        self.idempotent && self.reached + 1 < self.max_attempts && now < self.deadline
+    }
+
     /// Returns the code for the caller when the last attempt ended with `code`.
     /// A code that says "not run" must hold for every attempt, not only for the
     /// last.
--- a/crates/catkin-route/src/directory.rs
+++ b/crates/catkin-route/src/directory.rs
@@ -118,6 +118,9 @@
     /// Whether a departure that was counted for an earlier incarnation may have
     /// been announced by this one. It gets nothing new meanwhile.
     pub is_doubted: bool,
+    /// Whether it has stopped responding, see [`crate::silence`]. It gets nothing
+    /// new meanwhile.
+    pub is_silent: bool,
 }
 
 /// That an incarnation leaves.
@@ -172,6 +175,8 @@
     left: HashMap<Arc<str>, Departure>,
     /// Doubts by id, also those that have ended a short time ago.
     doubts: HashMap<Arc<str>, Doubt>,
+    /// Listed incarnations that have stopped responding.
+    silent: Vec<Incarnation>,
     /// Latest start of each target, also after its entry was removed.
     starts: HashMap<Arc<str>, Start>,
     evacuations: Evacuations,
@@ -193,6 +198,7 @@
             services: BTreeMap::new(),
             left: HashMap::new(),
             doubts: HashMap::new(),
+            silent: Vec::new(),
             starts: HashMap::new(),
             evacuations: Evacuations::default(),
             readmitted_at: Time::default(),
@@ -366,6 +372,7 @@
             let doubt = Doubt { started: entry.incarnation.started, since: now, stays_since: None };
             self.doubts.entry(entry.incarnation.id.clone()).or_insert(doubt);
         }
+        let is_silent = self.silent.contains(&entry.incarnation);
         let target = Target {
             cold_until: now.after(entry.cold_left).max(cold_until_min),
             cold_until_min,
@@ -376,6 +383,7 @@
             written_after,
             is_replaced: false,
             is_doubted,
+            is_silent,
             entry,
         };
         self.insert(target);
@@ -503,6 +511,22 @@
         self.doubts.iter().filter_map(target).collect()
     }
 
+    /// Sets which targets have stopped responding. Returns those for which that has
+    /// changed.
+    pub fn set_silent(&mut self, silent: &[Incarnation]) -> Vec<Incarnation> {
+        let known = self.silent.iter().filter(|incarnation| !silent.contains(incarnation));
+        let mut changed: Vec<Incarnation> = known.cloned().collect();
+        changed.extend(silent.iter().filter(|incarnation| !self.silent.contains(incarnation)).cloned());
+        for incarnation in &changed {
+            let target = self.targets.get_mut(&incarnation.id);
+            if let Some(target) = target.filter(|t| t.entry.incarnation == *incarnation) {
+                target.is_silent = silent.contains(incarnation);
+            }
+        }
+        self.silent = silent.to_vec();
+        changed
+    }
+
     /// Returns the incarnations whose doubt ended a short time ago since they stay.
     pub fn staying(&self) -> Vec<Incarnation> {
         let stays = self.doubts.iter().filter(|(_, doubt)| doubt.stays_since.is_some());
@@ -679,7 +703,7 @@
 impl Target {
     /// Returns whether new requests and keys may be assigned to this target.
     pub fn is_open(&self) -> bool {
-        self.draining_since.is_none() && self.evacuation.is_none() && !self.is_doubted
+        self.draining_since.is_none() && self.evacuation.is_none() && !self.is_doubted && !self.is_silent
     }
 
     /// Returns whether the rest of the slow start that an entry says belongs to
@@ -695,9 +719,10 @@
 
     /// Returns whether requests for keys that the target owns may go to it. One
     /// that drains or is in an evacuated zone serves them for a short time, one in
-    /// doubt does not.
+    /// doubt or that has stopped responding does not.
     pub fn serves_keys(&self, now: Time) -> bool {
         !self.is_doubted
+            && !self.is_silent
             && self.draining_since.is_none_or(|since| now.since(since) < DRAIN_SERVE_TIME)
             && self.evacuation.is_none_or(|evacuation| now < evacuation.serve_end)
     }
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -6,6 +6,7 @@
 //! | module | decides |
 //! |---|---|
 //! | [`config`] | which route a request takes, and whether a configuration is valid |
+//! | [`silence`] | which targets have stopped responding |
 //! | [`spill`] | which share of a zone's requests goes to other zones |
 //! | [`split`] | which service of a split route gets the next request |
 //! | [`backlog`] | which records are forwarded to other processes |
@@ -60,6 +61,7 @@
 pub mod rank;
 pub mod rate;
 pub mod report_times;
+pub mod silence;
 pub mod spill;
 pub mod split;
 pub mod subset;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -178,7 +178,7 @@
         peers: u32,
         fill: FillFactor,
     ) -> Result<(), Denial> {
-        if target.is_doubted {
+        if target.is_doubted || target.is_silent {
             return Err(Denial::Doubted);
         }
         let serves = if has_key { target.serves_keys(now) } else { target.is_open() };
@@ -351,14 +351,20 @@
         fill: FillFactor,
     ) -> Option<Denial> {
         let mut first: Option<(Span, Denial)> = None;
+        let mut silent = None;
         for target in directory.of_service(service) {
+            if target.is_silent {
+                // Others say when a request should return.
+                silent = Some(Denial::Doubted);
+                continue;
+            }
             let Err(denial) = self.check(now, target, false, peers, fill) else { continue };
             let Some(rest) = denial.rest() else { return Some(denial) };
             if first.is_none_or(|(least, _)| rest < least) {
                 first = Some((rest, denial));
             }
         }
-        first.map(|(_, denial)| denial)
+        first.map(|(_, denial)| denial).or(silent)
     }
 
     fn choose_among<'a>(
@@ -473,7 +479,8 @@
     }
 
     /// Records the end of an attempt at a target and the time that it took.
-    /// `slots` are the target's slots.
+    /// `slots` are the target's slots. Returns the time at the usual speed and without
+    /// queueing of an attempt that ended well.
     pub fn end(
         &mut self,
         now: Time,
@@ -481,13 +488,14 @@
         completion: Completion,
         took: Span,
         slots: u32,
-    ) {
+    ) -> Option<Span> {
         let slots = f64::from(slots);
-        let Some(state) = self.targets.get_mut(&incarnation.id) else { return };
+        let state = self.targets.get_mut(&incarnation.id)?;
         state.in_flight = state.in_flight.saturating_sub(1);
         if state.incarnation != *incarnation {
-            return;
+            return None;
         }
+        let mut usual_time = None;
         let failed = match completion {
             Completion::Good => 0.0,
             Completion::Refused | Completion::Failed | Completion::Unreachable => 1.0,
@@ -499,6 +507,7 @@
                 // Time in the target's own queue is no sign of a slow target.
                 let fill = state.fill(slots);
                 let time = took.as_secs_f64() / fill.max(1.0) / state.slowdown.at(now);
+                usual_time = Some(Span::from_micros((time * 1e6) as u64));
                 state.service_time += (time - state.service_time) * SERVICE_TIME_WEIGHT;
                 state.measured = true;
                 state.backoff = Span::ZERO;
@@ -516,6 +525,24 @@
             Completion::Refused | Completion::Failed => {}
         }
         state.reported_load = 0.0;
+        usual_time
+    }
+
+    /// Forgets failed attempts at a target that had stopped responding and answers
+    /// again. It would get no requests otherwise while others have room, and so
+    /// never show that it serves them.
+    pub fn forgive(&mut self, incarnation: &Incarnation) {
+        let state = self.state(incarnation);
+        (state.failure_rate, state.backoff, state.backoff_end) = (0.0, Span::ZERO, Time::default());
+    }
+
+    /// Returns the expected time of the last request that was sent to a target, as
+    /// a multiple of the usual time, for its slowness and its queue.
+    pub fn time_factor(&mut self, now: Time, target: &Entry, peers: u32) -> f64 {
+        let slots = f64::from(target.slots.max(1));
+        let state = self.state(&target.incarnation);
+        let waiting = (state.requests(now, peers) - slots).max(0.0);
+        (1.0 + waiting / slots) * state.slowdown.at(now).max(state.slowdown.mean()).max(1.0)
     }
 
     /// Records a target's own report: the number of requests that run or wait
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -34,7 +34,8 @@
 pub enum Denial {
     /// It leaves.
     Leaving,
-    /// It may be leaving, which is being found out.
+    /// It may be leaving or may have stopped responding, which is being found
+    /// out.
     Doubted,
     /// It wants no request of this process for the span.
     Paused(Span),
