Share suspicions of silent targets and check them

A new suspicion is reported at once, and the leader sends a changed list to all links. Idempotent requests without a key that wait at a suspect target go to another one, within the retry budget.

--- a/crates/catkin-edge/src/announcements.rs
+++ b/crates/catkin-edge/src/announcements.rs
@@ -2,7 +2,7 @@
 //! they want no requests for a while, and how many they take at most.
 
 use {
-    crate::{attempt::header_text, node::Node},
+    crate::{attempt::header_text, node::Node, silence},
     actix_http::{
         ResponseHead, StatusCode,
         header::{DATE, HeaderName, RETRY_AFTER},
@@ -44,6 +44,7 @@
 /// Notes whether a target says in the answer to a command that it leaves. Another
 /// target that has its address refuses the command as misdirected.
 pub(crate) fn note_command(node: &Node, incarnation: &Incarnation, head: &ResponseHead) {
+    silence::note_heard(node, incarnation);
     if head.status != StatusCode::MISDIRECTED_REQUEST || names(head, incarnation) {
         note_leaving(node, incarnation, head);
     }
--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: one send of a request to one target.
 
 use {
-    crate::{admit::Admitted, announcements, node::Node, serve::RoutedRequest},
+    crate::{admit::Admitted, announcements, node::Node, serve::RoutedRequest, silence},
     actix_http::{
         HttpMessage, RequestHead, ResponseHead, StatusCode,
         header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE},
@@ -10,7 +10,7 @@
     catkin_net::{Conn, HttpAnswer},
     catkin_platform::name,
     catkin_route::{admission::QueueLoad, attempts::Attempts, directory::Incarnation, load::Completion},
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, io, rc::Rc, time::Duration},
 };
 
 /// Outcome of an attempt, from which the answer to the caller and the
@@ -29,14 +29,40 @@
     NoValidAnswer,
     /// No answer arrived in time.
     TimedOut,
+    /// The target stopped responding, and a retry was taken from the budget.
+    Abandoned,
 }
 
+/// Time without an answer to an attempt to connect after which the target counts as
+/// silent. An attempt shortly before the deadline ends sooner.
+const CONNECT_SILENCE: Span = Span::from_millis(200);
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time after the deadline in which the target's own answer to the expired
 /// request is awaited.
 const ANSWER_SLACK: Span = Span::from_millis(40);
 
+/// A request that waits for its answer.
+pub(crate) struct InFlight<'a> {
+    /// Incarnation that must answer.
+    pub(crate) incarnation: &'a Incarnation,
+    /// When the request was sent.
+    pub(crate) sent_at: Time,
+    /// Time without a byte after which the target counts as silent.
+    pub(crate) limit: Span,
+    /// Bytes that were received on the connection, and how many of them before.
+    received: Rc<Cell<usize>>,
+    received_before: usize,
+}
+
+impl InFlight<'_> {
+    /// Returns whether any byte has arrived since the request was sent.
+    pub(crate) fn has_received(&self) -> bool {
+        self.received.get() > self.received_before
+    }
+}
+
 /// Counts an attempt at its target until the attempt ends or is cancelled.
 struct InFlightGuard<'a> {
     node: &'a Node,
@@ -63,17 +89,27 @@
     fn drop(&mut self) {
         let now = self.node.now();
         let (incarnation, slots) = (&self.target.incarnation, self.target.entry.slots);
-        self.node.loads.borrow_mut().end(now, incarnation, self.completion, now.since(self.start), slots);
+        let took = now.since(self.start);
+        let usual_time = self.node.loads.borrow_mut().end(now, incarnation, self.completion, took, slots);
+        if let Some(time) = usual_time {
+            self.node.silence.borrow_mut().record_time(&self.target.entry.service, time);
+        }
         if matches!(self.completion, Completion::Good | Completion::Failed) {
             let RoutedRequest { service, route, .. } = self.routed;
             let mut admission = self.node.admission.borrow_mut();
-            let took = now.since(self.start);
             admission.count_ended(service, route.priority, route.latency_objective, took, self.queue);
         }
         self.node.waiters.notify_all();
     }
 }
 
+/// Returns the time without a byte after which a target counts as silent to which
+/// a request is sent now.
+fn silence_limit(node: &Node, target: &Admitted, now: Time) -> Span {
+    let factor = node.loads.borrow_mut().time_factor(now, &target.entry, node.peers());
+    node.silence.borrow().limit(&target.entry.service, factor)
+}
+
 fn build_head(routed: &RoutedRequest<'_>, target: &Admitted, now: Time) -> Option<RequestHead> {
     let from = &routed.incoming.head;
     let mut head = catkin_net::request_head(from.method().clone(), from.uri().clone());
@@ -135,6 +171,9 @@
             }
             guard.completion = Completion::Unreachable;
             node.metrics.count_attempt("unreached");
+            if error.kind() == io::ErrorKind::TimedOut && node.now().since(guard.start) >= CONNECT_SILENCE {
+                silence::note_unconnected(node, incarnation, guard.start);
+            }
             return AttemptOutcome::Unreachable;
         }
     };
@@ -142,11 +181,36 @@
     let Some(head) = build_head(routed, target, now) else { return AttemptOutcome::Unreachable };
     let body = routed.incoming.body.clone();
     attempts.sent_on(conn.id());
+    let sent_at = now;
+    let received = conn.received();
+    let in_flight = InFlight {
+        incarnation,
+        sent_at,
+        limit: silence_limit(node, target, now),
+        received_before: received.get(),
+        received,
+    };
     let exchange =
         conn.exchange(head, body, routed.incoming.chunked, |head| matches_request(head, &routed.id, reused));
-    let sent_at = now;
+    let may_abandon = || {
+        let now = node.now();
+        let is_possible = routed.key.is_none() && attempts.may_abandon(now);
+        is_possible && node.budget.borrow_mut().take_retry(now, &routed.service, node.peers())
+    };
     let left = routed.deadline.since(sent_at) + ANSWER_SLACK;
-    let reply = match tokio::time::timeout(left.as_duration(), exchange).await {
+    let ended = tokio::select! {
+        biased;
+        ended = tokio::time::timeout(left.as_duration(), exchange) => ended,
+        () = silence::watch(node, &in_flight, may_abandon) => {
+            guard.completion = Completion::Failed;
+            node.metrics.count_attempt("abandoned");
+            return AttemptOutcome::Abandoned;
+        }
+    };
+    if in_flight.has_received() {
+        silence::note_heard(node, incarnation);
+    }
+    let reply = match ended {
         Ok(Ok(reply)) => reply,
         Ok(Err(failure)) if !failure.sent => {
             guard.completion = Completion::Unreachable;
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -17,6 +17,7 @@
         pace::Share,
         peer_view::NextOffsets,
         quotas::Counts,
+        silence::SilenceReport,
         spill::{ZoneReport, ZoneTable},
     },
     serde::{Deserialize, Serialize},
@@ -80,6 +81,8 @@
     pub(super) limits: Vec<LimitReport>,
     /// Listed targets that said in an answer that they leave.
     pub(super) leaving: Vec<Incarnation>,
+    /// What the process has observed of targets that may have stopped responding.
+    pub(super) silence: Vec<SilenceReport>,
     /// Requests by service and rank since the last report.
     pub(super) admission: admission::Report,
     /// What the process asked of the services without keys, if targets lie in
@@ -127,6 +130,12 @@
     /// Listed targets that were in doubt and stay; present in an answer to a
     /// report.
     pub(super) staying: Vec<Incarnation>,
+    /// Newest observations of targets that may have stopped responding; present in
+    /// an answer to a report and when they have changed.
+    pub(super) silence: Vec<SilenceReport>,
+    /// Services with so many such targets that none counts as silent; present as
+    /// these are.
+    pub(super) silence_exempt: Vec<Arc<str>>,
     /// Which requests are admitted; present in an answer to a report.
     pub(super) admission: Option<FleetShares>,
     /// Shares of the requests without keys that leave their zone, if targets lie
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -6,7 +6,7 @@
     crate::{
         lead,
         node::{Node, VersionedOwners},
-        sync,
+        silence, sync,
     },
     catkin::types::{Span, Time},
     catkin_route::{
@@ -266,6 +266,7 @@
             }
         });
         sync::apply_leaving(node, &report.leaving);
+        silence::learn(node, &report.silence);
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 }
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         node::{Node, VersionedOwners, sleep},
-        sync,
+        silence, sync,
     },
     catkin::types::{Span, Time},
     catkin_route::{
@@ -17,6 +17,7 @@
         owners::ProcessId,
         quotas::{Counts, TargetQuota},
         report_times::ReportTimes,
+        silence::Scope,
     },
     std::{collections::HashMap, io, rc::Rc, sync::Arc},
 };
@@ -27,7 +28,8 @@
 /// Interval between reports in a large fleet.
 const REPORT_INTERVAL_LARGE: Span = Span::from_millis(500);
 
-/// Least time between a report and a further one that requests a quota.
+/// Least time between a report and a further one that requests a quota or tells of
+/// a target that has stopped responding.
 const QUOTA_REPORT_INTERVAL_MIN: Span = Span::from_millis(60);
 
 fn build_report(node: &Node, leader: &ProcessId, received: u64) -> Report {
@@ -57,6 +59,7 @@
         service_times,
         limits,
         leaving: node.directory.borrow().leaving(),
+        silence: silence::reports(node, Scope::Own),
         admission: node.admission.borrow_mut().report(node.now()),
         zones,
     }
@@ -128,6 +131,10 @@
     if let Some(shares) = &state.admission {
         node.admission.borrow_mut().apply(now, shares);
     }
+    if !node.is_leader.get() {
+        node.silence.borrow_mut().learn_exempt(now, state.silence_exempt);
+    }
+    silence::learn(node, &state.silence);
     if let Some(table) = state.zones {
         node.loads.borrow_mut().spill().learn(now, table);
     }
@@ -192,7 +199,7 @@
     loads.renew_quotas(now, allotted);
 }
 
-/// Waits until a request needs a quota and the last report is old enough and
+/// Waits until a request needs a quota, or a target has stopped responding, and the last report is old enough and
 /// answered: quotas that arrive late would be of no use, and those on their way
 /// are kept from other processes.
 async fn quota_due(node: &Node, last_report: Time, is_answered: bool) {
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -11,10 +11,11 @@
     crate::{
         lead,
         node::{Node, VersionedOwners, sleep},
+        silence,
     },
     catkin::types::{Span, Time},
     catkin_net::set_socket_options,
-    catkin_route::{cold::TokenGrant, level::Levels, pace::Share, peer_view::PeerView},
+    catkin_route::{cold::TokenGrant, level::Levels, pace::Share, peer_view::PeerView, silence::Scope},
     std::{io, rc::Rc},
     tokio::net::{TcpListener, TcpStream},
 };
@@ -129,14 +130,20 @@
     let mut owners = node.owners.subscribe();
     let mut configs = node.config_feed.subscribe();
     let mut targets = node.directory_feed.subscribe();
+    let mut silent = node.silence_changes.subscribe();
     let mut state = PeerState::default();
     let mut leader = node.identity.run_id;
     loop {
+        let mut has_silence = false;
         let message = tokio::select! {
             message = tokio::time::timeout(LINK_TIMEOUT.as_duration(), messages.next()) => Some(message??),
             changed = owners.changed() => changed.map(|()| None).map_err(io::Error::other)?,
             changed = configs.changed() => changed.map(|()| None).map_err(io::Error::other)?,
             changed = targets.changed() => changed.map(|()| None).map_err(io::Error::other)?,
+            changed = silent.changed() => {
+                has_silence = true;
+                changed.map(|()| None).map_err(io::Error::other)?
+            }
         };
         let mut quotas = None;
         let mut tokens: Vec<TokenGrant> = Vec::new();
@@ -165,7 +172,7 @@
         let has_records = changes.iter().flatten().any(|c| !c.records.is_empty());
         // Without a change nothing is sent; the answer to the next report has
         // the current age of the store's last answer.
-        if quotas.is_some() || table.is_some() || has_records {
+        if quotas.is_some() || table.is_some() || has_records || has_silence {
             let store_age = node.last_join.get().map_or(u64::MAX, |at| node.now().since(at).as_micros());
             let listing = state.listing(node, peers)?;
             let levels = quotas.as_ref().and_then(|_| state.levels(node, peers));
@@ -175,6 +182,8 @@
             };
             let leaving = if quotas.is_some() { node.directory.borrow().leaving() } else { Vec::new() };
             let staying = if quotas.is_some() { node.directory.borrow().staying() } else { Vec::new() };
+            let silence = silence::reports(node, Scope::All);
+            let silence_exempt = silence::exempt_services(node);
             let admission = quotas.as_ref().map(|_| peers.admission(node.now()));
             let zones = quotas.as_ref().and_then(|_| peers.zones(node));
             let use_quotas = peers.use_quotas();
@@ -190,6 +199,8 @@
                 limits,
                 leaving,
                 staying,
+                silence,
+                silence_exempt,
                 admission,
                 zones,
                 use_quotas,
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use {
     catkin::types::{Size, Span},
+    catkin_route::directory::Directory,
     prometheus_client::{
         encoding::{EncodeLabelSet, text},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -43,6 +44,8 @@
     attempts: Family<EndLabel, Counter>,
     commands: Family<KindLabel, Counter>,
     probes: Family<EndLabel, Counter>,
+    suspicions: Family<EndLabel, Counter>,
+    silent_targets: Family<ServiceLabel, Gauge>,
     cold: Family<EndLabel, Counter>,
     zone_crossings: Family<ServiceLabel, Counter>,
     latency: Histogram,
@@ -70,6 +73,12 @@
         registry.register("commands", "Commands to targets about keys", commands.clone());
         let probes = Family::default();
         registry.register("health_checks", "Health checks of targets by how they ended", probes.clone());
+        let suspicions = Family::default();
+        let help = "Requests to targets that got no byte for so long that their target counts as silent";
+        registry.register("suspicions", help, suspicions.clone());
+        let silent_targets = Family::default();
+        let help = "Targets that have stopped responding";
+        registry.register("silent_targets", help, silent_targets.clone());
         let cold = Family::default();
         registry.register("cold_requests", "Requests for cold targets by what became of them", cold.clone());
         let zone_crossings = Family::default();
@@ -109,6 +118,8 @@
             attempts,
             commands,
             probes,
+            suspicions,
+            silent_targets,
             cold,
             zone_crossings,
             latency,
@@ -197,6 +208,21 @@
         self.probes.get_or_create(&EndLabel { end }).inc();
     }
 
+    /// Counts a request to a target, or a health check, that got no byte for so long
+    /// that the target counts as silent.
+    pub(crate) fn count_suspicion(&self, end: &'static str) {
+        self.suspicions.get_or_create(&EndLabel { end }).inc();
+    }
+
+    /// Sets the number of targets that have stopped responding, by service.
+    pub(crate) fn set_silent(&self, directory: &Directory) {
+        for service in directory.services() {
+            let count = directory.of_service(service).filter(|target| target.is_silent).count();
+            let gauge = self.silent_targets.get_or_create(&ServiceLabel { service: service.clone() });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -20,6 +20,7 @@
         owners::{Owners, ProcessId},
         peer_count::PeerCount,
         rate::RequestRate,
+        silence::Silence,
         split::Split,
     },
     std::{
@@ -86,6 +87,13 @@
     pub(crate) owners: watch::Sender<Option<VersionedOwners>>,
     /// Loads of targets as seen by this process.
     pub(crate) loads: RefCell<LocalLoads>,
+    /// Targets that have stopped responding.
+    pub(crate) silence: RefCell<Silence>,
+    /// Whether the targets that count as silent have changed since that was last
+    /// signalled.
+    pub(crate) silence_changed: Cell<bool>,
+    /// Signals changes of the targets that count as silent.
+    pub(crate) silence_changes: watch::Sender<u64>,
     /// Admission of requests under overload.
     pub(crate) admission: RefCell<Admission>,
     /// Services of which not all requests were admitted when that was last logged.
@@ -98,10 +106,10 @@
     pub(crate) key_counts: RefCell<HashMap<(Arc<str>, u16), u16>>,
     /// Requests that wait for capacity or for an owner.
     pub(crate) waiters: WaitQueue,
-    /// Whether a request waits for a quota that was not yet requested from the
-    /// leader.
+    /// Whether the leader should hear of something at once: a request waits for a
+    /// quota that was not yet requested, or a target has stopped responding.
     pub(crate) quota_wanted: Cell<bool>,
-    /// Wakes the task that sends reports when a quota is needed.
+    /// Wakes the task that sends reports.
     pub(crate) quota_requested: Notify,
     /// Stage of the graceful shutdown; each change is signalled.
     pub(crate) stage: watch::Sender<Stage>,
@@ -190,6 +198,9 @@
                     .with_vm(identity.vm.clone())
                     .with_crossing_cost(settings.crossing_cost()),
             ),
+            silence: RefCell::default(),
+            silence_changed: Cell::new(false),
+            silence_changes: watch::Sender::new(0),
             admission: RefCell::default(),
             limited_services: RefCell::default(),
             budget: RefCell::new(Budget::new(limits)),
@@ -380,6 +391,12 @@
         }
     }
 
+    /// Reports to the leader as soon as the least interval between reports allows.
+    pub(crate) fn request_report(&self) {
+        self.quota_wanted.set(true);
+        self.quota_requested.notify_one();
+    }
+
     /// Does the work that is due every second: expires entries and idle
     /// connections.
     pub(crate) fn sweep(&self) {
@@ -387,6 +404,7 @@
         let mut directory = self.directory.borrow_mut();
         directory.tick(now);
         self.loads.borrow_mut().retain(&directory);
+        self.silence.borrow_mut().retain(now, &directory);
         self.pool.sweep(now, &directory);
         self.report_admission(now);
         self.metrics.set_config_age(now.since(self.config_feed.checked_at()));
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -208,6 +208,7 @@
     let mut attempts = Attempts::new(&routed.route, routed.deadline);
     let mut failed = None;
     let mut refusal = None;
+    let mut has_retry = false;
     let code = loop {
         let target = match admit::admit(node, routed, &attempts).await {
             Ok(target) => target,
@@ -217,8 +218,8 @@
             }
         };
         let peers = node.peers();
-        if attempts.reached() > 0 && !node.budget.borrow_mut().take_retry(node.now(), &routed.service, peers)
-        {
+        let needs_retry = attempts.reached() > 0 && !std::mem::take(&mut has_retry);
+        if needs_retry && !node.budget.borrow_mut().take_retry(node.now(), &routed.service, peers) {
             break Code::RetryBudget;
         }
         let (end, code) = match attempt::send(node, routed, &mut attempts, &target).await {
@@ -235,6 +236,10 @@
             AttemptOutcome::Unreachable => (AttemptEnd::Unreachable, Code::ConnectFailed),
             AttemptOutcome::NoValidAnswer => (AttemptEnd::Unanswered, Code::AnswerCut),
             AttemptOutcome::TimedOut => (AttemptEnd::Unanswered, Code::OutcomeUnknown),
+            AttemptOutcome::Abandoned => {
+                has_retry = true;
+                (AttemptEnd::Unanswered, Code::OutcomeUnknown)
+            }
         };
         attempts.record(&target.incarnation, end);
         if node.log_limiter.allow(node.now(), "attempt failed") {
--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -16,8 +16,10 @@
     catkin::types::ConnId,
     socket2::{SockRef, TcpKeepalive},
     std::{
+        cell::Cell,
         io,
         net::SocketAddr,
+        rc::Rc,
         sync::atomic::{AtomicU64, Ordering},
         time::Duration,
     },
@@ -79,7 +81,7 @@
     /// Whether a request was started and has no complete answer.
     busy: bool,
     /// Bytes that were received since the connection was opened.
-    received: usize,
+    received: Rc<Cell<usize>>,
 }
 
 impl Drop for Conn {
@@ -160,7 +162,15 @@
         let stream = tokio::time::timeout(within, TcpStream::connect(addr)).await??;
         set_socket_options(&stream);
         let id = ConnId(OPENED.fetch_add(1, Ordering::Relaxed) + 1);
-        Ok(Self { id, peer: addr, stream, buffer: BytesMut::new(), config, busy: false, received: 0 })
+        Ok(Self {
+            id,
+            peer: addr,
+            stream,
+            buffer: BytesMut::new(),
+            config,
+            busy: false,
+            received: Rc::default(),
+        })
     }
 
     /// Returns the number of the connection, which no other one of this process
@@ -169,6 +179,12 @@
         self.id
     }
 
+    /// Returns the number of bytes that were received so far. It is current during
+    /// an exchange.
+    pub fn received(&self) -> Rc<Cell<usize>> {
+        self.received.clone()
+    }
+
     /// Returns whether the connection is open and has received no unexpected
     /// bytes.
     pub fn is_idle(&self) -> bool {
@@ -264,7 +280,7 @@
             }
             let mut payload = codec.into_payload_codec();
             let mut body = Body::default();
-            let start = self.received - self.buffer.len();
+            let start = self.received.get() - self.buffer.len();
             loop {
                 match payload.decode(&mut self.buffer).map_err(|e| (invalid(e.to_string()), true))? {
                     Some(Some(chunk)) => body.push(&chunk),
@@ -275,7 +291,7 @@
                 if body.len() > ANSWER_BYTES_MAX {
                     return Err((invalid("answer too large"), true));
                 }
-                let framing = self.received - self.buffer.len() - start - body.len();
+                let framing = self.received.get() - self.buffer.len() - start - body.len();
                 if framing > HEAD_BYTES_MAX + FRAMING_RATIO_MAX * body.len() {
                     return Err((invalid("too much framing in a body"), true));
                 }
@@ -308,14 +324,15 @@
     async fn read_or_write(&mut self, out: &mut Outgoing) -> io::Result<()> {
         self.buffer.reserve(READ_BUFFER_BYTES);
         if out.is_done() {
-            self.received += check_read(self.stream.read_buf(&mut self.buffer).await)?;
+            let count = check_read(self.stream.read_buf(&mut self.buffer).await)?;
+            self.received.set(self.received.get() + count);
             return Ok(());
         }
         let (mut reader, mut writer) = self.stream.split();
         let written = tokio::select! {
             biased;
             read = reader.read_buf(&mut self.buffer) => {
-                self.received += check_read(read)?;
+                self.received.set(self.received.get() + check_read(read)?);
                 return Ok(());
             }
             written = writer.write(out.remaining()) => written,
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -67,6 +67,10 @@
     incarnation: Cell<u64>,
     draining: Cell<bool>,
     stopped: Cell<bool>,
+    /// Whether the process is paused, and the number of requests and health checks
+    /// that arrived meanwhile.
+    paused: Cell<bool>,
+    paused_requests: Cell<(u32, u32)>,
     running: Cell<u32>,
     /// Slots, if requests beyond them wait in a queue.
     slots: RefCell<Option<Rc<Semaphore>>>,
@@ -147,6 +151,8 @@
             incarnation: Cell::new(1),
             draining: Cell::new(false),
             stopped: Cell::new(false),
+            paused: Cell::new(false),
+            paused_requests: Cell::default(),
             running: Cell::new(0),
             slots: RefCell::default(),
             received: Cell::new(0),
@@ -243,6 +249,37 @@
         self.inner.announcements.borrow().late_requests()
     }
 
+    /// Stops responding, as a process that is paused: connections stay open and new
+    /// ones are accepted. What arrives meanwhile is handled when the pause ends.
+    pub fn set_paused(&self, is_paused: bool) {
+        self.inner.paused.set(is_paused);
+        if is_paused {
+            self.inner.paused_requests.take();
+        }
+    }
+
+    /// Returns the number of requests and of health checks that arrived in the last
+    /// pause.
+    pub fn paused_requests(&self) -> (u32, u32) {
+        self.inner.paused_requests.get()
+    }
+
+    async fn await_continue(&self, request: &Request) {
+        let inner = &self.inner;
+        if !inner.paused.get() {
+            return;
+        }
+        let (requests, checks) = inner.paused_requests.get();
+        match request.path() {
+            "/v1/grant" | "/v1/release" => {}
+            "/health" => inner.paused_requests.set((requests, checks + 1)),
+            _ => inner.paused_requests.set((requests + 1, checks)),
+        }
+        while inner.paused.get() {
+            actix_rt::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     /// Announces that the server leaves, by the state `draining` in its entry.
     /// It still accepts requests.
     pub fn drain(&self) {
@@ -343,6 +380,7 @@
         if self.inner.stopped.get() {
             return pending().await;
         }
+        self.await_continue(&request).await;
         match request.path() {
             "/v1/grant" | "/v1/release" => self.command(request).await,
             "/health" => self.report_health(),
