Tell the end of the leases of each range, not of their owner

Cause: a run of silent_owner_gets_no_requests failed: the ends of the leases of one owner were 2.2 s apart, since a grant was in progress for some of its ranges when it stopped, and callers for the others were told the last end.

The leader tells the time for each range without an owner, 64 at most.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -237,7 +237,7 @@
     let row = owners.table.find(&routed.service, key).ok_or(AdmitError::NoTarget)?;
     let target = directory.current(&row.incarnation());
     if target.is_none_or(|target| target.is_silent) {
-        let end = node.vacancies.borrow().end(now, &row.incarnation());
+        let end = node.vacancies.borrow().end(now, &routed.service, key);
         if let Some(end) = end.filter(|end| *end > wait.until) {
             return Err(AdmitError::Vacant(end.since(now)));
         }
--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -218,17 +218,20 @@
         }
     }
 
-    /// Sets which owners serve their keys no more. All processes hear at once of a
-    /// further one.
+    /// Sets which keys have no owner. All processes hear at once of further ones.
     fn set_vacancies(&self, vacancies: Vec<Vacancy>) {
         let last = self.node.own_vacancies.replace(vacancies);
-        for vacancy in &*self.node.own_vacancies.borrow() {
-            if !last.iter().any(|known| known.incarnation == vacancy.incarnation) {
-                let (id, rest_ms) = (&*vacancy.incarnation.id, vacancy.rest().as_millis());
-                log::info!(target_id = id, rest_ms; "owner serves its keys no more");
+        for Vacancy { service, from, to, .. } in &*self.node.own_vacancies.borrow() {
+            if !last.iter().any(|v| v.service == *service && v.from <= *from && *to <= v.to) {
                 self.node.silence_changed.set(true);
             }
         }
+        let count = self.node.own_vacancies.borrow().len();
+        if (count > 0) != last.is_empty() {
+            return;
+        }
+        let rest_ms = self.node.own_vacancies.borrow().iter().map(|v| v.rest().as_millis()).max();
+        log::info!(count, rest_ms; "ranges of keys without an owner");
     }
 
     fn decay(&mut self, now: Time) {
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -137,7 +137,7 @@
     /// Services with so many such targets that none counts as silent; present as
     /// these are.
     pub(super) silence_exempt: Vec<Arc<str>>,
-    /// Owners that serve their keys no more; present as these are.
+    /// Ranges of keys that have no owner for a while; present as these are.
     pub(super) vacancies: Vec<Vacancy>,
     /// Which requests are admitted; present in an answer to a report.
     pub(super) admission: Option<FleetShares>,
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -131,7 +131,7 @@
     if let Some(shares) = &state.admission {
         node.admission.borrow_mut().apply(now, shares);
     }
-    node.vacancies.borrow_mut().learn(now, &state.vacancies);
+    node.vacancies.borrow_mut().learn(now, state.vacancies);
     if !node.is_leader.get() {
         node.silence.borrow_mut().learn_exempt(now, state.silence_exempt);
     }
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -90,7 +90,7 @@
     pub(crate) loads: RefCell<LocalLoads>,
     /// Targets that have stopped responding.
     pub(crate) silence: RefCell<Silence>,
-    /// Owners that serve their keys no more, as the leader last told.
+    /// Ranges of keys that have no owner for a while, as the leader last told.
     pub(crate) vacancies: RefCell<Vacancies>,
     /// The same as this process knows it as the leader.
     pub(crate) own_vacancies: RefCell<Vec<Vacancy>>,
--- a/crates/catkin-route/src/granter.rs
+++ b/crates/catkin-route/src/granter.rs
@@ -32,11 +32,7 @@
     catkin::types::{ConnId, Span, Time},
     command::{FAILURE_WEIGHT_MAX, failure_weight},
     range::{Phase, Range, empty_range, merge, split},
-    std::{
-        collections::{BTreeMap, HashMap},
-        net::SocketAddr,
-        sync::Arc,
-    },
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
 
 /// Delay before a command is repeated that the target refused.
@@ -555,27 +551,28 @@
         steps.push(Step::Write { table, offset: self.next_offset });
     }
 
-    /// Returns the owners that serve their keys no more, and the time until these
-    /// have another one.
+    /// Returns the ranges whose owners serve them no more, with the time until each
+    /// has another one. The ends of an owner's leases differ by seconds if a grant
+    /// was in progress when it stopped.
     pub fn vacancies(&self, now: Time, directory: &Directory) -> Vec<Vacancy> {
-        let mut ends: HashMap<Incarnation, Time> = HashMap::new();
-        for range in self.services.values().flatten().filter(|range| !range.row.target.is_empty()) {
-            let incarnation = range.row.incarnation();
-            let end = match range.phase {
-                Phase::Unowned(end) => end,
-                Phase::Held | Phase::Releasing
-                    if directory.current(&incarnation).is_some_and(|t| t.is_silent) =>
-                {
-                    // A grant in progress may be carried out.
-                    let pending = range.pending.map_or(Time::default(), |_| self.lease_times.expiry(now));
-                    range.last_expiry().max(pending)
-                }
-                _ => continue,
-            };
-            let known = ends.entry(incarnation).or_default();
-            *known = end.max(*known);
+        let mut list = Vec::new();
+        for (service, ranges) in &self.services {
+            for range in ranges.iter().filter(|range| !range.row.target.is_empty()) {
+                let is_silent = || directory.current(&range.row.incarnation()).is_some_and(|t| t.is_silent);
+                let end = match range.phase {
+                    Phase::Unowned(end) => end,
+                    Phase::Held | Phase::Releasing if is_silent() => {
+                        // A grant in progress may be carried out.
+                        let pending = range.pending.map_or(Time::default(), |_| self.lease_times.expiry(now));
+                        range.last_expiry().max(pending)
+                    }
+                    _ => continue,
+                };
+                list.push(Vacancy::new(now, service, range.row.from, range.row.to, end));
+            }
         }
-        vacancy::list(now, ends)
+        vacancy::bound(&mut list);
+        list
     }
 
     /// Returns the targets that may get keys. Suspected ones that have answered
--- a/crates/catkin-route/src/vacancy.rs
+++ b/crates/catkin-route/src/vacancy.rs
@@ -9,10 +9,9 @@
 //! and each process refuses requests that can't wait so long at once.
 
 use {
-    crate::directory::Incarnation,
     catkin::types::{Span, Time},
     serde::{Deserialize, Serialize},
-    std::collections::HashMap,
+    std::sync::Arc,
 };
 
 /// Time from the end of the leases to the first request for the next owner: a
@@ -23,55 +22,61 @@
 /// Age of the leader's last word above which it is not used.
 const AGE_MAX: Span = Span::from_millis(1_500);
 
-/// Most owners in a message.
+/// Most ranges in a message.
 const VACANCIES_MAX: usize = 64;
 
-/// An owner that serves its keys no more, and when they have another one.
+/// A range of keys whose owner serves it no more, and when it has another one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vacancy {
-    /// Owner by the table.
-    pub incarnation: Incarnation,
-    /// Time until its keys have another owner, in microseconds.
+    /// Service of the keys.
+    pub service: Arc<str>,
+    /// First key of the range.
+    pub from: u16,
+    /// Last key of the range, inclusive.
+    pub to: u16,
+    /// Time until the keys have another owner, in microseconds.
     rest: u64,
 }
 
 impl Vacancy {
+    /// Creates the vacancy of keys whose last lease ends at a time.
+    pub(crate) fn new(now: Time, service: &Arc<str>, from: u16, to: u16, lease_end: Time) -> Self {
+        let rest = (lease_end.since(now) + ASSIGN_TIME).as_micros();
+        Self { service: service.clone(), from, to, rest }
+    }
+
     /// Returns the time until the keys have another owner.
     pub fn rest(&self) -> Span {
         Span::from_micros(self.rest)
     }
 }
 
-/// Returns the vacancies for a message, from the last ends of the leases by owner.
-pub(crate) fn list(now: Time, ends: HashMap<Incarnation, Time>) -> Vec<Vacancy> {
-    let vacancy = |(incarnation, end): (Incarnation, Time)| Vacancy {
-        incarnation,
-        rest: (end.since(now) + ASSIGN_TIME).as_micros(),
-    };
-    let mut list: Vec<Vacancy> = ends.into_iter().map(vacancy).collect();
-    list.sort_by(|a, b| (b.rest, &a.incarnation).cmp(&(a.rest, &b.incarnation)));
-    list.truncate(VACANCIES_MAX);
-    list
+/// Limits a list to what a message takes: the longest vacancies, in which most
+/// requests are refused.
+pub(crate) fn bound(list: &mut Vec<Vacancy>) {
+    if list.len() > VACANCIES_MAX {
+        list.sort_by(|a, b| (b.rest, &a.service, a.from).cmp(&(a.rest, &b.service, b.from)));
+        list.truncate(VACANCIES_MAX);
+    }
 }
 
 /// Vacancies as the leader last told them.
 #[derive(Clone, Debug, Default)]
 pub struct Vacancies {
     told_at: Time,
-    ends: HashMap<Incarnation, Time>,
+    list: Vec<Vacancy>,
 }
 
 impl Vacancies {
     /// Replaces the vacancies by those of the leader's last message.
-    pub fn learn(&mut self, now: Time, list: &[Vacancy]) {
-        self.told_at = now;
-        self.ends = list.iter().map(|v| (v.incarnation.clone(), now.after(v.rest()))).collect();
+    pub fn learn(&mut self, now: Time, list: Vec<Vacancy>) {
+        (self.told_at, self.list) = (now, list);
     }
 
-    /// Returns when the keys of an owner have another one, if that is known and not
-    /// overdue.
-    pub fn end(&self, now: Time, owner: &Incarnation) -> Option<Time> {
-        let end = self.ends.get(owner).copied()?;
+    /// Returns when a key has another owner, if that is known and not overdue.
+    pub fn end(&self, now: Time, service: &str, key: u16) -> Option<Time> {
+        let covers = |v: &&Vacancy| *v.service == *service && v.from <= key && key <= v.to;
+        let end = self.told_at.after(self.list.iter().find(covers)?.rest());
         (now.since(self.told_at) < AGE_MAX && end > now).then_some(end)
     }
 }
