Tell refused callers when the queue for their owner has drained

Cause: callers that were refused as a busy owner's queue was too long, or got no quota within their wait, were told 0.3 of their remaining time, and all of them came back while the queue was as long.

They are told the time in which the queue drains, with the refused requests of all processes that will return. Reports carry the number of these for each target, and the answer the sum for the targets that the process uses. Times above a third of what the caller has left are not counted.

--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -31,8 +31,9 @@
     /// Too many requests come for the service, and this one is not among those
     /// that are admitted. It should return after the span.
     NotAdmitted(Span),
-    /// More requests are queued for the key's owner than it can take in time.
-    QueueTooLong,
+    /// More requests are queued for the key's owner than it can take in time. The
+    /// queue has drained after the span.
+    QueueTooLong(Span),
     /// Less than [`TIME_LEFT_MIN`] is left until the deadline.
     TooLate,
 }
@@ -42,7 +43,10 @@
     pub(crate) fn wait(self) -> Option<Span> {
         match self {
             Self::Denied(Denial::Paused(wait) | Denial::Limited(wait) | Denial::Cold(wait)) => Some(wait),
-            Self::ColdTooLong(wait) | Self::NotAdmitted(wait) | Self::Vacant(wait) => Some(wait),
+            Self::ColdTooLong(wait)
+            | Self::NotAdmitted(wait)
+            | Self::Vacant(wait)
+            | Self::QueueTooLong(wait) => Some(wait),
             _ => None,
         }
     }
@@ -55,7 +59,7 @@
     /// Returns whether waiting would not help.
     fn is_final(self) -> bool {
         let waits = matches!(self, Self::Denied(Denial::Cold(_)));
-        self == Self::QueueTooLong || self.wait().is_some() && !waits
+        self.wait().is_some() && !waits
     }
 }
 
@@ -269,14 +273,26 @@
         && place.incarnation.as_ref() != Some(incarnation)
     {
         let wait_max = routed.route.latency_objective.scale(WAIT_FRACTION);
-        if node.loads.borrow_mut().is_queue_too_long(now, target, wait_max) {
-            return Err(AdmitError::QueueTooLong);
+        if let Some(wait) = node.loads.borrow_mut().queue_drain_time(now, target, wait_max) {
+            return Err(AdmitError::QueueTooLong(wait));
         }
         place.move_to(Some(incarnation));
     }
     Err(AdmitError::Denied(denial))
 }
 
+/// Returns the time after which a request that has waited in vain for the busy owner
+/// of its key should return.
+fn queue_drain_time(node: &Node, routed: &RoutedRequest<'_>, now: Time, error: AdmitError) -> Option<Span> {
+    if !matches!(error, AdmitError::Denied(Denial::NoQuota | Denial::Full)) {
+        return None;
+    }
+    let (owners, directory) = (node.owners()?, node.directory.borrow());
+    let row = owners.table.find(&routed.service, routed.key?)?;
+    let target = directory.current(&row.incarnation())?;
+    node.loads.borrow_mut().queue_drain_time(now, target, Span::ZERO)
+}
+
 /// Returns a target that may get the request now. Waits for one at most until
 /// [`WAIT_FRACTION`] of the latency objective has passed since the request
 /// arrived, or for [`TIME_LEFT_MIN`] if that ends later, as for a late retry.
@@ -314,9 +330,13 @@
             Ok(admitted) => return Ok(admitted),
             Err(error) => error,
         };
-        if error.is_final() || now >= wait_until {
+        if error.is_final() {
             return Err(error);
         }
+        if now >= wait_until {
+            let drain_time = queue_drain_time(node, routed, now, error);
+            return Err(drain_time.map_or(error, AdmitError::QueueTooLong));
+        }
         let waiter = &waiting.get_or_insert_with(|| Waiting::new(node, routed)).waiter;
         let pause = wait_until.since(now).min(RECHECK_INTERVAL);
         let _ = tokio::time::timeout(pause.as_duration(), waiter.notified()).await;
--- a/crates/catkin-edge/src/link/message.rs
+++ b/crates/catkin-edge/src/link/message.rs
@@ -75,6 +75,8 @@
     pub(super) in_flight: Counts,
     /// Requests of the process that are queued for each target.
     pub(super) queued: Counts,
+    /// Refused requests of the process that will return to each target.
+    pub(super) promised: Counts,
     /// Mean time of a request at each target, in seconds; targets without a
     /// measurement are left out.
     pub(super) service_times: Vec<(Arc<str>, f32)>,
@@ -115,6 +117,9 @@
     pub(super) store_age: u64,
     /// Quotas of the process at targets; present in an answer to a report.
     pub(super) quotas: Option<Counts>,
+    /// Refused requests of all processes that will return, for targets for which the
+    /// process has some; present in an answer to a report.
+    pub(super) promised: Counts,
     /// Share of the process at cold targets, once the leader knows the number of
     /// processes; present in an answer to a report.
     pub(super) share: Option<Share>,
--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -171,6 +171,12 @@
         self.quotas.borrow_mut().allot(vm, slots)
     }
 
+    /// Records the refused requests of a process that will return, and returns those
+    /// of all processes for the targets that this one uses.
+    pub(super) fn promised(&self, report: &Report) -> Counts {
+        self.quotas.borrow_mut().report_promised(&report.vm, report.promised.clone())
+    }
+
     /// Records that a process has reported, and returns its share at cold
     /// targets.
     pub(super) fn share(&self, node: &Node, vm: &Arc<str>) -> Option<Share> {
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -55,6 +55,7 @@
         strong,
         in_flight,
         queued,
+        promised: node.loads.borrow_mut().promised(node.now()),
         key_counts,
         service_times,
         limits,
@@ -142,6 +143,7 @@
     // Loads refer to the targets of the newest directory.
     if let Some(allotted) = state.quotas {
         apply_loads(node, now, state.levels.as_deref(), state.use_quotas, &allotted);
+        node.loads.borrow_mut().learn_promised(now, &state.promised);
         sync::apply_leaving(node, &state.leaving);
         sync::apply_staying(node, &state.staying);
         let directory = node.directory.borrow();
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -15,7 +15,9 @@
     },
     catkin::types::{Span, Time},
     catkin_net::set_socket_options,
-    catkin_route::{cold::TokenGrant, level::Levels, pace::Share, peer_view::PeerView, silence::Scope},
+    catkin_route::{
+        cold::TokenGrant, level::Levels, pace::Share, peer_view::PeerView, quotas::Counts, silence::Scope,
+    },
     std::{io, rc::Rc},
     tokio::net::{TcpListener, TcpStream},
 };
@@ -147,11 +149,13 @@
         };
         let mut quotas = None;
         let mut tokens: Vec<TokenGrant> = Vec::new();
+        let mut promised = Counts::new();
         match message.map(|m| postcard::from_bytes(&m)).transpose().map_err(io::Error::other)? {
             Some(Message::Report(report)) => {
                 state.update(node, peers, &report);
                 quotas = Some(peers.allot(node, &report.vm));
                 tokens = peers.tokens(node, &report);
+                promised = peers.promised(&report);
                 leader = report.leader;
             }
             Some(Message::Stop(run_id)) => {
@@ -194,6 +198,7 @@
                 store_age,
                 share: share.filter(|_| quotas.is_some()),
                 quotas,
+                promised,
                 tokens,
                 levels,
                 limits,
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -285,9 +285,31 @@
         Some(wait) => spread(&routed.id, wait),
         None => retry_delay(routed.deadline.since(node.now())),
     };
+    if matches!(refusal, Some(AdmitError::QueueTooLong(_))) {
+        note_promise(node, routed, delay);
+    }
     answer_for_code(code, delay)
 }
 
+/// Part of its remaining time up to which a refused caller obeys a time to return.
+/// With a longer one it does not return.
+const OBEYED_FRACTION: f64 = 1.0 / 3.0;
+
+/// Counts a refused request that will return to the owner of its key.
+fn note_promise(node: &Node, routed: &RoutedRequest<'_>, after: Span) {
+    let now = node.now();
+    if after > routed.deadline.since(now).scale(OBEYED_FRACTION) {
+        return;
+    }
+    let owner = node
+        .owners()
+        .zip(routed.key)
+        .and_then(|(owners, key)| owners.table.find(&routed.service, key).map(|row| row.incarnation()));
+    if let Some(owner) = owner {
+        node.loads.borrow_mut().promise(now, &owner, after);
+    }
+}
+
 /// Part of a wait over which the callers that are told to wait return.
 const RETURN_SPREAD: f64 = 0.25;
 
@@ -344,7 +366,7 @@
             }
             Self::Denied(Denial::Doubted | Denial::Unreachable | Denial::NoQuota | Denial::Full)
             | Self::NotAdmitted(_)
-            | Self::QueueTooLong => Code::QueueFull,
+            | Self::QueueTooLong(_) => Code::QueueFull,
             Self::TooLate => Code::DeadlineTooShort,
         }
     }
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -1,6 +1,7 @@
 //! Chooses the target of a request, from what this process knows of the
 //! targets' load.
 
+mod promises;
 mod slowdown;
 mod state;
 
@@ -446,15 +447,43 @@
         }
     }
 
-    /// Returns whether a request queued for a target would hardly be sent
-    /// within `wait_max`, since the queue is too long.
-    pub fn is_queue_too_long(&mut self, now: Time, target: &Target, wait_max: Span) -> bool {
+    /// Returns the time after which a refused request should return, if one that
+    /// is queued for a target now would hardly be sent within `wait_max`, since
+    /// the queue is too long. The queue has drained by then, also of the requests
+    /// that were refused before.
+    pub fn queue_drain_time(&mut self, now: Time, target: &Target, wait_max: Span) -> Option<Span> {
         let slots = f64::from(target.entry.slots.max(1));
         let incarnation = &target.entry.incarnation;
-        let Some(quota) = self.quota(now, incarnation) else { return false };
+        let quota = self.quota(now, incarnation)?;
         let state = self.state(incarnation);
-        let wait = f64::from(quota.queue_length) * state.service_time * state.slowdown.mean() / slots;
-        quota.left == 0 && wait > wait_max.as_secs_f64()
+        let per_request = state.service_time * state.slowdown.mean() / slots;
+        let wait = Span::from_micros((f64::from(quota.queue_length) * per_request * 1e6) as u64);
+        let promised = state.promises.count(now).max(state.promises.told(now));
+        let drained = wait + Span::from_micros((f64::from(promised) * per_request * 1e6) as u64);
+        (quota.left == 0 && wait > wait_max).then_some(drained)
+    }
+
+    /// Records that a request that was refused returns after a time.
+    pub fn promise(&mut self, now: Time, incarnation: &Incarnation, after: Span) {
+        self.state(incarnation).promises.add(now.after(after));
+    }
+
+    /// Returns the refused requests that will return, for each target that has some.
+    pub fn promised(&mut self, now: Time) -> Vec<(Arc<str>, u32)> {
+        let count = |(id, state): (&Arc<str>, &mut TargetState)| {
+            let count = state.promises.count(now);
+            (count > 0).then(|| (id.clone(), count))
+        };
+        self.targets.iter_mut().filter_map(count).collect()
+    }
+
+    /// Applies how many refused requests of all processes will return, as the leader
+    /// told.
+    pub fn learn_promised(&mut self, now: Time, promised: &Counts) {
+        for (id, state) in &mut self.targets {
+            let count = promised.iter().find(|(other, _)| other == id).map_or(0, |(_, count)| *count);
+            state.promises.learn(now, count);
+        }
     }
 
     /// Counts a request that enters or leaves the queue for a target.
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -1,7 +1,7 @@
 //! What a process knows of one target, and whether it sends it a request.
 
 use {
-    super::slowdown::Slowdown,
+    super::{promises::Promises, slowdown::Slowdown},
     crate::{
         announced::Announced,
         cold::{ColdState, ColdTerms},
@@ -87,6 +87,7 @@
     pub(super) queued: u32,
     pub(super) announced: Announced,
     pub(super) cold: ColdState,
+    pub(super) promises: Promises,
 }
 
 /// This process's quota at a target.
@@ -117,6 +118,7 @@
             queued: 0,
             announced: Announced::default(),
             cold: ColdState::default(),
+            promises: Promises::default(),
         }
     }
 
--- a/crates/catkin-route/src/quotas.rs
+++ b/crates/catkin-route/src/quotas.rs
@@ -46,6 +46,8 @@
     queued: Counts,
     /// Quotas that the process got since the report.
     allotted: Counts,
+    /// Requests that were refused with a time to return, which has not come.
+    promised: Counts,
 }
 
 /// The leader's view of the requests of all processes.
@@ -56,6 +58,8 @@
     totals: HashMap<Arc<str>, u32>,
     /// Queued requests for each target.
     queue_lengths: HashMap<Arc<str>, u32>,
+    /// Refused requests that will return, by target.
+    promised: HashMap<Arc<str>, u32>,
 }
 
 fn add(sums: &mut HashMap<Arc<str>, u32>, counts: &Counts) {
@@ -78,7 +82,9 @@
     pub fn report(&mut self, now: Time, vm: &Arc<str>, in_flight: Counts, queued: Counts) -> usize {
         add(&mut self.totals, &in_flight);
         add(&mut self.queue_lengths, &queued);
-        let report = Report { received_at: now, in_flight, queued, allotted: Vec::new() };
+        let promised = self.reports.get_mut(vm).map(|old| std::mem::take(&mut old.promised));
+        let promised = promised.unwrap_or_default();
+        let report = Report { received_at: now, in_flight, queued, allotted: Vec::new(), promised };
         let old = self.reports.insert(vm.clone(), report);
         let removed =
             self.reports.extract_if(.., |_, report| now.since(report.received_at) >= REPORT_AGE_MAX);
@@ -86,12 +92,31 @@
             subtract(&mut self.totals, &old.in_flight);
             subtract(&mut self.totals, &old.allotted);
             subtract(&mut self.queue_lengths, &old.queued);
+            subtract(&mut self.promised, &old.promised);
         }
+        self.promised.retain(|_, count| *count > 0);
         self.totals.retain(|_, total| *total > 0);
         self.queue_lengths.retain(|_, count| *count > 0);
         self.reports.len()
     }
 
+    /// Replaces the refused requests of a process that will return. Returns how many
+    /// all processes have, for the targets for which this one has queued or refused
+    /// some: with them the next one that is refused is told a time at which the
+    /// target has room.
+    pub fn report_promised(&mut self, vm: &str, promised: Counts) -> Counts {
+        let Some(report) = self.reports.get_mut(vm) else { return Vec::new() };
+        subtract(&mut self.promised, &report.promised);
+        add(&mut self.promised, &promised);
+        report.promised = promised;
+        let mut ids: Vec<&Arc<str>> =
+            report.queued.iter().chain(&report.promised).map(|(id, _)| id).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        let known = ids.into_iter().filter_map(|id| Some((id.clone(), *self.promised.get(id)?)));
+        known.filter(|(_, count)| *count > 0).collect()
+    }
+
     /// Returns the load of a target by the reports of all processes.
     pub fn load(&self, id: &str) -> TargetLoad {
         let total = self.totals.get(id).copied().unwrap_or(0);
--- a/crates/catkin-route/tests/load.rs
+++ b/crates/catkin-route/tests/load.rs
@@ -82,11 +82,11 @@
     let second = Span::from_secs(1);
     // 6 slots and 100 ms a request: 60 requests are a queue of one second.
     loads.set_quotas(at(0), &quotas(0, 50));
-    assert!(!loads.is_queue_too_long(at(1), target(&directory), second));
+    assert_eq!(loads.queue_drain_time(at(1), target(&directory), second), None);
     loads.set_quotas(at(0), &quotas(0, 70));
-    assert!(loads.is_queue_too_long(at(1), target(&directory), second));
+    assert!(loads.queue_drain_time(at(1), target(&directory), second).is_some_and(|wait| wait > second));
     loads.set_quotas(at(0), &quotas(1, 70));
-    assert!(!loads.is_queue_too_long(at(1), target(&directory), second));
+    assert_eq!(loads.queue_drain_time(at(1), target(&directory), second), None);
 }
 
 /// Bytes between zones cost money: a large body leaves its zone only for a
