--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -44,7 +44,7 @@
     attempts: Family<EndLabel, Counter>,
     commands: Family<KindLabel, Counter>,
     probes: Family<EndLabel, Counter>,
-    suspicions: Family<EndLabel, Counter>,
+    suspicions: Counter,
     silent_targets: Family<ServiceLabel, Gauge>,
     cold: Family<EndLabel, Counter>,
     zone_crossings: Family<ServiceLabel, Counter>,
@@ -73,7 +73,7 @@
         registry.register("commands", "Commands to targets about keys", commands.clone());
         let probes = Family::default();
         registry.register("health_checks", "Health checks of targets by how they ended", probes.clone());
-        let suspicions = Family::default();
+        let suspicions = Counter::default();
         let help = "Requests to targets that got no byte for so long that their target counts as silent";
         registry.register("suspicions", help, suspicions.clone());
         let silent_targets = Family::default();
@@ -208,10 +208,10 @@
         self.probes.get_or_create(&EndLabel { end }).inc();
     }
 
-    /// Counts a request to a target, or a health check, that got no byte for so long
-    /// that the target counts as silent.
-    pub(crate) fn count_suspicion(&self, end: &'static str) {
-        self.suspicions.get_or_create(&EndLabel { end }).inc();
+    /// Counts a request to a target that got no byte for so long that the target counts
+    /// as silent.
+    pub(crate) fn count_suspicion(&self) {
+        self.suspicions.inc();
     }
 
     /// Sets the number of targets that have stopped responding, by service.
--- a/crates/catkin-edge/src/silence.rs
+++ b/crates/catkin-edge/src/silence.rs
@@ -28,7 +28,7 @@
 }
 
 fn note_evidence(node: &Node) {
-    node.metrics.count_suspicion("own");
+    node.metrics.count_suspicion();
     node.request_report();
     apply(node);
 }
--- a/crates/catkin-edge/tests/soak.rs
+++ b/crates/catkin-edge/tests/soak.rs
@@ -47,6 +47,9 @@
 /// Number of faults for each server that turns cold.
 const COLD_EVERY: u32 = 6;
 
+/// Number of faults for each server that stops responding.
+const PAUSE_EVERY: u32 = 4;
+
 /// Requests per second that a cold server takes.
 const COLD_RATE: f64 = 2.0;
 
@@ -229,6 +232,19 @@
     sleep(10_000).await;
 }
 
+/// Lets a random server stop responding for a time that is shorter or longer than
+/// its leases.
+async fn pause(fleet: Rc<Fleet>, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let (i, wait) = (random.random_range(0..fleet.servers.len()), random.random_range(500..6_000));
+    let server = &fleet.servers[i];
+    server.set_paused(true);
+    sleep(wait).await;
+    let (requests, checks) = server.paused_requests();
+    server.set_paused(false);
+    println!("  {} paused for {wait} ms: {requests} requests, {checks} health checks", server.id());
+}
+
 /// Evacuates the zone of one server of each service for a random time.
 async fn evacuate_zone(fleet: Rc<Fleet>, seed: u64) {
     let wait = ChaCha8Rng::seed_from_u64(seed).random_range(500..16_000);
@@ -279,6 +295,9 @@
         if version % COLD_EVERY == 0 {
             faults.push(actix_rt::spawn(turn_cold(fleet.clone(), seed * 1_000 + 800 + u64::from(version))));
         }
+        if version % PAUSE_EVERY == 2 {
+            faults.push(actix_rt::spawn(pause(fleet.clone(), seed * 1_000 + 650 + u64::from(version))));
+        }
         if version % EVACUATION_EVERY == 0 {
             faults
                 .push(actix_rt::spawn(evacuate_zone(fleet.clone(), seed * 1_000 + 250 + u64::from(version))));
@@ -308,7 +327,8 @@
 /// Under any faults, no non-idempotent request runs twice, no refusal is false,
 /// no key has two owners, no answer belongs to another request, what servers
 /// announce in their answers is kept by processes that run all the while, cold
-/// servers get no more than they take, and service recovers.
+/// servers get no more than they take, keys of servers that stop responding go to
+/// one other server, and service recovers.
 #[actix_rt::test]
 async fn promises_hold_under_random_faults() {
     let first = number("SOAK_FIRST", 1);
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -31,6 +31,9 @@
 /// requests.
 const EVACUATION_TIME: Duration = Duration::from_secs(5);
 
+/// Least time after which the connection of an unanswered command is reset.
+const COMMAND_TIMEOUT_MIN: Duration = Duration::from_millis(400);
+
 /// Faults of a server. For those with a number n, 0 means off.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServerFaults {
@@ -264,20 +267,26 @@
         self.inner.paused_requests.get()
     }
 
-    async fn await_continue(&self, request: &Request) {
+    /// Waits until the server is not paused. Returns whether the request still
+    /// arrives: the connection of a command is reset before the pause ends if that
+    /// lasts for longer, so that the process never reads the command.
+    async fn await_continue(&self, request: &Request) -> bool {
         let inner = &self.inner;
         if !inner.paused.get() {
-            return;
+            return true;
         }
         let (requests, checks) = inner.paused_requests.get();
-        match request.path() {
-            "/v1/grant" | "/v1/release" => {}
-            "/health" => inner.paused_requests.set((requests, checks + 1)),
-            _ => inner.paused_requests.set((requests + 1, checks)),
+        let is_command = matches!(request.path(), "/v1/grant" | "/v1/release");
+        if request.path() == "/health" {
+            inner.paused_requests.set((requests, checks + 1));
+        } else if !is_command {
+            inner.paused_requests.set((requests + 1, checks));
         }
+        let arrived = Instant::now();
         while inner.paused.get() {
             actix_rt::time::sleep(Duration::from_millis(2)).await;
         }
+        !is_command || arrived.elapsed() < COMMAND_TIMEOUT_MIN
     }
 
     /// Announces that the server leaves, by the state `draining` in its entry.
@@ -380,7 +389,9 @@
         if self.inner.stopped.get() {
             return pending().await;
         }
-        self.await_continue(&request).await;
+        if !self.await_continue(&request).await {
+            return pending().await;
+        }
         match request.path() {
             "/v1/grant" | "/v1/release" => self.command(request).await,
             "/health" => self.report_health(),
