Count the time of a request's body before its target counts as silent

A body of 540 KB takes 0.4 s on a link of 10 Mbit/s, during which the target can't answer. The limit grows by twice that time, as requests share the link.

--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -6,6 +6,7 @@
         HttpMessage, RequestHead, ResponseHead, StatusCode,
         header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE},
     },
+    bytes::Bytes,
     catkin::types::{Span, Time},
     catkin_net::{Conn, HttpAnswer},
     catkin_platform::name,
@@ -103,11 +104,18 @@
     }
 }
 
+/// Factor on the time that a body takes on the link of the process alone.
+const LINK_SHARE_FACTOR: f64 = 2.0;
+
 /// Returns the time without a byte after which a target counts as silent to which
 /// a request is sent now.
-fn silence_limit(node: &Node, target: &Admitted, now: Time) -> Span {
+fn silence_limit(node: &Node, routed: &RoutedRequest<'_>, target: &Admitted, now: Time) -> Span {
     let factor = node.loads.borrow_mut().time_factor(now, &target.entry, node.peers());
-    node.silence.borrow().limit(&target.entry.service, factor)
+    let limit = node.silence.borrow().limit(&target.entry.service, factor);
+    // A target answers once it has the body, which shares the link with others.
+    let bytes: usize = routed.incoming.body.iter().map(Bytes::len).sum();
+    let seconds = bytes as f64 * 8.0 / (node.settings.bandwidth.max(0.1) * 1e6);
+    limit + Span::from_micros((LINK_SHARE_FACTOR * seconds * 1e6) as u64)
 }
 
 fn build_head(routed: &RoutedRequest<'_>, target: &Admitted, now: Time) -> Option<RequestHead> {
@@ -186,7 +194,7 @@
     let in_flight = InFlight {
         incarnation,
         sent_at,
-        limit: silence_limit(node, target, now),
+        limit: silence_limit(node, routed, target, now),
         received_before: received.get(),
         received,
     };
