--- a/crates/catkin-edge/src/link/peers.rs
+++ b/crates/catkin-edge/src/link/peers.rs
@@ -6,7 +6,7 @@
     crate::{
         lead,
         node::{Node, VersionedOwners},
-        sync,
+        silence, sync,
     },
     catkin::types::{Span, Time},
     catkin_route::{
@@ -223,6 +223,12 @@
         self.quotas.borrow_mut().allot(vm, room)
     }
 
+    /// Records the refused requests of a process that will return, and returns those
+    /// of all processes for the targets that this one uses.
+    pub(super) fn promised(&self, vm: &str, promised: Counts) -> Counts {
+        self.quotas.borrow_mut().report_promised(vm, promised)
+    }
+
     /// Records that a process has reported, and returns its share at cold
     /// targets.
     pub(super) fn share(&self, node: &Node, vm: &Arc<str>) -> Option<Share> {
@@ -323,7 +329,7 @@
         let mut reports = self.reports.borrow_mut();
         reports.insert(report.vm.clone(), Peer { reported_at: now, strong: report.strong });
         reports.retain(|_, peer| now.since(peer.reported_at) < PEER_TIMEOUT);
-        let ReportedCounts { in_flight, queued, urgent, service_times } = counts;
+        let ReportedCounts { in_flight, queued, urgent, service_times, .. } = counts;
         if let Some(zones) = &report.zones {
             self.spill.borrow_mut().report(now, &report.vm, zones);
         }
@@ -345,6 +351,7 @@
             }
         });
         sync::apply_leaving(node, &report.leaving);
+        silence::learn(node, &report.silence);
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 }
--- a/crates/catkin-edge/src/link/report.rs
+++ b/crates/catkin-edge/src/link/report.rs
@@ -5,7 +5,7 @@
     super::message::{Frame, LINK_TIMEOUT, MessageReader, connect, into_batch, write, write_frame},
     crate::{
         node::{Node, VersionedOwners, sleep},
-        sync,
+        silence, sync,
     },
     catkin::types::{Span, Time},
     catkin_route::{
@@ -20,6 +20,7 @@
         peer_view::Known,
         quotas::{Counts, TargetQuota},
         report_times::ReportTimes,
+        silence::Scope,
     },
     std::{collections::HashMap, io, rc::Rc, sync::Arc},
 };
@@ -30,7 +31,8 @@
 /// Interval between reports in a large fleet.
 const REPORT_INTERVAL_LARGE: Span = Span::from_millis(500);
 
-/// Least time between a report and a further one that requests a quota.
+/// Least time between a report and a further one that requests a quota or tells of
+/// a target that has stopped responding.
 const QUOTA_REPORT_INTERVAL_MIN: Span = Span::from_millis(60);
 
 /// What a process has received on one link to a leader.
@@ -79,6 +81,7 @@
     let in_flight = node.loads.borrow().in_flight();
     let queued = node.loads.borrow().queue_lengths();
     let urgent = node.loads.borrow().urgent_lengths();
+    let promised = node.loads.borrow_mut().promised(now);
     let limits = node.loads.borrow().limit_reports(now);
     let zones =
         is_full.then(|| node.loads.borrow_mut().spill().take_report(&node.directory.borrow())).flatten();
@@ -97,10 +100,12 @@
         in_flight: ByTarget::new(in_flight, numbering),
         queued: ByTarget::new(queued, numbering),
         urgent: ByTarget::new(urgent, numbering),
+        promised: ByTarget::new(promised, numbering),
         key_counts,
         service_times: ByTarget::new(service_times, numbering),
         limits,
         leaving: node.directory.borrow().leaving(),
+        silence: silence::reports(node, Scope::Own),
         admission,
         zones,
     }
@@ -185,6 +190,11 @@
     if let Some(shares) = &state.admission {
         node.admission.borrow_mut().apply(now, shares);
     }
+    node.vacancies.borrow_mut().learn(now, state.vacancies);
+    if !node.is_leader.get() {
+        node.silence.borrow_mut().learn_exempt(now, state.silence_exempt);
+    }
+    silence::learn(node, &state.silence);
     if let Some(table) = state.zones {
         node.loads.borrow_mut().spill().learn(now, table);
     }
@@ -192,6 +202,7 @@
     if let Some(allotted) = state.quotas {
         let levels = state.levels.as_ref().and_then(|update| link.levels.apply(update));
         apply_loads(node, now, levels, state.use_quotas, &allotted);
+        node.loads.borrow_mut().learn_promised(now, &state.promised);
         sync::apply_leaving(node, &state.leaving);
         sync::apply_staying(node, &state.staying);
         let directory = node.directory.borrow();
@@ -250,9 +261,9 @@
     loads.renew_quotas(now, allotted);
 }
 
-/// Waits until a request needs a quota and the last report is old enough and
-/// answered: quotas that arrive late would be of no use, and those on their way
-/// are kept from other processes.
+/// Waits until a request needs a quota, or a target has stopped responding, and the
+/// last report is old enough and answered: quotas that arrive late would be of no
+/// use, and those on their way are kept from other processes.
 async fn quota_due(node: &Node, last_report: Time, is_answered: bool) {
     if !is_answered {
         return std::future::pending().await;
--- a/crates/catkin-edge/src/link/serve.rs
+++ b/crates/catkin-edge/src/link/serve.rs
@@ -8,6 +8,7 @@
     crate::{
         lead,
         node::{Node, VersionedOwners, sleep},
+        silence,
     },
     catkin::types::{Span, Time},
     catkin_net::{limit_send_buffer, set_socket_options},
@@ -19,6 +20,8 @@
         pace::Share,
         pacing::{ZonePacing, levels_interval},
         peer_view::{Known, PeerView},
+        quotas::Counts,
+        silence::Scope,
     },
     std::{io, rc::Rc},
     tokio::{
@@ -178,11 +181,13 @@
     let mut owners = node.owners.subscribe();
     let mut configs = node.config_feed.subscribe();
     let mut targets = node.directory_feed.subscribe();
+    let mut silent = node.silence_changes.subscribe();
     let mut state = PeerState::default();
     let mut leader = node.identity.run_id;
     let mut awaits_turn = false;
     loop {
         let mut turn = None;
+        let mut has_silence = false;
         let message = tokio::select! {
             message = tokio::time::timeout(LINK_TIMEOUT.as_duration(), messages.next()) => Some(message??),
             changed = owners.changed() => changed.map(|()| None).map_err(io::Error::other)?,
@@ -192,15 +197,22 @@
                 turn = Some(next?);
                 None
             }
+            changed = silent.changed() => {
+                has_silence = true;
+                changed.map(|()| None).map_err(io::Error::other)?
+            }
         };
         let mut quotas = None;
         let mut tokens: Vec<TokenGrant> = Vec::new();
+        let mut promised = Counts::new();
         match message.map(|m| postcard::from_bytes(&m)).transpose().map_err(io::Error::other)? {
             Some(Message::Report(mut report)) => {
-                let counts = peers.take_counts(&mut report)?;
+                let mut counts = peers.take_counts(&mut report)?;
+                let own_promised = std::mem::take(&mut counts.promised);
                 state.update(node, peers, &report, counts);
                 quotas = Some(peers.allot(node, &report.vm));
                 tokens = peers.tokens(node, &report.vm);
+                promised = peers.promised(&report.vm, own_promised);
                 leader = report.leader;
             }
             Some(Message::Stop(run_id)) => {
@@ -220,7 +232,7 @@
         let has_records = changes.iter().flatten().any(|c| !c.records.is_empty());
         // Without a change nothing is sent; the answer to the next report has
         // the current age of the store's last answer.
-        if quotas.is_some() || has_records {
+        if quotas.is_some() || has_records || has_silence {
             let store_age = node.last_join.get().map_or(u64::MAX, |at| node.now().since(at).as_micros());
             let levels = quotas.as_ref().and_then(|_| state.levels(node, peers));
             let limits = match quotas {
@@ -229,6 +241,8 @@
             };
             let leaving = if quotas.is_some() { node.directory.borrow().leaving() } else { Vec::new() };
             let staying = if quotas.is_some() { node.directory.borrow().staying() } else { Vec::new() };
+            let silence = silence::reports(node, Scope::All);
+            let silence_exempt = silence::exempt_services(node);
             let admission = quotas.as_ref().map(|_| peers.admission(node.now()));
             let zones = quotas.as_ref().and_then(|_| peers.zones(node));
             let zones = zones.and_then(|zones| state.zones.due(node.now(), zones));
@@ -240,11 +254,15 @@
                 store_age,
                 share: share.filter(|_| quotas.is_some()),
                 quotas,
+                promised,
                 tokens,
                 levels,
                 limits,
                 leaving,
                 staying,
+                silence,
+                silence_exempt,
+                vacancies: node.own_vacancies.borrow().clone(),
                 admission,
                 zones,
                 numbering: state.numbering(node, peers),
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use {
     catkin::types::{Size, Span},
-    catkin_route::load::SlowTargets,
+    catkin_route::{directory::Directory, load::SlowTargets},
     prometheus_client::{
         encoding::{EncodeLabelSet, text},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -47,6 +47,8 @@
     attempts: Family<EndLabel, Counter>,
     commands: Family<KindLabel, Counter>,
     probes: Family<EndLabel, Counter>,
+    suspicions: Counter,
+    silent_targets: Family<ServiceLabel, Gauge>,
     cold: Family<EndLabel, Counter>,
     zone_crossings: Family<ServiceLabel, Counter>,
     latency: Histogram,
@@ -78,6 +80,12 @@
         registry.register("commands", "Commands to targets about keys", commands.clone());
         let probes = Family::default();
         registry.register("health_checks", "Health checks of targets by how they ended", probes.clone());
+        let suspicions = Counter::default();
+        let help = "Requests to targets that got no byte for so long that their target counts as silent";
+        registry.register("suspicions", help, suspicions.clone());
+        let silent_targets = Family::default();
+        let help = "Targets that have stopped responding";
+        registry.register("silent_targets", help, silent_targets.clone());
         let cold = Family::default();
         registry.register("cold_requests", "Requests for cold targets by what became of them", cold.clone());
         let zone_crossings = Family::default();
@@ -127,6 +135,8 @@
             attempts,
             commands,
             probes,
+            suspicions,
+            silent_targets,
             cold,
             zone_crossings,
             latency,
@@ -239,6 +249,21 @@
         self.probes.get_or_create(&EndLabel { end }).inc();
     }
 
+    /// Counts a request to a target that got no byte for so long that the target counts
+    /// as silent.
+    pub(crate) fn count_suspicion(&self) {
+        self.suspicions.inc();
+    }
+
+    /// Sets the number of targets that have stopped responding, by service.
+    pub(crate) fn set_silent(&self, directory: &Directory) {
+        for service in directory.services() {
+            let count = directory.of_service(service).filter(|target| target.is_silent).count();
+            let gauge = self.silent_targets.get_or_create(&ServiceLabel { service: service.clone() });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -208,6 +208,7 @@
     let mut attempts = Attempts::new(&routed.route, routed.deadline);
     let mut failed = None;
     let mut refusal = None;
+    let mut has_retry = false;
     let code = loop {
         let target = match admit::admit(node, routed, &attempts).await {
             Ok(target) => target,
@@ -217,8 +218,8 @@
             }
         };
         let peers = node.peers();
-        if attempts.reached() > 0 && !node.budget.borrow_mut().take_retry(node.now(), &routed.service, peers)
-        {
+        let needs_retry = attempts.reached() > 0 && !std::mem::take(&mut has_retry);
+        if needs_retry && !node.budget.borrow_mut().take_retry(node.now(), &routed.service, peers) {
             break Code::RetryBudget;
         }
         let (end, code) = match attempt::send(node, routed, &mut attempts, &target).await {
@@ -235,6 +236,10 @@
             AttemptOutcome::Unreachable => (AttemptEnd::Unreachable, Code::ConnectFailed),
             AttemptOutcome::NoValidAnswer => (AttemptEnd::Unanswered, Code::AnswerCut),
             AttemptOutcome::TimedOut => (AttemptEnd::Unanswered, Code::OutcomeUnknown),
+            AttemptOutcome::Abandoned => {
+                has_retry = true;
+                (AttemptEnd::Unanswered, Code::OutcomeUnknown)
+            }
         };
         attempts.record(&target.incarnation, end);
         if node.log_limiter.allow(node.now(), "attempt failed") {
@@ -280,9 +285,31 @@
         Some(wait) => spread(&routed.id, wait),
         None => retry_delay(routed.deadline.since(node.now())),
     };
+    if matches!(refusal, Some(AdmitError::QueueTooLong(_))) {
+        note_promise(node, routed, delay);
+    }
     answer_for_code(code, delay)
 }
 
+/// Part of its remaining time up to which a refused caller obeys a time to return.
+/// With a longer one it does not return.
+const OBEYED_FRACTION: f64 = 1.0 / 3.0;
+
+/// Counts a refused request that will return to the owner of its key.
+fn note_promise(node: &Node, routed: &RoutedRequest<'_>, after: Span) {
+    let now = node.now();
+    if after > routed.deadline.since(now).scale(OBEYED_FRACTION) {
+        return;
+    }
+    let owner = node
+        .owners()
+        .zip(routed.key)
+        .and_then(|(owners, key)| owners.table.find(&routed.service, key).map(|row| row.incarnation()));
+    if let Some(owner) = owner {
+        node.loads.borrow_mut().promise(now, &owner, after);
+    }
+}
+
 /// Part of a wait over which the callers that are told to wait return.
 const RETURN_SPREAD: f64 = 0.25;
 
@@ -332,14 +359,14 @@
 impl AdmitError {
     fn code(self) -> Code {
         match self {
-            Self::NoTarget => Code::NoOwner,
+            Self::NoTarget | Self::Vacant(_) => Code::NoOwner,
             Self::Denied(Denial::Leaving) => Code::NoOwner,
             Self::Denied(Denial::Paused(_) | Denial::Limited(_) | Denial::Cold(_)) | Self::ColdTooLong(_) => {
                 Code::TargetLimited
             }
             Self::Denied(Denial::Doubted | Denial::Unreachable | Denial::NoQuota | Denial::Full)
             | Self::NotAdmitted(_)
-            | Self::QueueTooLong => Code::QueueFull,
+            | Self::QueueTooLong(_) => Code::QueueFull,
             Self::TooLate => Code::DeadlineTooShort,
         }
     }
--- a/crates/catkin-edge/tests/links.rs
+++ b/crates/catkin-edge/tests/links.rs
@@ -132,6 +132,8 @@
         in_flight: ByTarget::default(),
         queued: ByTarget::default(),
         urgent: ByTarget::default(),
+        promised: ByTarget::default(),
+        silence: Vec::new(),
         service_times: ByTarget::default(),
         limits: Vec::new(),
         leaving: Vec::new(),
@@ -157,6 +159,7 @@
     let mut stream = socket.connect(addr).await?;
     let (mut count, mut buffer) = (0, BytesMut::new());
     let (mut received, mut known) = (Received::default(), Known::default());
+    let mut table: Option<(u64, Owners)> = None;
     let mut reported_at: Option<Instant> = None;
     let read_from = Instant::now() + UNREAD_TIME;
     while received.rows == 0 || received.entries == 0 {
@@ -185,9 +188,13 @@
             match postcard::from_bytes(&message[4..]).map_err(io::Error::other)? {
                 LeaderMessage::State(_) => {}
                 LeaderMessage::Table(update) => {
-                    assert!(matches!(update, TableUpdate::Full { .. }), "the process has no table");
-                    let (offset, table) = update.apply(None).unwrap().unwrap();
-                    (known.table, received.rows) = (Some(offset), table.services["keyed"].len());
+                    // Keys may move once the full table is on its way.
+                    let is_full = matches!(update, TableUpdate::Full { .. });
+                    assert!(is_full || table.is_some(), "the process has no table");
+                    let old = table.as_ref().map(|(offset, table)| (*offset, table));
+                    let newer = update.apply(old).unwrap().unwrap();
+                    (known.table, received.rows) = (Some(newer.0), newer.1.services["keyed"].len());
+                    table = Some(newer);
                 }
                 LeaderMessage::Listing(listing) => {
                     known.next_offsets[1] = Some(listing.to);
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -6,6 +6,7 @@
 //! | module | decides |
 //! |---|---|
 //! | [`config`] | which route a request takes, and whether a configuration is valid |
+//! | [`silence`] | which targets have stopped responding |
 //! | [`spill`] | which share of a zone's requests goes to other zones |
 //! | [`split`] | which service of a split route gets the next request |
 //! | [`backlog`] | which records are forwarded to other processes |
@@ -33,6 +34,7 @@
 //! | [`peer_count`] | how many processes there are |
 //! | [`peer_view`] | what a process behind a link knows and needs not be sent again |
 //! | [`quotas`] | which quota of a busy target's slots each process gets |
+//! | [`vacancy`] | when keys without an owner have one again |
 //! | [`topic_copy`] | which records of a topic a process keeps for others |
 //! | [`backoff`] | when a store that could not be read is called again |
 //! | [`report_times`] | how old a state of the leader is when it arrives |
@@ -68,8 +70,10 @@
 pub mod rate;
 pub mod report_times;
 pub mod service_time;
+pub mod silence;
 pub mod spill;
 pub mod split;
 pub mod subset;
 pub mod succession;
 pub mod topic_copy;
+pub mod vacancy;
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -1,6 +1,7 @@
 //! Chooses the target of a request, from what this process knows of the
 //! targets' load.
 
+mod promises;
 mod slowdown;
 mod state;
 mod watch;
@@ -206,7 +207,7 @@
         peers: u32,
         fill: FillFactor,
     ) -> Result<(), Denial> {
-        if target.is_doubted {
+        if target.is_doubted || target.is_silent {
             return Err(Denial::Doubted);
         }
         let serves = if has_key { target.serves_keys(now) } else { target.is_open() };
@@ -379,14 +380,20 @@
         fill: FillFactor,
     ) -> Option<Denial> {
         let mut first: Option<(Span, Denial)> = None;
+        let mut silent = None;
         for target in directory.of_service(service) {
+            if target.is_silent {
+                // Others say when a request should return.
+                silent = Some(Denial::Doubted);
+                continue;
+            }
             let Err(denial) = self.check(now, target, false, peers, fill) else { continue };
             let Some(rest) = denial.rest() else { return Some(denial) };
             if first.is_none_or(|(least, _)| rest < least) {
                 first = Some((rest, denial));
             }
         }
-        first.map(|(_, denial)| denial)
+        first.map(|(_, denial)| denial).or(silent)
     }
 
     fn choose_among<'a>(
@@ -469,15 +476,43 @@
         }
     }
 
-    /// Returns whether a request queued for a target would hardly be sent
-    /// within `wait_max`, since the queue is too long.
-    pub fn is_queue_too_long(&mut self, now: Time, target: &Target, wait_max: Span) -> bool {
+    /// Returns the time after which a refused request should return, if one that
+    /// is queued for a target now would hardly be sent within `wait_max`, since
+    /// the queue is too long. The queue has drained by then, also of the requests
+    /// that were refused before.
+    pub fn queue_drain_time(&mut self, now: Time, target: &Target, wait_max: Span) -> Option<Span> {
         let slots = f64::from(target.entry.slots.max(1));
         let incarnation = &target.entry.incarnation;
-        let Some(quota) = self.quota(now, incarnation) else { return false };
+        let quota = self.quota(now, incarnation)?;
         let state = self.state(incarnation);
-        let wait = f64::from(quota.queue_length) * state.service_time * state.slowdown.mean() / slots;
-        quota.left == 0 && wait > wait_max.as_secs_f64()
+        let per_request = state.service_time * state.slowdown.mean() / slots;
+        let wait = Span::from_micros((f64::from(quota.queue_length) * per_request * 1e6) as u64);
+        let promised = state.promises.count(now).max(state.promises.told(now));
+        let drained = wait + Span::from_micros((f64::from(promised) * per_request * 1e6) as u64);
+        (quota.left == 0 && wait > wait_max).then_some(drained)
+    }
+
+    /// Records that a request that was refused returns after a time.
+    pub fn promise(&mut self, now: Time, incarnation: &Incarnation, after: Span) {
+        self.state(incarnation).promises.add(now.after(after));
+    }
+
+    /// Returns the refused requests that will return, for each target that has some.
+    pub fn promised(&mut self, now: Time) -> Vec<(Arc<str>, u32)> {
+        let count = |(id, state): (&Arc<str>, &mut TargetState)| {
+            let count = state.promises.count(now);
+            (count > 0).then(|| (id.clone(), count))
+        };
+        self.targets.iter_mut().filter_map(count).collect()
+    }
+
+    /// Applies how many refused requests of all processes will return, as the leader
+    /// told.
+    pub fn learn_promised(&mut self, now: Time, promised: &Counts) {
+        for (id, state) in &mut self.targets {
+            let count = promised.iter().find(|(other, _)| other == id).map_or(0, |(_, count)| *count);
+            state.promises.learn(now, count);
+        }
     }
 
     /// Counts a request that enters or leaves the queue for a target.
@@ -516,7 +551,8 @@
     }
 
     /// Records the end of an attempt at a target and the time that it took.
-    /// `slots` are the target's slots.
+    /// `slots` are the target's slots. Returns the time at the usual speed and without
+    /// queueing of an attempt that ended well.
     pub fn end(
         &mut self,
         now: Time,
@@ -524,13 +560,14 @@
         completion: Completion,
         took: Span,
         slots: u32,
-    ) {
+    ) -> Option<Span> {
         let slots = f64::from(slots);
-        let Some(state) = self.targets.get_mut(&incarnation.id) else { return };
+        let state = self.targets.get_mut(&incarnation.id)?;
         state.in_flight = state.in_flight.saturating_sub(1);
         if state.incarnation != *incarnation {
-            return;
+            return None;
         }
+        let mut usual_time = None;
         let failed = match completion {
             Completion::Good => 0.0,
             Completion::Refused | Completion::Failed | Completion::Unreachable => 1.0,
@@ -543,6 +580,7 @@
                 let fill = state.fill(slots);
                 let taken = took.as_secs_f64() / fill.max(1.0);
                 let time = taken / state.slowdown.at(now);
+                usual_time = Some(Span::from_micros((time * 1e6) as u64));
                 state.service_time += (time - state.service_time) * SERVICE_TIME_WEIGHT;
                 state.times.add(taken as f32);
                 state.backoff = Span::ZERO;
@@ -560,6 +598,24 @@
             Completion::Refused | Completion::Failed => {}
         }
         state.reported_load = 0.0;
+        usual_time
+    }
+
+    /// Forgets failed attempts at a target that had stopped responding and answers
+    /// again. It would get no requests otherwise while others have room, and so
+    /// never show that it serves them.
+    pub fn forgive(&mut self, incarnation: &Incarnation) {
+        let state = self.state(incarnation);
+        (state.failure_rate, state.backoff, state.backoff_end) = (0.0, Span::ZERO, Time::default());
+    }
+
+    /// Returns the expected time of the last request that was sent to a target, as
+    /// a multiple of the usual time, for its slowness and its queue.
+    pub fn time_factor(&mut self, now: Time, target: &Entry, peers: u32) -> f64 {
+        let slots = f64::from(target.slots.max(1));
+        let state = self.state(&target.incarnation);
+        let waiting = (state.requests(now, peers) - slots).max(0.0);
+        (1.0 + waiting / slots) * state.slowdown.at(now).max(state.slowdown.mean()).max(1.0)
     }
 
     /// Records a target's own report: the number of requests that run or wait
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -1,7 +1,7 @@
 //! What a process knows of one target, and whether it sends it a request.
 
 use {
-    super::{slowdown::Slowdown, watch::SlowWatch},
+    super::{promises::Promises, slowdown::Slowdown, watch::SlowWatch},
     crate::{
         announced::Announced,
         cold::{ColdState, ColdTerms},
@@ -35,7 +35,8 @@
 pub enum Denial {
     /// It leaves.
     Leaving,
-    /// It may be leaving, which is being found out.
+    /// It may be leaving or may have stopped responding, which is being found
+    /// out.
     Doubted,
     /// It wants no request of this process for the span.
     Paused(Span),
@@ -89,6 +90,7 @@
     pub(super) urgent: u32,
     pub(super) announced: Announced,
     pub(super) cold: ColdState,
+    pub(super) promises: Promises,
 }
 
 /// This process's quota at a target.
@@ -121,6 +123,7 @@
             urgent: 0,
             announced: Announced::default(),
             cold: ColdState::default(),
+            promises: Promises::default(),
         }
     }
 
--- a/crates/catkin-route/src/message.rs
+++ b/crates/catkin-route/src/message.rs
@@ -18,7 +18,9 @@
         peer_view::Known,
         quotas::Counts,
         service_time::TimeSum,
+        silence::SilenceReport,
         spill::{ZoneReport, ZoneTable},
+        vacancy::Vacancy,
     },
     catkin::{Code, Error},
     serde::{Deserialize, Serialize},
@@ -62,6 +64,8 @@
     pub queued: ByTarget<u32>,
     /// Those of the most urgent of several ranks among them.
     pub urgent: ByTarget<u32>,
+    /// Refused requests of the process that will return to each target.
+    pub promised: ByTarget<u32>,
     /// Times that requests took at targets since the last report that had them; recent
     /// ones for a new leader. Targets without a measurement are left out.
     pub service_times: ByTarget<TimeSum>,
@@ -69,6 +73,8 @@
     pub limits: Vec<LimitReport>,
     /// Listed targets that said in an answer that they leave.
     pub leaving: Vec<Incarnation>,
+    /// What the process has observed of targets that may have stopped responding.
+    pub silence: Vec<SilenceReport>,
     /// Requests by service and rank since the last report that had them.
     pub admission: admission::Report,
     /// What the process asked of the services without keys since the last report that
@@ -85,6 +91,8 @@
     pub queued: Counts,
     /// Those of the most urgent of several ranks among them.
     pub urgent: Counts,
+    /// Refused requests of the process that will return to each target.
+    pub promised: Counts,
     /// Times that requests took at targets.
     pub service_times: Vec<(Arc<str>, TimeSum)>,
 }
@@ -97,6 +105,7 @@
             in_flight: std::mem::take(&mut self.in_flight).resolve(numbering)?,
             queued: std::mem::take(&mut self.queued).resolve(numbering)?,
             urgent: std::mem::take(&mut self.urgent).resolve(numbering)?,
+            promised: std::mem::take(&mut self.promised).resolve(numbering)?,
             service_times: std::mem::take(&mut self.service_times).resolve(numbering)?,
         })
     }
@@ -130,6 +139,9 @@
     pub store_age: u64,
     /// Quotas of the process at targets; present in an answer to a report.
     pub quotas: Option<Counts>,
+    /// Refused requests of all processes that will return, for targets for which the
+    /// process has some; present in an answer to a report.
+    pub promised: Counts,
     /// Share of the process at cold targets, once the leader knows the number of
     /// processes; present in an answer to a report.
     pub share: Option<Share>,
@@ -146,6 +158,14 @@
     /// Listed targets that were in doubt and stay; present in an answer to a
     /// report.
     pub staying: Vec<Incarnation>,
+    /// Newest observations of targets that may have stopped responding; present in an
+    /// answer to a report and when they have changed.
+    pub silence: Vec<SilenceReport>,
+    /// Services with so many such targets that none counts as silent; present as these
+    /// are.
+    pub silence_exempt: Vec<Arc<str>>,
+    /// Ranges of keys that have no owner for a while; present as these are.
+    pub vacancies: Vec<Vacancy>,
     /// Which requests are admitted; present in an answer to a report.
     pub admission: Option<FleetShares>,
     /// Shares of the requests without keys that leave their zone, if targets lie
--- a/crates/catkin-route/tests/message_sizes.rs
+++ b/crates/catkin-route/tests/message_sizes.rs
@@ -87,6 +87,7 @@
         let Report { vm, leader, received, known, key_counts, strong, numbering, .. } = report;
         let Report { in_flight, queued, urgent, service_times, limits, leaving, admission, zones, .. } =
             report;
+        let Report { promised, silence, .. } = report;
         let ids = (vm, leader, received, known, strong, numbering);
         let fields = [
             ("process and offsets", size(&ids)),
@@ -94,6 +95,8 @@
             ("in_flight", size(in_flight)),
             ("queued", size(queued)),
             ("urgent", size(urgent)),
+            ("promised", size(promised)),
+            ("silence", size(silence)),
             ("service_times", size(service_times)),
             ("limits, leaving", size(limits) + size(leaving)),
             ("admission", size(admission)),
@@ -111,8 +114,18 @@
     fn add_state(&mut self, state: &LeaderState) {
         let LeaderState { peer_count, standby, store_age, quotas, share, tokens, levels, .. } = state;
         let LeaderState {
-            limits, leaving, staying, admission, zones, use_quotas, numbering, changes, ..
+            limits,
+            leaving,
+            staying,
+            admission,
+            zones,
+            use_quotas,
+            numbering,
+            changes,
+            promised,
+            ..
         } = state;
+        let LeaderState { silence, silence_exempt, vacancies, .. } = state;
         let fields = [
             ("count and age", size(&(peer_count, standby, store_age, use_quotas, numbering))),
             ("quotas", size(quotas)),
@@ -122,6 +135,8 @@
             ("admission", size(admission)),
             ("zones", size(zones)),
             ("changes", size(changes)),
+            ("promised", size(promised)),
+            ("silence, vacancies", size(silence) + size(silence_exempt) + size(vacancies)),
         ];
         let sum: usize = fields.iter().map(|(_, bytes)| bytes).sum();
         assert_eq!(sum, size(state), "a field is missing");
@@ -410,6 +425,8 @@
             in_flight: ByTarget::new(counts(in_flight), Some(&self.numbering)),
             queued: ByTarget::new(counts(queued), Some(&self.numbering)),
             urgent: ByTarget::default(),
+            promised: ByTarget::default(),
+            silence: Vec::new(),
             service_times: ByTarget::new(times, Some(&self.numbering)),
             limits: Vec::new(),
             leaving: Vec::new(),
@@ -537,12 +554,16 @@
         standby: false,
         store_age: 150_000,
         quotas: None,
+        promised: Vec::new(),
         share: None,
         tokens: Vec::new(),
         levels: None,
         limits: Vec::new(),
         leaving: Vec::new(),
         staying: Vec::new(),
+        silence: Vec::new(),
+        silence_exempt: Vec::new(),
+        vacancies: Vec::new(),
         admission: None,
         zones: None,
         numbering: None,
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -31,6 +31,9 @@
 /// requests.
 const EVACUATION_TIME: Duration = Duration::from_secs(5);
 
+/// Least time after which the connection of an unanswered command is reset.
+const COMMAND_TIMEOUT_MIN: Duration = Duration::from_millis(400);
+
 /// Faults of a server. For those with a number n, 0 means off.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServerFaults {
@@ -67,6 +70,10 @@
     incarnation: Cell<u64>,
     draining: Cell<bool>,
     stopped: Cell<bool>,
+    /// Whether the process is paused, and the number of requests and health checks
+    /// that arrived meanwhile.
+    paused: Cell<bool>,
+    paused_requests: Cell<(u32, u32)>,
     running: Cell<u32>,
     /// Slots, if requests beyond them wait in a queue.
     slots: RefCell<Option<Rc<Semaphore>>>,
@@ -149,6 +156,8 @@
             incarnation: Cell::new(1),
             draining: Cell::new(false),
             stopped: Cell::new(false),
+            paused: Cell::new(false),
+            paused_requests: Cell::default(),
             running: Cell::new(0),
             slots: RefCell::default(),
             received: Cell::new(0),
@@ -257,6 +266,43 @@
         self.inner.announcements.borrow().late_requests()
     }
 
+    /// Stops responding, as a process that is paused: connections stay open and new
+    /// ones are accepted. What arrives meanwhile is handled when the pause ends.
+    pub fn set_paused(&self, is_paused: bool) {
+        self.inner.paused.set(is_paused);
+        if is_paused {
+            self.inner.paused_requests.take();
+        }
+    }
+
+    /// Returns the number of requests and of health checks that arrived in the last
+    /// pause.
+    pub fn paused_requests(&self) -> (u32, u32) {
+        self.inner.paused_requests.get()
+    }
+
+    /// Waits until the server is not paused. Returns whether the request still
+    /// arrives: the connection of a command is reset before the pause ends if that
+    /// lasts for longer, so that the process never reads the command.
+    async fn await_continue(&self, request: &Request) -> bool {
+        let inner = &self.inner;
+        if !inner.paused.get() {
+            return true;
+        }
+        let (requests, checks) = inner.paused_requests.get();
+        let is_command = matches!(request.path(), "/v1/grant" | "/v1/release");
+        if request.path() == "/health" {
+            inner.paused_requests.set((requests, checks + 1));
+        } else if !is_command {
+            inner.paused_requests.set((requests + 1, checks));
+        }
+        let arrived = Instant::now();
+        while inner.paused.get() {
+            actix_rt::time::sleep(Duration::from_millis(2)).await;
+        }
+        !is_command || arrived.elapsed() < COMMAND_TIMEOUT_MIN
+    }
+
     /// Announces that the server leaves, by the state `draining` in its entry.
     /// It still accepts requests.
     pub fn drain(&self) {
@@ -357,6 +403,9 @@
         if self.inner.stopped.get() {
             return pending().await;
         }
+        if !self.await_continue(&request).await {
+            return pending().await;
+        }
         match request.path() {
             "/v1/grant" | "/v1/release" => self.command(request).await,
             "/health" => self.report_health(),
