Read an answer in two steps: its head, then its body

An exchange returned only complete answers, so nothing of a body could be forwarded before its last byte had arrived. Conn::begin returns at the head; hold, decode and fill read the body step by step, and exchange is made of them. The bodies of answers that belong to another request are skipped without being held. limit_unsent bounds what the system buffers for a peer that reads slowly.

--- a/crates/catkin-net/src/exchange.rs
+++ b/crates/catkin-net/src/exchange.rs
@@ -3,13 +3,17 @@
 //! A connection carries one request at a time. It may be reused only after a
 //! complete answer without trailing bytes; [`Conn::is_idle`] checks this again
 //! before the next request.
+//!
+//! [`Conn::exchange`] returns a complete answer. [`Conn::begin`] returns at its
+//! head; its body is then read step by step, so that it may be forwarded before it
+//! is complete.
 
 use {
     crate::{body::Body, held::Held},
     actix_http::{
         Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Uri,
         body::BodySize,
-        h1::{ClientCodec, Message, MessageType},
+        h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     },
     bytes::{Bytes, BytesMut},
@@ -31,8 +35,8 @@
 /// Buffer space reserved for each read.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
-/// Maximum size of an answer body, which is held in memory.
-const ANSWER_BYTES_MAX: usize = 8 << 20;
+/// Maximum size of the body of an answer that is held in memory.
+pub const ANSWER_BYTES_MAX: usize = 8 << 20;
 
 /// Maximum size of the head of an answer.
 const HEAD_BYTES_MAX: usize = 64 << 10;
@@ -60,6 +64,16 @@
     let _ = socket.set_tcp_keepalive(&probes);
 }
 
+/// Bytes of an answer that the system buffers beyond what it has sent. Without this
+/// limit it takes megabytes for a peer that reads slowly, and a write that waits says
+/// nothing about whether the peer reads.
+const UNSENT_BYTES_MAX: u32 = 64 << 10;
+
+/// Limits the bytes that the system buffers for a peer that reads slowly.
+pub fn limit_unsent(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES_MAX);
+}
+
 /// Creates a request head without headers.
 pub fn request_head(method: Method, uri: Uri) -> RequestHead {
     let mut head = RequestHead::default();
@@ -105,6 +119,68 @@
     pub held: Held,
 }
 
+/// How the end of a body is found.
+enum Framing {
+    /// There is no body, or all of it is decoded.
+    Done,
+    /// By its length or its last chunk.
+    Payload(ClientPayloadCodec),
+    /// By the end of its connection.
+    Close,
+}
+
+/// An answer whose head has arrived.
+pub struct Reply {
+    /// Status and headers.
+    pub head: ResponseHead,
+    framing: Framing,
+    body: Body,
+    /// Bytes of the body that were decoded.
+    decoded: usize,
+    /// Bytes of the connection before the body.
+    start: usize,
+    /// Whether the connection may be reused after a complete answer.
+    keep: bool,
+    out: Outgoing,
+    held: Option<Held>,
+}
+
+impl Reply {
+    /// Returns whether the whole body has arrived.
+    pub fn is_complete(&self) -> bool {
+        matches!(self.framing, Framing::Done)
+    }
+
+    /// Returns the length that the answer gives for its body, if it gives one.
+    pub fn length(&self) -> Option<u64> {
+        let headers = self.head.headers();
+        if headers.contains_key(TRANSFER_ENCODING) || matches!(self.framing, Framing::Close) {
+            return None;
+        }
+        headers.get(CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+    }
+
+    /// Returns the number of bytes of the body that were decoded so far.
+    pub fn decoded(&self) -> usize {
+        self.decoded
+    }
+
+    /// Returns the part of the body that was read and not yet taken.
+    pub fn body_mut(&mut self) -> &mut Body {
+        &mut self.body
+    }
+
+    /// Stops counting the bytes of the answer as held, and ending the exchange for
+    /// them. The reader of its body must do so.
+    pub fn release(&mut self) {
+        self.held = None;
+        if self.out.is_done() {
+            // The body of the request is not needed for the rest of the answer.
+            self.out = Outgoing { written: self.out.written, ..Outgoing::default() };
+        }
+    }
+}
+
 /// Error of an exchange without a complete answer.
 #[derive(Debug)]
 pub struct ExchangeError {
@@ -192,6 +268,24 @@
         chunked: bool,
         is_own: impl Fn(&ResponseHead) -> bool,
     ) -> Result<HttpAnswer, ExchangeError> {
+        let mut reply = self.begin(head, body, chunked, is_own).await?;
+        self.hold(&mut reply, ANSWER_BYTES_MAX).await?;
+        self.finish(reply)
+    }
+
+    /// Sends a request with its body and reads the head of the answer. Answers for
+    /// which `is_own` returns false belong to another request and are skipped.
+    ///
+    /// # Errors
+    ///
+    /// As [`exchange`](Self::exchange).
+    pub async fn begin(
+        &mut self,
+        head: RequestHead,
+        body: Vec<Bytes>,
+        chunked: bool,
+        is_own: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<Reply, ExchangeError> {
         let mut codec = ClientCodec::new(self.config.clone());
         let mut out = encode(&mut codec, head, body, chunked).map_err(|error| ExchangeError {
             error,
@@ -203,29 +297,152 @@
         let result = tokio::select! {
             biased;
             () = held.ended() => Err((Held::error(), true)),
-            result = self.transfer(codec, &mut out, is_own, &held) => result,
+            result = self.read_head(codec, &mut out, is_own, &held) => result,
         };
-        self.busy = result.is_err() || !out.is_done();
-        if self.buffer.is_empty() {
-            // An idle connection keeps no buffer, since there may be hundreds.
-            self.buffer = BytesMut::new();
-        }
         match result {
-            Ok((head, body, reusable)) => {
-                held.set(body.len());
-                Ok(HttpAnswer { head, body, reusable: reusable && out.is_done(), held })
+            Ok((head, framing, keep)) => {
+                let start = self.received - self.buffer.len();
+                let body = Body::default();
+                Ok(Reply { head, framing, body, decoded: 0, start, keep, out, held: Some(held) })
             }
             Err((error, answered)) => Err(ExchangeError { error, sent: out.written > 0, answered }),
         }
     }
 
-    async fn transfer(
+    /// Reads the body of an answer until it is complete or more than `max` bytes of
+    /// it have arrived. With a `max` of zero, takes only what was received. If the
+    /// future is dropped, nothing is lost.
+    ///
+    /// # Errors
+    ///
+    /// As [`exchange`](Self::exchange).
+    pub async fn hold(&mut self, reply: &mut Reply, max: usize) -> Result<(), ExchangeError> {
+        loop {
+            let read = match self.decode(reply) {
+                Ok(()) if reply.is_complete() || max == 0 || reply.body.len() > max => return Ok(()),
+                Ok(()) => self.fill(reply).await,
+                Err(error) => Err(error),
+            };
+            let sent = reply.out.written > 0;
+            read.map_err(|error| ExchangeError { error, sent, answered: true })?;
+        }
+    }
+
+    /// Returns a complete answer.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError`] if the answer is not complete, which is so if it is larger
+    /// than what was to be held.
+    pub fn finish(&self, reply: Reply) -> Result<HttpAnswer, ExchangeError> {
+        if !reply.is_complete() {
+            let (error, sent) = (invalid("answer too large"), reply.out.written > 0);
+            return Err(ExchangeError { error, sent, answered: true });
+        }
+        let reusable = self.is_reusable_after(&reply);
+        let Reply { head, body, held, .. } = reply;
+        let body = body.into_bytes();
+        let held = held.unwrap_or_else(|| Held::new(self.peer));
+        held.set(body.len());
+        Ok(HttpAnswer { head, body, reusable, held })
+    }
+
+    /// Returns whether the connection may carry another request after an answer.
+    pub fn is_reusable_after(&self, reply: &Reply) -> bool {
+        reply.is_complete() && reply.keep && self.buffer.is_empty() && reply.out.is_done()
+    }
+
+    /// Returns the size of the buffer of the connection and of what an answer holds.
+    pub fn buffered(&self, reply: &Reply) -> usize {
+        reply.out.copied + self.buffer.capacity() + reply.body.capacity()
+    }
+
+    /// Reads more bytes of an answer, or writes more of its request. If the future is
+    /// dropped, nothing is lost.
+    ///
+    /// # Errors
+    ///
+    /// That of the system, or that the exchange must end since the process holds too
+    /// many bytes.
+    pub async fn fill(&mut self, reply: &mut Reply) -> io::Result<()> {
+        let Reply { out, held, framing, .. } = reply;
+        let ended = async {
+            match held {
+                Some(held) => held.ended().await,
+                None => std::future::pending().await,
+            }
+        };
+        let read = tokio::select! {
+            biased;
+            () = ended => Err(Held::error()),
+            read = self.read_or_write(out) => read,
+        };
+        match read {
+            // A body without a length ends with its connection; a reset is an error.
+            Err(e) if matches!(framing, Framing::Close) && e.kind() == io::ErrorKind::UnexpectedEof => {
+                self.end_body(reply);
+                Ok(())
+            }
+            read => read,
+        }
+    }
+
+    /// Decodes what was received of the body of an answer.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidData` if it is malformed.
+    pub fn decode(&mut self, reply: &mut Reply) -> io::Result<()> {
+        loop {
+            let chunk = match &mut reply.framing {
+                Framing::Done => {
+                    self.end_body(reply);
+                    return Ok(());
+                }
+                Framing::Close if self.buffer.is_empty() => None,
+                Framing::Close => Some(Some(self.buffer.split().freeze())),
+                Framing::Payload(codec) => {
+                    codec.decode(&mut self.buffer).map_err(|e| invalid(e.to_string()))?
+                }
+            };
+            match &chunk {
+                Some(Some(chunk)) => {
+                    reply.decoded += chunk.len();
+                    reply.body.push(chunk);
+                }
+                Some(None) => reply.framing = Framing::Done,
+                None => {}
+            }
+            let framing = self.received - self.buffer.len() - reply.start - reply.decoded;
+            if framing > HEAD_BYTES_MAX + FRAMING_RATIO_MAX * reply.decoded {
+                return Err(invalid("too much framing in a body"));
+            }
+            if chunk.is_none() {
+                if let Some(held) = &reply.held {
+                    held.set(self.buffered(reply));
+                }
+                return Ok(());
+            }
+        }
+    }
+
+    /// Ends an answer that is complete.
+    fn end_body(&mut self, reply: &mut Reply) {
+        reply.framing = Framing::Done;
+        self.busy = !reply.out.is_done();
+        if self.buffer.is_empty() {
+            // An idle connection keeps no buffer, since there may be hundreds.
+            self.buffer = BytesMut::new();
+        }
+    }
+
+    async fn read_head(
         &mut self,
         mut codec: ClientCodec,
         out: &mut Outgoing,
         is_own: impl Fn(&ResponseHead) -> bool,
         held: &Held,
-    ) -> Result<(ResponseHead, Bytes, bool), (io::Error, bool)> {
+    ) -> Result<(ResponseHead, Framing, bool), (io::Error, bool)> {
         loop {
             let mut informational = 0;
             let head = loop {
@@ -250,56 +467,48 @@
             };
             let keep = codec.keep_alive() && !has_close(&head);
             if is_unframed(&head, &codec) {
-                let body = self.read_to_close(out, held).await.map_err(|e| (e, true))?;
                 return match is_own(&head) {
-                    true => Ok((head, body, false)),
+                    true => Ok((head, Framing::Close, false)),
                     false => Err((invalid("answer of another request"), true)),
                 };
             }
             if codec.message_type() == MessageType::None {
                 if is_own(&head) {
-                    return Ok((head, Bytes::new(), keep && self.buffer.is_empty()));
+                    return Ok((head, Framing::Done, keep));
                 }
                 continue;
             }
             let mut payload = codec.into_payload_codec();
-            let mut body = Body::default();
-            let start = self.received - self.buffer.len();
-            loop {
-                match payload.decode(&mut self.buffer).map_err(|e| (invalid(e.to_string()), true))? {
-                    Some(Some(chunk)) => body.push(&chunk),
-                    Some(None) => break,
-                    None => self.read_or_write(out).await.map_err(|e| (e, true))?,
-                }
-                held.set(out.copied + self.buffer.capacity() + body.capacity());
-                if body.len() > ANSWER_BYTES_MAX {
-                    return Err((invalid("answer too large"), true));
-                }
-                let framing = self.received - self.buffer.len() - start - body.len();
-                if framing > HEAD_BYTES_MAX + FRAMING_RATIO_MAX * body.len() {
-                    return Err((invalid("too much framing in a body"), true));
-                }
-            }
             if is_own(&head) {
-                return Ok((head, body.into_bytes(), keep && self.buffer.is_empty()));
+                return Ok((head, Framing::Payload(payload), keep));
             }
+            self.skip_body(&mut payload, out, held).await.map_err(|e| (e, true))?;
             codec = payload.into_message_codec();
         }
     }
 
-    /// Reads a body that ends when its connection closes. A reset is an error.
-    async fn read_to_close(&mut self, out: &mut Outgoing, held: &Held) -> io::Result<Bytes> {
-        let mut body = Body::default();
+    /// Reads the body of an answer that belongs to another request.
+    async fn skip_body(
+        &mut self,
+        payload: &mut ClientPayloadCodec,
+        out: &mut Outgoing,
+        held: &Held,
+    ) -> io::Result<()> {
+        let start = self.received - self.buffer.len();
+        let mut skipped = 0;
         loop {
-            body.push(&self.buffer.split());
-            held.set(out.copied + self.buffer.capacity() + body.capacity());
-            if body.len() > ANSWER_BYTES_MAX {
+            match payload.decode(&mut self.buffer).map_err(|e| invalid(e.to_string()))? {
+                Some(Some(chunk)) => skipped += chunk.len(),
+                Some(None) => return Ok(()),
+                None => self.read_or_write(out).await?,
+            }
+            held.set(out.copied + self.buffer.capacity());
+            if skipped > ANSWER_BYTES_MAX {
                 return Err(invalid("answer too large"));
             }
-            match self.read_or_write(out).await {
-                Ok(()) => {}
-                Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => return Ok(body.into_bytes()),
-                Err(e) => return Err(e),
+            let framing = self.received - self.buffer.len() - start - skipped;
+            if framing > HEAD_BYTES_MAX + FRAMING_RATIO_MAX * skipped {
+                return Err(invalid("too much framing in a body"));
             }
         }
     }
--- a/crates/catkin-net/src/held.rs
+++ b/crates/catkin-net/src/held.rs
@@ -49,6 +49,17 @@
     SHARED.with_borrow(|shared| shared.holdings.held())
 }
 
+/// Returns the limit on the bytes that all holders of the current thread hold.
+pub fn held_limit() -> Size {
+    SHARED.with_borrow(|shared| shared.holdings.limit())
+}
+
+/// Returns whether so few bytes are held that more may be read than is needed at
+/// once: less than half of the limit.
+pub fn has_room() -> bool {
+    held().as_bytes() < held_limit().as_bytes() / 2
+}
+
 /// Bytes that come from one source. They are free again when this is dropped.
 #[derive(Debug)]
 pub struct Held {
--- a/crates/catkin-net/src/lib.rs
+++ b/crates/catkin-net/src/lib.rs
@@ -19,9 +19,13 @@
 mod log;
 
 pub use {
+    body::Body,
     clock::{BootClock, MonotonicClock},
-    exchange::{Conn, ExchangeError, HttpAnswer, request_head, set_socket_options},
-    held::{Held, held, limit_held},
+    exchange::{
+        ANSWER_BYTES_MAX, Conn, ExchangeError, HttpAnswer, Reply, limit_unsent, request_head,
+        set_socket_options,
+    },
+    held::{Held, has_room, held, held_limit, limit_held},
     http::{Connections, listen, reply_json, reply_text, serve, serve_limited},
     json::{get, is_unsent, list_vms, post, read_body},
     log::{LogClient, LogPage},
--- a/crates/catkin/src/holdings.rs
+++ b/crates/catkin/src/holdings.rs
@@ -48,6 +48,11 @@
         self.limit = limit;
     }
 
+    /// Returns the limit.
+    pub fn limit(&self) -> Size {
+        self.limit
+    }
+
     /// Returns the number of bytes that are held.
     pub fn held(&self) -> Size {
         Size::from_bytes(self.held)
