--- a/crates/catkin-route/src/attempts.rs
+++ b/crates/catkin-route/src/attempts.rs
@@ -131,6 +131,12 @@
         is_safe && has_attempt_left && now < self.deadline
     }
 
+    /// Returns whether another attempt may still replace the answer of the current
+    /// one, which is not yet recorded and whose target has begun to answer.
+    pub fn may_replace(&self, now: Time) -> bool {
+        self.idempotent && self.reached + 1 < self.max_attempts && now < self.deadline
+    }
+
     /// Returns the code for the caller when the last attempt ended with `code`.
     /// A code that says "not run" must hold for every attempt, not only for the
     /// last.
--- a/crates/catkin-route/src/budget.rs
+++ b/crates/catkin-route/src/budget.rs
@@ -69,21 +69,24 @@
         }
     }
 
-    /// Takes one retry from the budget of a service. Returns whether one was
-    /// left. `peers` is the number of edge processes.
-    pub fn take_retry(&mut self, now: Time, service: &Arc<str>, peers: u32) -> bool {
+    /// Returns whether the budget of a service has a retry left.
+    pub fn has_retry(&mut self, now: Time, service: &Arc<str>, peers: u32) -> bool {
         let bounds = self.bounds;
         let seconds = self.window(now, service);
         let requests: u32 = seconds.iter().map(|s| s.requests).sum();
         let retries: u32 = seconds.iter().map(|s| s.retries).sum();
         let allowance = bounds.slack / f64::from(peers.max(1));
         let allowed = SPENDABLE_SHARE * (f64::from(requests) * bounds.ratio + allowance);
-        if f64::from(retries + 1) > allowed {
-            return false;
-        }
-        if let Some(last) = seconds.back_mut() {
+        f64::from(retries + 1) <= allowed
+    }
+
+    /// Takes one retry from the budget of a service. Returns whether one was
+    /// left. `peers` is the number of edge processes.
+    pub fn take_retry(&mut self, now: Time, service: &Arc<str>, peers: u32) -> bool {
+        let is_left = self.has_retry(now, service, peers);
+        if is_left && let Some(last) = self.window(now, service).back_mut() {
             last.retries += 1;
         }
-        true
+        is_left
     }
 }
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -33,6 +33,7 @@
 //! | [`backoff`] | when a store that could not be read is called again |
 //! | [`report_times`] | how old a state of the leader is when it arrives |
 //! | [`budget`] | whether a service has a retry left |
+//! | [`streaming`] | how much of an answer is held or read ahead of its caller |
 //! | [`attempts`] | whether a request may get another attempt, and what its caller is told |
 
 pub mod admission;
@@ -62,6 +63,7 @@
 pub mod report_times;
 pub mod spill;
 pub mod split;
+pub mod streaming;
 pub mod subset;
 pub mod succession;
 pub mod topic_copy;
--- a/crates/catkin-route/src/rate.rs
+++ b/crates/catkin-route/src/rate.rs
@@ -1,7 +1,10 @@
-//! Rates of requests.
+//! Rates of requests and of bytes.
 
 use {
-    catkin::{Code, Error, types::Span},
+    catkin::{
+        Code, Error,
+        types::{Size, Span},
+    },
     derive_more::Display,
     std::str::FromStr,
 };
@@ -46,3 +49,35 @@
         rate.ok_or_else(|| Error::new(Code::BadValue, format!("{text:?} is no rate of requests")))
     }
 }
+
+/// Bytes per second of a link; finite and above zero.
+#[derive(Clone, Copy, Debug, Display, PartialEq, PartialOrd)]
+#[display("{} Mbit/s", _0 / 125_000.0)]
+pub struct LinkRate(f64);
+
+impl LinkRate {
+    /// Creates a rate from Mbit/s. Returns `None` unless the number is finite and
+    /// above zero.
+    pub fn from_mbps(mbps: f64) -> Option<Self> {
+        (mbps.is_finite() && mbps > 0.0).then_some(Self(mbps * 125_000.0))
+    }
+
+    /// Returns the number of bytes that the link carries in a time.
+    pub fn bytes_in(self, time: Span) -> Size {
+        Size::from_bytes((self.0 * time.as_secs_f64()) as u64)
+    }
+
+    /// Returns the time in which the link carries a number of bytes.
+    pub fn time_for(self, size: Size) -> Span {
+        Span::from_micros((size.as_bytes() as f64 / self.0 * 1e6) as u64)
+    }
+}
+
+impl FromStr for LinkRate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let rate = text.trim().trim_end_matches("Mbit/s").trim_end().parse().ok().and_then(Self::from_mbps);
+        rate.ok_or_else(|| Error::new(Code::BadValue, format!("{text:?} is no rate of a link")))
+    }
+}
