Forward answers that no other attempt may replace as they arrive

Each answer was held whole before any of it was written, which takes the time of the link twice and counts toward the memory. A final answer is now forwarded through a bounded buffer, at most once kinds from the head on, idempotent ones once they are larger than what is held or their deadline is over. If it breaks off, the connection of the caller is reset. Requests behind it on the connection are served meanwhile.

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -10,7 +10,8 @@
 use {
     crate::{
         node::{Node, Stage, sleep},
-        serve::{self, Answer, Incoming},
+        serve::{self, Answer, AnswerBody, Incoming},
+        stream::BodyStream,
     },
     actix_http::{
         ConnectionType, Response, StatusCode,
@@ -18,13 +19,14 @@
         h1::{Codec, Message},
         header::{HeaderValue, RETRY_AFTER},
     },
-    bytes::BytesMut,
+    bytes::{Bytes, BytesMut},
     catkin::types::Span,
-    catkin_net::{Held, set_socket_options},
+    catkin_net::{Held, limit_unsent, set_socket_options},
     futures_util::{StreamExt, stream::FuturesOrdered},
     read::{Decoded, Input, Reader, STALL_TIMEOUT, Shared},
     std::{
         collections::VecDeque,
+        convert::Infallible,
         io,
         pin::{Pin, pin},
         rc::Rc,
@@ -84,6 +86,7 @@
         match accepted {
             Ok((stream, _)) => {
                 set_socket_options(&stream);
+                limit_unsent(&stream);
                 let node = node.clone();
                 actix_rt::spawn(async move {
                     if let Err(error) = serve_connection(&node, stream).await {
@@ -101,7 +104,34 @@
 }
 
 /// Answers of the open requests of a connection, in the order of the requests.
-type Answers<'a> = FuturesOrdered<Pin<Box<dyn Future<Output = Answer> + 'a>>>;
+#[derive(Default)]
+struct Answers<'a> {
+    due: FuturesOrdered<Pin<Box<dyn Future<Output = Answer> + 'a>>>,
+    /// Answers that were ready while an earlier one was being written.
+    ready: VecDeque<Answer>,
+}
+
+impl Answers<'_> {
+    fn is_empty(&self) -> bool {
+        self.due.is_empty() && self.ready.is_empty()
+    }
+
+    /// Returns the next answer, or `None` without an open request.
+    async fn next(&mut self) -> Option<Answer> {
+        match self.ready.pop_front() {
+            Some(answer) => Some(answer),
+            None => self.due.next().await,
+        }
+    }
+
+    /// Serves the open requests while an answer is being written.
+    async fn run_ahead(&mut self) -> Infallible {
+        while let Some(answer) = self.due.next().await {
+            self.ready.push_back(answer);
+        }
+        std::future::pending().await
+    }
+}
 
 /// What follows after a step of a connection.
 enum Step<T> {
@@ -114,17 +144,27 @@
 }
 
 async fn serve_connection(node: &Rc<Node>, stream: TcpStream) -> io::Result<()> {
-    let held = Held::new(stream.peer_addr()?);
+    let caller = stream.peer_addr()?;
     let (reader, writer) = stream.into_split();
-    let shared = Shared::new(held, writer, node.now());
-    let mut reader = Reader::new(reader);
-    let mut conn = Connection { node, shared: &shared, open: VecDeque::new(), last: None };
+    let shared = Shared::new(caller, writer, node.now());
+    let end = run_connection(node, &shared, &mut Reader::new(reader)).await;
+    if shared.is_partial.get() {
+        // An ordinary close could make the answer look complete.
+        let writer = shared.writer.into_inner();
+        let _ = writer.as_ref().set_zero_linger();
+        writer.forget();
+    }
+    end
+}
+
+async fn run_connection(node: &Rc<Node>, shared: &Shared, reader: &mut Reader) -> io::Result<()> {
+    let mut conn = Connection { node, shared, open: VecDeque::new(), last: None };
     // Dropping the answers closes the connections to the targets, which ends the
     // work there.
-    let mut answers = Answers::new();
-    match conn.run(&mut reader, &mut answers).await? {
+    let mut answers = Answers::default();
+    match conn.run(reader, &mut answers).await? {
         Step::Closed => Ok(()),
-        Step::Done(()) | Step::Finish => conn.finish(&mut reader).await,
+        Step::Done(()) | Step::Finish => conn.finish(reader).await,
     }
 }
 
@@ -216,8 +256,24 @@
                 answer = next_answer(node, shared, answers) => answer,
                 input = &mut reading => return Ok(Step::Done(input?)),
             };
-            if !self.write_next(answer).await? {
-                return Ok(Step::Finish);
+            let mut input = None;
+            let is_open = {
+                let mut writing = pin!(self.write_next(answer, answers));
+                loop {
+                    tokio::select! {
+                        biased;
+                        written = &mut writing => break written?,
+                        read = &mut reading, if input.is_none() => match read? {
+                            Input::Closed => return Ok(Step::Closed),
+                            read => input = Some(read),
+                        },
+                    }
+                }
+            };
+            match input {
+                _ if !is_open => return Ok(Step::Finish),
+                Some(input) => return Ok(Step::Done(input)),
+                None => {}
             }
         }
     }
@@ -235,7 +291,13 @@
                 answer = next_answer(self.node, self.shared, answers) => answer,
                 () = reader.closed(self.shared) => return Ok(Step::Closed),
             };
-            if !self.write_next(answer).await? {
+            let shared = self.shared;
+            let is_open = tokio::select! {
+                biased;
+                written = self.write_next(answer, answers) => written?,
+                () = reader.closed(shared) => return Ok(Step::Closed),
+            };
+            if !is_open {
                 return Ok(Step::Finish);
             }
         }
@@ -252,14 +314,18 @@
         let is_safe = decoded.is_safe();
         let Decoded { incoming, codec, body_bytes } = decoded;
         self.push(codec, body_bytes, is_safe);
-        answers.push_back(Box::pin(serve_request(self.node, incoming)));
+        answers.due.push_back(Box::pin(serve_request(self.node, incoming)));
     }
 
-    /// Writes the answer to the first open request; without one, ends all of them.
-    /// Returns whether the connection stays open.
-    async fn write_next(&mut self, answer: Option<Answer>) -> io::Result<bool> {
+    /// Writes the answer to the first open request, and serves the others meanwhile;
+    /// without one, ends all of them. Returns whether the connection stays open.
+    async fn write_next(&mut self, answer: Option<Answer>, answers: &mut Answers<'_>) -> io::Result<bool> {
         if let Some(answer) = answer {
-            return self.answer(answer, false).await;
+            return tokio::select! {
+                biased;
+                is_open = self.answer(answer, false) => is_open,
+                never = answers.run_ahead() => match never {},
+            };
         }
         while !self.open.is_empty() {
             // The requests may have run, so the answers must not say otherwise.
@@ -285,7 +351,6 @@
     }
 
     async fn write(&self, codec: &mut Codec, answer: Answer, close: bool) -> io::Result<()> {
-        let length = answer.body.len();
         let mut response = Response::with_body(answer.status, ());
         for (name, value) in answer.headers {
             response.headers_mut().append(name, value);
@@ -296,7 +361,14 @@
         if close {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
-        let body = answer.body;
+        let body = match answer.body {
+            AnswerBody::Whole(body) => body,
+            AnswerBody::Streamed(stream) => {
+                // Connections without such an answer need no memory for it.
+                return Box::pin(self.write_stream(codec, response, stream, close)).await;
+            }
+        };
+        let length = body.len();
         self.shared.set_answer(length);
         // From now on the bytes are held for the caller.
         drop(answer.held);
@@ -313,15 +385,66 @@
         self.write_bytes(&bytes).await
     }
 
-    async fn write_bytes(&self, bytes: &[u8]) -> io::Result<()> {
-        let mut writer = self.shared.writer.lock().await;
+    /// Writes an answer while its body arrives. The connection must be reset after an
+    /// error.
+    async fn write_stream(
+        &self,
+        codec: &mut Codec,
+        response: Response<()>,
+        mut stream: BodyStream,
+        close: bool,
+    ) -> io::Result<()> {
+        // An answer that breaks off before its first part was written can be told from
+        // a complete one.
+        let Ok(mut part) = self.next_part(&mut stream).await else {
+            let failed = Answer::local(StatusCode::BAD_GATEWAY, None);
+            return Box::pin(self.write(codec, failed, close)).await;
+        };
+        self.shared.is_partial.set(true);
+        let size = stream.length().map_or(BodySize::Stream, BodySize::Sized);
+        let mut bytes = BytesMut::new();
+        codec.encode(Message::Item((response, size)), &mut bytes)?;
+        while let Some(next) = part {
+            codec.encode(Message::Chunk(Some(next)), &mut bytes)?;
+            self.shared.set_answer(bytes.capacity());
+            self.write_bytes(&bytes).await?;
+            bytes.clear();
+            part = self.next_part(&mut stream).await?;
+        }
+        codec.encode(Message::Chunk(None), &mut bytes)?;
+        self.write_bytes(&bytes).await?;
+        self.shared.is_partial.set(false);
+        Ok(())
+    }
+
+    /// Returns the next part of a body, unless the process ends before it arrives.
+    async fn next_part(&self, stream: &mut BodyStream) -> io::Result<Option<Bytes>> {
+        let mut stage = self.node.stage.subscribe();
         tokio::select! {
             biased;
-            written = tokio::time::timeout(STALL_TIMEOUT, writer.write_all(bytes)) => written?,
+            part = stream.next() => part,
+            _ = stage.wait_for(|s| *s == Stage::Ending) => Err(io::ErrorKind::ConnectionAborted.into()),
             () = self.shared.held.ended() => Err(Held::error()),
         }
     }
 
+    /// Writes bytes as long as the caller takes some of them.
+    async fn write_bytes(&self, mut bytes: &[u8]) -> io::Result<()> {
+        let mut writer = self.shared.writer.lock().await;
+        while !bytes.is_empty() {
+            let count = tokio::select! {
+                biased;
+                written = tokio::time::timeout(STALL_TIMEOUT, writer.write(bytes)) => written??,
+                () = self.shared.held.ended() => return Err(Held::error()),
+            };
+            if count == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            bytes = &bytes[count..];
+        }
+        Ok(())
+    }
+
     /// Closes the connection after its last answer. Reads the remaining bytes
     /// first: unread bytes would reset the connection and could discard the
     /// answer.
--- a/crates/catkin-edge/src/accept/read.rs
+++ b/crates/catkin-edge/src/accept/read.rs
@@ -14,7 +14,7 @@
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
     catkin_net::Held,
-    std::{cell::Cell, io, time::Duration},
+    std::{cell::Cell, io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -55,14 +55,20 @@
     pub(super) open: Cell<usize>,
     /// When the last answer was written, or the connection was opened.
     pub(super) last_active: Cell<Time>,
+    /// Whether a part of an answer was written whose rest is still to come.
+    pub(super) is_partial: Cell<bool>,
+    /// Address of the caller.
+    caller: SocketAddr,
     /// Half on which answers are written.
     pub(super) writer: Mutex<OwnedWriteHalf>,
 }
 
 impl Shared {
-    pub(super) fn new(held: Held, writer: OwnedWriteHalf, now: Time) -> Self {
+    pub(super) fn new(caller: SocketAddr, writer: OwnedWriteHalf, now: Time) -> Self {
         Self {
-            held,
+            held: Held::new(caller),
+            is_partial: Cell::new(false),
+            caller,
             buffer_bytes: Cell::new(0),
             body_bytes: Cell::new(0),
             answer_bytes: Cell::new(0),
@@ -251,7 +257,8 @@
         max: u64,
         body_bytes: &mut usize,
     ) -> io::Result<Input> {
-        let mut incoming = Box::new(Incoming { chunked: false, body: Vec::new(), arrived, head });
+        let mut incoming =
+            Box::new(Incoming { chunked: false, body: Vec::new(), arrived, caller: shared.caller, head });
         if codec.message_type() == MessageType::None {
             return Ok(Input::Request(Decoded { incoming, codec, body_bytes: 0 }));
         }
--- a/crates/catkin-edge/src/admit.rs
+++ b/crates/catkin-edge/src/admit.rs
@@ -71,6 +71,7 @@
 const RECHECK_INTERVAL: Span = Span::from_millis(40);
 
 /// Target of one attempt.
+#[derive(Clone)]
 pub(crate) struct Admitted {
     /// Incarnation that must answer.
     pub(crate) incarnation: Incarnation,
--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -1,16 +1,24 @@
 //! One attempt: one send of a request to one target.
 
 use {
-    crate::{admit::Admitted, announcements, node::Node, serve::RoutedRequest},
+    crate::{
+        admit::Admitted,
+        announcements,
+        node::Node,
+        serve::{RoutedRequest, says_not_run},
+        stream::{BodyStream, Buffer, Source},
+    },
     actix_http::{
-        HttpMessage, RequestHead, ResponseHead, StatusCode,
+        HttpMessage, RequestHead, ResponseHead, StatusCode, Version,
         header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE},
     },
     catkin::types::{Span, Time},
-    catkin_net::{Conn, HttpAnswer},
+    catkin_net::{Conn, ExchangeError, HttpAnswer, Reply},
     catkin_platform::name,
-    catkin_route::{admission::QueueLoad, attempts::Attempts, directory::Incarnation, load::Completion},
-    std::{rc::Rc, time::Duration},
+    catkin_route::{
+        admission::QueueLoad, attempts::Attempts, config::Route, directory::Incarnation, load::Completion,
+    },
+    std::{rc::Rc, sync::Arc, time::Duration},
 };
 
 /// Outcome of an attempt, from which the answer to the caller and the
@@ -19,6 +27,8 @@
 pub(crate) enum AttemptOutcome {
     /// A complete answer arrived.
     Answered(HttpAnswer),
+    /// An answer began to arrive that no other one may replace.
+    Streamed(ResponseHead, BodyStream),
     /// The target refused the request without running it.
     NotRun,
     /// The target does not own the key, or another target has its address.
@@ -38,37 +48,103 @@
 const ANSWER_SLACK: Span = Span::from_millis(40);
 
 /// Counts an attempt at its target until the attempt ends or is cancelled.
-struct InFlightGuard<'a> {
-    node: &'a Node,
-    routed: &'a RoutedRequest<'a>,
-    target: &'a Admitted,
+pub(crate) struct InFlight {
+    node: Rc<Node>,
+    service: Arc<str>,
+    route: Arc<Route>,
+    target: Admitted,
     start: Time,
     completion: Completion,
     /// Queue that the target reported.
     queue: QueueLoad,
+    /// Time in which the answer was not read, since its caller is slow.
+    paused: Span,
+    /// Buffer of an answer that is being forwarded, and the deadline of the request.
+    forwarded: Option<(Rc<Buffer>, Time)>,
 }
 
-impl<'a> InFlightGuard<'a> {
-    fn new(node: &'a Node, routed: &'a RoutedRequest<'a>, target: &'a Admitted) -> Self {
+impl InFlight {
+    fn new(node: &Rc<Node>, routed: &RoutedRequest<'_>, target: &Admitted) -> Self {
         let start = node.now();
         if node.loads.borrow_mut().begin(start, &target.incarnation, node.peers()) {
             node.metrics.count_cold("sent");
         }
-        let completion = Completion::Cancelled;
-        Self { node, routed, target, start, completion, queue: QueueLoad::default() }
+        Self {
+            node: node.clone(),
+            service: routed.service.clone(),
+            route: routed.route.clone(),
+            target: target.clone(),
+            start,
+            completion: Completion::Cancelled,
+            queue: QueueLoad::default(),
+            paused: Span::default(),
+            forwarded: None,
+        }
+    }
+
+    /// Returns the target.
+    pub(crate) fn target(&self) -> &Incarnation {
+        &self.target.incarnation
+    }
+
+    /// Records the buffer of an answer that is being forwarded.
+    pub(crate) fn watch(&mut self, buffer: Rc<Buffer>, deadline: Time) {
+        self.forwarded = Some((buffer, deadline));
+    }
+
+    /// Adds a time in which the answer was not read.
+    pub(crate) fn add_pause(&mut self, pause: Span) {
+        self.paused += pause;
+    }
+
+    /// Records the end of an answer that was forwarded while it arrived.
+    pub(crate) fn end_streamed(&mut self, is_complete: bool) {
+        self.completion = if is_complete { Completion::Good } else { Completion::Failed };
+        self.node.metrics.count_attempt(if is_complete { "answered" } else { "broken_off" });
+    }
+
+    /// Counts a successful answer without a key.
+    pub(crate) fn count_answer(&self, bytes: usize) {
+        let now = self.node.now();
+        self.node.loads.borrow_mut().count_answer(now, &self.target.entry, bytes, self.took(now));
+    }
+
+    /// Keeps the connection of a complete answer.
+    pub(crate) fn keep(&self, conn: Conn, head: &ResponseHead) {
+        let keep_alive = header_text(head, &name::KEEP_ALIVE).and_then(name::parse_keep_alive);
+        self.node.pool.put(self.node.now(), self.target(), conn, keep_alive.map(Span::from_secs));
+    }
+
+    fn took(&self, now: Time) -> Span {
+        now.since(self.start).saturating_sub(self.paused)
+    }
+
+    /// Returns whether the caller left after its deadline while it waited for the rest
+    /// of an answer.
+    fn is_overdue(&self, now: Time) -> bool {
+        self.forwarded.as_ref().is_some_and(|(buffer, deadline)| now > *deadline && buffer.is_empty())
     }
 }
 
-impl Drop for InFlightGuard<'_> {
+impl Drop for InFlight {
     fn drop(&mut self) {
         let now = self.node.now();
-        let (incarnation, slots) = (&self.target.incarnation, self.target.entry.slots);
-        self.node.loads.borrow_mut().end(now, incarnation, self.completion, now.since(self.start), slots);
+        if self.completion == Completion::Cancelled && self.is_overdue(now) {
+            self.completion = Completion::Failed;
+        }
+        if self.forwarded.is_some() {
+            self.node.metrics.count_stream(match self.completion {
+                Completion::Good => "complete",
+                Completion::Failed => "broken_off",
+                _ => "caller_left",
+            });
+        }
+        let (incarnation, slots, took) = (self.target(), self.target.entry.slots, self.took(now));
+        self.node.loads.borrow_mut().end(now, incarnation, self.completion, took, slots);
         if matches!(self.completion, Completion::Good | Completion::Failed) {
-            let RoutedRequest { service, route, .. } = self.routed;
             let mut admission = self.node.admission.borrow_mut();
-            let took = now.since(self.start);
-            admission.count_ended(service, route.priority, route.latency_objective, took, self.queue);
+            let route = &self.route;
+            admission.count_ended(&self.service, route.priority, route.latency_objective, took, self.queue);
         }
         self.node.waiters.notify_all();
     }
@@ -105,7 +181,82 @@
     }
 }
 
-/// Sends a request to a target and reads the complete answer.
+/// Returns whether the answer with a head is the one for the caller: no other attempt
+/// may replace it once it is complete.
+fn is_final(head: &ResponseHead, attempts: &Attempts) -> bool {
+    let (headers, status) = (head.headers(), head.status);
+    status != StatusCode::MISDIRECTED_REQUEST
+        && !status.is_server_error()
+        && !headers.contains_key(name::NOT_RUN)
+        && (!status.is_success() || headers.contains_key(name::STAMP))
+        && attempts.may_forward(says_not_run(status))
+}
+
+/// Returns the size up to which a final answer is held for the sake of another
+/// attempt.
+fn hold_bytes(node: &Node, routed: &RoutedRequest<'_>, attempts: &Attempts, reply: &Reply) -> usize {
+    let (now, peers) = (node.now(), node.peers());
+    let size = node.hold_size.as_bytes();
+    let may_replace =
+        attempts.may_replace(now) && node.budget.borrow_mut().has_retry(now, &routed.service, peers);
+    match may_replace && reply.length().unwrap_or(0) <= size {
+        true => size as usize,
+        false => 0,
+    }
+}
+
+/// Returns the outcome of an exchange that failed.
+fn lost(
+    node: &Node,
+    routed: &RoutedRequest<'_>,
+    failure: &ExchangeError,
+    guard: &mut InFlight,
+) -> AttemptOutcome {
+    if !failure.sent {
+        guard.completion = Completion::Unreachable;
+        node.metrics.count_attempt("unreached");
+        return AttemptOutcome::Unreachable;
+    }
+    let error = &failure.error;
+    if node.log_limiter.allow(node.now(), "connection closed before a complete answer") {
+        let (answered, target_id) = (failure.answered, &*guard.target().id);
+        log::info!(id = &*routed.id, target_id, error:display, answered; "connection closed before a complete answer");
+    }
+    guard.completion = Completion::Failed;
+    node.metrics.count_attempt("lost");
+    AttemptOutcome::NoValidAnswer
+}
+
+/// Returns the outcome of an exchange that took too long.
+fn late(node: &Node, guard: &mut InFlight) -> AttemptOutcome {
+    guard.completion = Completion::Failed;
+    node.metrics.count_attempt("late");
+    AttemptOutcome::TimedOut
+}
+
+/// Records what the head of an answer says about its target.
+fn note_head(
+    node: &Node,
+    routed: &RoutedRequest<'_>,
+    head: &ResponseHead,
+    (conn, reused): (&Conn, bool),
+    guard: &mut InFlight,
+) {
+    let now = node.now();
+    if head.headers().contains_key(name::NOT_RUN) && node.log_limiter.allow(now, "target refused") {
+        let (status, names_id) = (head.status.as_u16(), head.headers().contains_key(name::REQUEST_ID));
+        log::info!(id = &*routed.id, target_id = &*guard.target().id, conn = conn.id().0, reused, status, names_id; "target refused");
+    }
+    if let Some(load) = header_text(head, &name::LOAD).and_then(name::parse_load) {
+        // The answered request is still counted both by the target and here.
+        let requests = load.running.saturating_add(load.queued);
+        node.loads.borrow_mut().record_report(now, guard.target(), requests, load.slowdown);
+        guard.queue = QueueLoad { queued: load.queued, slots: load.slots };
+    }
+}
+
+/// Sends a request to a target. Reads the complete answer, or its head and a part of
+/// its body if no other answer may replace it.
 pub(crate) async fn send(
     node: &Rc<Node>,
     routed: &RoutedRequest<'_>,
@@ -113,7 +264,7 @@
     target: &Admitted,
 ) -> AttemptOutcome {
     let incarnation = &target.incarnation;
-    let mut guard = InFlightGuard::new(node, routed, target);
+    let mut guard = InFlight::new(node, routed, target);
     if *target.entry.zone != *node.settings.zone.as_str() {
         node.metrics.count_zone_crossing(&target.entry.service);
     }
@@ -138,58 +289,60 @@
             return AttemptOutcome::Unreachable;
         }
     };
-    let now = node.now();
-    let Some(head) = build_head(routed, target, now) else { return AttemptOutcome::Unreachable };
+    let sent_at = node.now();
+    let Some(head) = build_head(routed, target, sent_at) else { return AttemptOutcome::Unreachable };
     let body = routed.incoming.body.clone();
     attempts.sent_on(conn.id());
-    let exchange =
-        conn.exchange(head, body, routed.incoming.chunked, |head| matches_request(head, &routed.id, reused));
-    let sent_at = now;
+    let begin =
+        conn.begin(head, body, routed.incoming.chunked, |head| matches_request(head, &routed.id, reused));
     let left = routed.deadline.since(sent_at) + ANSWER_SLACK;
-    let reply = match tokio::time::timeout(left.as_duration(), exchange).await {
+    let until = tokio::time::Instant::now() + left.as_duration();
+    let mut reply = match tokio::time::timeout_at(until, begin).await {
         Ok(Ok(reply)) => reply,
-        Ok(Err(failure)) if !failure.sent => {
-            guard.completion = Completion::Unreachable;
-            node.metrics.count_attempt("unreached");
-            return AttemptOutcome::Unreachable;
-        }
-        Ok(Err(failure)) => {
-            let error = &failure.error;
-            if node.log_limiter.allow(node.now(), "connection closed before a complete answer") {
-                let answered = failure.answered;
-                log::info!(id = &*routed.id, target_id = &*incarnation.id, error:display, answered; "connection closed before a complete answer");
-            }
-            guard.completion = Completion::Failed;
-            node.metrics.count_attempt("lost");
-            return AttemptOutcome::NoValidAnswer;
-        }
-        Err(_) => {
-            guard.completion = Completion::Failed;
-            node.metrics.count_attempt("late");
-            return AttemptOutcome::TimedOut;
-        }
+        Ok(Err(failure)) => return lost(node, routed, &failure, &mut guard),
+        Err(_) => return late(node, &mut guard),
     };
-    let now = node.now();
-    if reply.head.headers().contains_key(name::NOT_RUN) && node.log_limiter.allow(now, "target refused") {
-        let (status, names_id) =
-            (reply.head.status.as_u16(), reply.head.headers().contains_key(name::REQUEST_ID));
-        log::info!(id = &*routed.id, target_id = &*incarnation.id, conn = conn.id().0, reused, status, names_id; "target refused");
+    // Callers of HTTP/1.0 take a body without a length for complete when it breaks off.
+    let may_stream = is_final(&reply.head, attempts)
+        && (reply.length().is_some() || routed.incoming.head.version() >= Version::HTTP_11);
+    let max = match may_stream {
+        true => hold_bytes(node, routed, attempts, &reply),
+        false => catkin_net::ANSWER_BYTES_MAX,
+    };
+    match tokio::time::timeout_at(until, conn.hold(&mut reply, max)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(failure)) => return lost(node, routed, &failure, &mut guard),
+        // No other attempt may follow after the deadline.
+        Err(_) if may_stream => {}
+        Err(_) => return late(node, &mut guard),
     }
-    if let Some(load) = header_text(&reply.head, &name::LOAD).and_then(name::parse_load) {
-        // The answered request is still counted both by the target and here.
-        let requests = load.running.saturating_add(load.queued);
-        node.loads.borrow_mut().record_report(now, incarnation, requests, load.slowdown);
-        guard.queue = QueueLoad { queued: load.queued, slots: load.slots };
+    note_head(node, routed, &reply.head, (&conn, reused), &mut guard);
+    announcements::note(node, incarnation, &reply.head, sent_at);
+    if may_stream && !reply.is_complete() {
+        let mut head = ResponseHead::new(reply.head.status);
+        head.headers = reply.head.headers().clone();
+        let source = Source {
+            node: node.clone(),
+            conn,
+            reply,
+            in_flight: guard,
+            id: routed.id.clone(),
+            is_unkeyed: routed.key.is_none(),
+            deadline: routed.deadline,
+            caller: routed.incoming.caller,
+        };
+        return AttemptOutcome::Streamed(head, source.start());
     }
+    let reply = match conn.finish(reply) {
+        Ok(reply) => reply,
+        Err(failure) => return lost(node, routed, &failure, &mut guard),
+    };
     if routed.key.is_none() && reply.head.status.is_success() {
-        let took = now.since(guard.start);
-        node.loads.borrow_mut().count_answer(now, &target.entry, reply.body.len(), took);
+        guard.count_answer(reply.body.len());
     }
-    announcements::note(node, incarnation, &reply.head, sent_at);
     // A late copy of an answer without an id could pass for the next one.
     if reply.reusable && reply.head.headers().contains_key(name::REQUEST_ID) {
-        let keep_alive = header_text(&reply.head, &name::KEEP_ALIVE).and_then(name::parse_keep_alive);
-        node.pool.put(now, incarnation, conn, keep_alive.map(Span::from_secs));
+        guard.keep(conn, &reply.head);
     }
     classify(node, incarnation, reply, &mut guard)
 }
@@ -198,7 +351,7 @@
     node: &Node,
     incarnation: &Incarnation,
     reply: HttpAnswer,
-    guard: &mut InFlightGuard<'_>,
+    guard: &mut InFlight,
 ) -> AttemptOutcome {
     let status = reply.head.status;
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -41,6 +41,7 @@
 mod serve;
 mod settings;
 mod shutdown;
+mod stream;
 mod sync;
 mod wait_queue;
 
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -41,6 +41,7 @@
     registry: Registry,
     answers: Family<EndLabel, Counter>,
     attempts: Family<EndLabel, Counter>,
+    streams: Family<EndLabel, Counter>,
     commands: Family<KindLabel, Counter>,
     probes: Family<EndLabel, Counter>,
     cold: Family<EndLabel, Counter>,
@@ -66,6 +67,9 @@
         registry.register("answers", "Answers to callers by how they ended", answers.clone());
         let attempts = Family::default();
         registry.register("sends", "Sends to targets by how they ended", attempts.clone());
+        let streams = Family::default();
+        let help = "Answers that were forwarded while they arrived, by how they ended";
+        registry.register("streamed_answers", help, streams.clone());
         let commands = Family::default();
         registry.register("commands", "Commands to targets about keys", commands.clone());
         let probes = Family::default();
@@ -107,6 +111,7 @@
             registry,
             answers,
             attempts,
+            streams,
             commands,
             probes,
             cold,
@@ -176,6 +181,11 @@
         self.attempts.get_or_create(&EndLabel { end }).inc();
     }
 
+    /// Counts an answer that was forwarded while it arrived.
+    pub(crate) fn count_stream(&self, end: &'static str) {
+        self.streams.get_or_create(&EndLabel { end }).inc();
+    }
+
     /// Counts a request that was sent to a cold target, or refused as all its
     /// targets are cold.
     pub(crate) fn count_cold(&self, end: &'static str) {
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -6,7 +6,7 @@
         sync::Source, wait_queue::WaitQueue,
     },
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
-    catkin::types::{Span, Time},
+    catkin::types::{Size, Span, Time},
     catkin_net::BootClock,
     catkin_platform::{bounds::Bounds, name, store::Store},
     catkin_route::{
@@ -19,8 +19,9 @@
         load::LocalLoads,
         owners::{Owners, ProcessId},
         peer_count::PeerCount,
-        rate::RequestRate,
+        rate::{LinkRate, RequestRate},
         split::Split,
+        streaming,
     },
     std::{
         cell::{Cell, RefCell},
@@ -92,6 +93,9 @@
     pub(crate) limited_services: RefCell<HashSet<Arc<str>>>,
     /// Retry budgets of the services.
     pub(crate) budget: RefCell<Budget>,
+    /// Size up to which answers are held that another attempt may replace, and by
+    /// which answers are read ahead of their callers.
+    pub(crate) hold_size: Size,
     /// Idle connections to targets.
     pub(crate) pool: Pool,
     /// Requests by service and key since the last report to the leader.
@@ -183,6 +187,8 @@
             window: bounds.retry_window,
             slack: bounds.retry_slack,
         };
+        let hold_size = LinkRate::from_mbps(settings.bandwidth)
+            .map_or(Size::default(), |link| streaming::hold_size(link, catkin_net::held_limit()));
         Self {
             store: Store::new(settings.store, http.clone()),
             loads: RefCell::new(
@@ -208,6 +214,7 @@
             ),
             directory_read: Cell::new(false),
             owners: watch::Sender::new(None),
+            hold_size,
             pool: Pool::default(),
             key_counts: RefCell::default(),
             waiters: WaitQueue::default(),
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -5,9 +5,10 @@
         admit::{self, AdmitError},
         attempt::{self, AttemptOutcome},
         node::Node,
+        stream::BodyStream,
     },
     actix_http::{
-        HttpMessage, Request, StatusCode,
+        HttpMessage, Request, ResponseHead, StatusCode,
         header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING},
     },
     bytes::Bytes,
@@ -24,6 +25,7 @@
     },
     std::{
         hash::{DefaultHasher, Hash, Hasher},
+        net::SocketAddr,
         rc::Rc,
         sync::Arc,
     },
@@ -39,6 +41,16 @@
     pub(crate) chunked: bool,
     /// Time at which the head was read.
     pub(crate) arrived: Time,
+    /// Address of the caller.
+    pub(crate) caller: SocketAddr,
+}
+
+/// Body of an answer to a caller.
+pub(crate) enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// One that is forwarded while it arrives.
+    Streamed(BodyStream),
 }
 
 /// Answer to a caller.
@@ -48,17 +60,17 @@
     /// Headers of the target's answer; none in an answer of this process.
     pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
     /// Body; empty in an answer of this process.
-    pub(crate) body: Bytes,
+    pub(crate) body: AnswerBody,
     /// Time after which a refused caller should retry, if it is told one.
     pub(crate) retry_after: Option<Span>,
-    /// Counts the body as held.
+    /// Counts a whole body as held.
     pub(crate) held: Option<Held>,
 }
 
 impl Answer {
     /// Creates an answer of this process, without headers and body.
     pub(crate) fn local(status: StatusCode, retry_after: Option<Span>) -> Self {
-        Self { status, headers: Vec::new(), body: Bytes::new(), retry_after, held: None }
+        Self { status, headers: Vec::new(), body: AnswerBody::Whole(Bytes::new()), retry_after, held: None }
     }
 }
 
@@ -199,7 +211,7 @@
 
 /// Returns whether a status tells a caller that its request did not run and
 /// never will.
-fn says_not_run(status: StatusCode) -> bool {
+pub(crate) fn says_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
@@ -230,6 +242,15 @@
                 (AttemptEnd::Failed, Code::AnswerCut)
             }
             AttemptOutcome::Answered(reply) => return forward(reply),
+            AttemptOutcome::Streamed(head, stream) => {
+                return Answer {
+                    status: head.status,
+                    headers: forwarded_headers(&head),
+                    body: AnswerBody::Streamed(stream),
+                    retry_after: None,
+                    held: None,
+                };
+            }
             AttemptOutcome::NotRun => (AttemptEnd::NotRun, Code::TargetRefused),
             AttemptOutcome::Misdirected => (AttemptEnd::Misdirected, Code::FenceRefused),
             AttemptOutcome::Unreachable => (AttemptEnd::Unreachable, Code::ConnectFailed),
@@ -321,12 +342,22 @@
     answer_for_code(code, retry_delay(RETRY_AFTER_MAX))
 }
 
-/// Forwards a target's answer to the caller.
-fn forward(reply: HttpAnswer) -> Answer {
+/// Returns the headers of a target's answer that its caller gets.
+fn forwarded_headers(head: &ResponseHead) -> Vec<(HeaderName, HeaderValue)> {
     let removed = [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, name::KEEP_ALIVE, name::LOAD];
-    let kept = reply.head.headers().iter().filter(|(name, _)| !removed.contains(name));
-    let headers = kept.map(|(name, value)| (name.clone(), value.clone())).collect();
-    Answer { status: reply.head.status, headers, body: reply.body, retry_after: None, held: Some(reply.held) }
+    let kept = head.headers().iter().filter(|(name, _)| !removed.contains(name));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+/// Forwards a target's complete answer to the caller.
+fn forward(reply: HttpAnswer) -> Answer {
+    Answer {
+        status: reply.head.status,
+        headers: forwarded_headers(&reply.head),
+        body: AnswerBody::Whole(reply.body),
+        retry_after: None,
+        held: Some(reply.held),
+    }
 }
 
 impl AdmitError {
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -63,6 +63,8 @@
 pub(crate) struct Edge {
     pub(crate) callers: SocketAddr,
     pub(crate) admin: SocketAddr,
+    /// Memory that the process is told it has, in MB; the default if `None`.
+    pub(crate) memory_mb: Cell<Option<u32>>,
     file: PathBuf,
     child: RefCell<Option<Child>>,
 }
@@ -87,7 +89,7 @@
             "vm: {name}\nzone: z\ncallers: {callers}\nadmin: {admin}\npeers: {peers}\nstore: {store}\nbounds: [\"graceS=5\"]\n{settings}"
         );
         fs::write(&file, text).unwrap();
-        let edge = Self { callers, admin, file, child: RefCell::new(None) };
+        let edge = Self { callers, admin, memory_mb: Cell::new(None), file, child: RefCell::new(None) };
         edge.restart();
         edge
     }
@@ -102,9 +104,11 @@
         if !self.has_ended() {
             return;
         }
+        let memory = self.memory_mb.get().map(|mb| ["--memory".to_owned(), mb.to_string()]);
         let child = Command::new(env!("CARGO_BIN_EXE_catkin-edge"))
             .arg("--settings")
             .arg(&self.file)
+            .args(memory.iter().flatten())
             .stdout(output)
             .stderr(errors)
             .spawn()
