Begin requests that arrive while an answer is being forwarded

Requests that were read before an answer was written went on meanwhile, but the next one was begun only after its last byte, which may take seconds for a caller that reads slowly. Safe requests are now begun at once; one that changes something keeps its place.

requests_during_a_download_are_served_meanwhile failed before ([0, 0, 0] requests at the targets) and passes.

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -240,7 +240,7 @@
     async fn next_input(
         &mut self,
         reader: &mut Reader,
-        answers: &mut Answers<'_>,
+        answers: &mut Answers<'a>,
     ) -> io::Result<Step<Input>> {
         if self.open.back().is_some_and(|last| !last.codec.keep_alive()) {
             return Ok(match self.answer_open(reader, answers, 0).await? {
@@ -249,29 +249,43 @@
             });
         }
         let (node, shared) = (self.node, self.shared);
-        let mut reading = pin!(reader.next(node, shared));
+        let mut reading = Box::pin(reader.next(node, shared));
         loop {
             let answer = tokio::select! {
                 biased;
                 answer = next_answer(node, shared, answers) => answer,
                 input = &mut reading => return Ok(Step::Done(input?)),
             };
+            let Some(answer) = answer else {
+                self.end_open().await?;
+                return Ok(Step::Finish);
+            };
+            let Some((open, close)) = self.take_first(false) else { return Ok(Step::Finish) };
+            let is_safe = open.is_safe && !close;
             let mut input = None;
-            let is_open = {
-                let mut writing = pin!(self.write_next(answer, answers));
+            let last = {
+                let mut writing = pin!(self.writer().write_last(open, answer, close));
                 loop {
-                    tokio::select! {
+                    let read = tokio::select! {
                         biased;
                         written = &mut writing => break written?,
-                        read = &mut reading, if input.is_none() => match read? {
-                            Input::Closed => return Ok(Step::Closed),
-                            read => input = Some(read),
-                        },
+                        never = answers.run_ahead() => match never {},
+                        read = &mut reading, if input.is_none() => read?,
+                    };
+                    match read {
+                        Input::Closed => return Ok(Step::Closed),
+                        Input::Request(decoded) if is_safe && self.may_begin(&decoded) => {
+                            self.begin(decoded, answers);
+                            drop(reading);
+                            reading = Box::pin(reader.next(node, shared));
+                        }
+                        other => input = Some(other),
                     }
                 }
             };
+            self.last = last;
             match input {
-                _ if !is_open => return Ok(Step::Finish),
+                _ if self.last.is_some() => return Ok(Step::Finish),
                 Some(input) => return Ok(Step::Done(input)),
                 None => {}
             }
@@ -291,13 +305,18 @@
                 answer = next_answer(self.node, self.shared, answers) => answer,
                 () = reader.closed(self.shared) => return Ok(Step::Closed),
             };
-            let shared = self.shared;
-            let is_open = tokio::select! {
+            let Some(answer) = answer else {
+                self.end_open().await?;
+                return Ok(Step::Finish);
+            };
+            let Some((open, close)) = self.take_first(false) else { return Ok(Step::Finish) };
+            self.last = tokio::select! {
                 biased;
-                written = self.write_next(answer, answers) => written?,
-                () = reader.closed(shared) => return Ok(Step::Closed),
+                written = self.writer().write_last(open, answer, close) => written?,
+                never = answers.run_ahead() => match never {},
+                () = reader.closed(self.shared) => return Ok(Step::Closed),
             };
-            if !is_open {
+            if self.last.is_some() {
                 return Ok(Step::Finish);
             }
         }
@@ -317,37 +336,79 @@
         answers.due.push_back(Box::pin(serve_request(self.node, incoming)));
     }
 
-    /// Writes the answer to the first open request, and serves the others meanwhile;
-    /// without one, ends all of them. Returns whether the connection stays open.
-    async fn write_next(&mut self, answer: Option<Answer>, answers: &mut Answers<'_>) -> io::Result<bool> {
-        if let Some(answer) = answer {
-            return tokio::select! {
-                biased;
-                is_open = self.answer(answer, false) => is_open,
-                never = answers.run_ahead() => match never {},
-            };
-        }
+    /// Returns whether a request may be served while the answer to one that changes
+    /// nothing is being written. The connection goes on after it.
+    fn may_begin(&self, decoded: &Decoded) -> bool {
+        decoded.is_safe()
+            && decoded.codec.keep_alive()
+            && self.open.len() + 1 < CONCURRENT_MAX
+            && self.open.iter().all(|open| open.is_safe)
+    }
+
+    fn writer(&self) -> Writer<'a> {
+        Writer { node: self.node, shared: self.shared }
+    }
+
+    /// Ends all open requests.
+    async fn end_open(&mut self) -> io::Result<()> {
         while !self.open.is_empty() {
             // The requests may have run, so the answers must not say otherwise.
             let is_last = self.open.len() == 1;
             self.answer(Answer::local(StatusCode::GATEWAY_TIMEOUT, None), is_last).await?;
         }
-        Ok(false)
+        Ok(())
     }
 
-    /// Writes the answer to the first open request. Returns whether the connection
-    /// stays open, which it does not with `is_last`.
-    async fn answer(&mut self, answer: Answer, is_last: bool) -> io::Result<bool> {
-        let Some(mut open) = self.open.pop_front() else { return Ok(false) };
+    /// Takes the first open request, whose answer is to be written. Returns it and
+    /// whether its answer closes the connection, which it does with `is_last`.
+    fn take_first(&mut self, is_last: bool) -> Option<(Open<'a>, bool)> {
+        let open = self.open.pop_front()?;
         // Requests that were read ahead must be answered too.
         let is_drained = self.node.is_draining() && self.open.is_empty() && !self.shared.is_reading.get();
         let close = is_last || is_drained || !open.codec.keep_alive() || self.shared.held.is_ended();
         self.shared.remove_body(open.body_bytes);
+        Some((open, close))
+    }
+
+    /// Writes the answer to the first open request. The connection closes after it
+    /// with `is_last`.
+    async fn answer(&mut self, answer: Answer, is_last: bool) -> io::Result<()> {
+        if let Some((open, close)) = self.take_first(is_last) {
+            self.last = self.writer().write_last(open, answer, close).await?;
+        }
+        Ok(())
+    }
+
+    /// Closes the connection after its last answer. Reads the remaining bytes
+    /// first: unread bytes would reset the connection and could discard the
+    /// answer.
+    async fn finish(&mut self, reader: &mut Reader) -> io::Result<()> {
+        self.shared.writer.lock().await.shutdown().await?;
+        let discard = reader.discard(self.shared);
+        tokio::time::timeout(Duration::from_secs(1), discard).await.unwrap_or(Ok(()))
+    }
+}
+
+/// Writes the answers of a connection.
+#[derive(Clone, Copy)]
+struct Writer<'a> {
+    node: &'a Rc<Node>,
+    shared: &'a Shared,
+}
+
+impl<'a> Writer<'a> {
+    /// Writes the answer to a request. Returns the request if the answer closes the
+    /// connection.
+    async fn write_last(
+        self,
+        mut open: Open<'a>,
+        answer: Answer,
+        close: bool,
+    ) -> io::Result<Option<Open<'a>>> {
         self.write(&mut open.codec, answer, close).await?;
         self.shared.set_answer(0);
         self.shared.last_active.set(self.node.now());
-        self.last = close.then_some(open);
-        Ok(!close)
+        Ok(close.then_some(open))
     }
 
     async fn write(&self, codec: &mut Codec, answer: Answer, close: bool) -> io::Result<()> {
@@ -444,15 +505,6 @@
         }
         Ok(())
     }
-
-    /// Closes the connection after its last answer. Reads the remaining bytes
-    /// first: unread bytes would reset the connection and could discard the
-    /// answer.
-    async fn finish(&mut self, reader: &mut Reader) -> io::Result<()> {
-        self.shared.writer.lock().await.shutdown().await?;
-        let discard = reader.discard(self.shared);
-        tokio::time::timeout(Duration::from_secs(1), discard).await.unwrap_or(Ok(()))
-    }
 }
 
 fn retry_after_value(after: Span) -> Option<HeaderValue> {
--- a/crates/catkin-edge/tests/streaming.rs
+++ b/crates/catkin-edge/tests/streaming.rs
@@ -411,6 +411,35 @@
     assert!(behind < Duration::from_millis(600), "{behind:?} after the first");
 }
 
+/// A request that is sent while a download is being forwarded must be served at once,
+/// and one that changes something must wait for its turn.
+#[actix_rt::test]
+async fn requests_during_a_download_are_served_meanwhile() {
+    let fleet = start().await;
+    let script = |id: &str| match id {
+        "first" => Download::new(Form::Length, 300_000, 1_200, 240_000),
+        _ => Download::new(Form::Length, 1_000, 0, 0),
+    };
+    let targets = Targets::start(&fleet, script).await;
+    let mut stream = send(&fleet.edges[1], "/once/x", "first").await;
+    let head = read_head(&mut stream).await.unwrap();
+    assert!(head.contains("x-request-id: first\r\n"), "{head}");
+    for id in ["second", "third"] {
+        stream.write_all(request("/once/x", id).as_bytes()).await.unwrap();
+    }
+    let post = request("/once/x", "post").replace("GET", "POST");
+    stream.write_all(post.as_bytes()).await.unwrap();
+    sleep(400).await;
+    assert_eq!(["second", "third", "post"].map(|id| targets.count(id)), [1, 1, 0]);
+    assert_eq!(read_slowly(&mut stream, LARGE_BYTES, 1 << 30).await, LARGE_BYTES);
+    for id in ["second", "third", "post"] {
+        let head = read_head(&mut stream).await.unwrap();
+        assert!(head.contains(&format!("x-request-id: {id}\r\n")), "{id}: {head}");
+        assert_eq!(read_slowly(&mut stream, 1_000, 1 << 30).await, 1_000);
+    }
+    assert_eq!(targets.count("post"), 1);
+}
+
 /// A caller that leaves during a download ends the work of its target.
 #[actix_rt::test]
 async fn leaving_caller_ends_its_download() {
