Refuse requests whose answers the own link can't carry in time

Each further download at a machine whose link is full made all of them later. catkin-route/link_load learns the usual size of a route, counts the answers in progress and refuses a request at once with 503 and the time that is missing, if the link is busy and its answer would be late. Connections share a link, so short requests hardly wait for downloads and are not refused.

--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -402,10 +402,14 @@
     async fn write_last(
         self,
         mut open: Open<'a>,
-        answer: Answer,
+        mut answer: Answer,
         close: bool,
     ) -> io::Result<Option<Open<'a>>> {
+        self.shared.due.replace(answer.due.take());
         self.write(&mut open.codec, answer, close).await?;
+        if let Some(due) = self.shared.due.take() {
+            due.finish();
+        }
         self.shared.set_answer(0);
         self.shared.last_active.set(self.node.now());
         Ok(close.then_some(open))
@@ -501,6 +505,9 @@
             if count == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
+            if let Some(due) = &*self.shared.due.borrow() {
+                due.record_written(count);
+            }
             bytes = &bytes[count..];
         }
         Ok(())
--- a/crates/catkin-edge/src/accept/read.rs
+++ b/crates/catkin-edge/src/accept/read.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        due::DueAnswer,
         node::{Node, Stage},
         serve::{self, Answer, Incoming},
     },
@@ -14,7 +15,12 @@
     bytes::{Bytes, BytesMut},
     catkin::types::{Span, Time},
     catkin_net::Held,
-    std::{cell::Cell, io, net::SocketAddr, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        io,
+        net::SocketAddr,
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -57,6 +63,8 @@
     pub(super) last_active: Cell<Time>,
     /// Whether a part of an answer was written whose rest is still to come.
     pub(super) is_partial: Cell<bool>,
+    /// Counts the answer that is being written as due on the link.
+    pub(super) due: RefCell<Option<DueAnswer>>,
     /// Address of the caller.
     caller: SocketAddr,
     /// Half on which answers are written.
@@ -68,6 +76,7 @@
         Self {
             held: Held::new(caller),
             is_partial: Cell::new(false),
+            due: RefCell::default(),
             caller,
             buffer_bytes: Cell::new(0),
             body_bytes: Cell::new(0),
--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -30,6 +30,7 @@
 mod admit;
 mod announcements;
 mod attempt;
+mod due;
 mod feed;
 mod lead;
 mod link;
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -57,6 +57,7 @@
     evacuated_requests: Gauge,
     admitted: Family<RankLabel, Gauge<f64, AtomicU64>>,
     overload_refusals: Family<RankLabel, Counter>,
+    link_refusals: Counter,
 }
 
 impl Metrics {
@@ -107,6 +108,9 @@
         let overload_refusals = Family::default();
         let help = "Requests that were refused at once because their service has too little room";
         registry.register("overload_refusals", help, overload_refusals.clone());
+        let link_refusals = Counter::default();
+        let help = "Requests that were refused at once because the own link is too slow for their answers";
+        registry.register("link_refusals", help, link_refusals.clone());
         Self {
             registry,
             answers,
@@ -127,6 +131,7 @@
             evacuated_requests,
             admitted,
             overload_refusals,
+            link_refusals,
         }
     }
 
@@ -165,6 +170,11 @@
         self.overload_refusals.get_or_create(&RankLabel { service: service.to_owned(), rank }).inc();
     }
 
+    /// Counts a request that was refused at once because the own link is too slow.
+    pub(crate) fn count_link_refusal(&self) {
+        self.link_refusals.inc();
+    }
+
     /// Records the time from a report to the leader to its answer.
     pub(crate) fn record_link_delay(&self, delay: Span) {
         self.link_delay.observe(delay.as_secs_f64());
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -16,6 +16,7 @@
         config::Config,
         directory::Directory,
         drain::Drain,
+        link_load::LinkLoad,
         load::LocalLoads,
         owners::{Owners, ProcessId},
         peer_count::PeerCount,
@@ -96,6 +97,8 @@
     /// Size up to which answers are held that another attempt may replace, and by
     /// which answers are read ahead of their callers.
     pub(crate) hold_size: Size,
+    /// Answers that are to be sent over the link of this machine.
+    pub(crate) link_load: RefCell<LinkLoad>,
     /// Idle connections to targets.
     pub(crate) pool: Pool,
     /// Requests by service and key since the last report to the leader.
@@ -187,8 +190,8 @@
             window: bounds.retry_window,
             slack: bounds.retry_slack,
         };
-        let hold_size = LinkRate::from_mbps(settings.bandwidth)
-            .map_or(Size::default(), |link| streaming::hold_size(link, catkin_net::held_limit()));
+        let link = LinkRate::from_mbps(settings.bandwidth).unwrap_or_default();
+        let hold_size = streaming::hold_size(link, catkin_net::held_limit());
         Self {
             store: Store::new(settings.store, http.clone()),
             loads: RefCell::new(
@@ -215,6 +218,7 @@
             directory_read: Cell::new(false),
             owners: watch::Sender::new(None),
             hold_size,
+            link_load: RefCell::new(LinkLoad::new(link)),
             pool: Pool::default(),
             key_counts: RefCell::default(),
             waiters: WaitQueue::default(),
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -4,6 +4,7 @@
     crate::{
         admit::{self, AdmitError},
         attempt::{self, AttemptOutcome},
+        due::DueAnswer,
         node::Node,
         stream::BodyStream,
     },
@@ -65,12 +66,31 @@
     pub(crate) retry_after: Option<Span>,
     /// Counts a whole body as held.
     pub(crate) held: Option<Held>,
+    /// Counts the answer as due on the link of this machine.
+    pub(crate) due: Option<DueAnswer>,
 }
 
 impl Answer {
     /// Creates an answer of this process, without headers and body.
     pub(crate) fn local(status: StatusCode, retry_after: Option<Span>) -> Self {
-        Self { status, headers: Vec::new(), body: AnswerBody::Whole(Bytes::new()), retry_after, held: None }
+        Self {
+            status,
+            headers: Vec::new(),
+            body: AnswerBody::Whole(Bytes::new()),
+            retry_after,
+            held: None,
+            due: None,
+        }
+    }
+}
+
+impl Answer {
+    /// Returns the length of the body, if it is known.
+    pub(crate) fn length(&self) -> Option<u64> {
+        match &self.body {
+            AnswerBody::Whole(body) => Some(body.len() as u64),
+            AnswerBody::Streamed(stream) => stream.length(),
+        }
     }
 }
 
@@ -167,13 +187,20 @@
     if !may_take(node, routed.deadline) {
         return refuse(node, incoming, &routed.id, Code::Leaving);
     }
+    let wait = node.link_load.borrow().wait(node.now(), &routed.route.name, routed.deadline);
+    if let Some(wait) = wait {
+        return refuse_for_link(node, &routed, wait);
+    }
+    let mut due = DueAnswer::new(node, &routed.route.name);
     node.budget.borrow_mut().count_request(incoming.arrived, &routed.service);
     if let Some(key) = routed.key {
         let mut keys = node.key_counts.borrow_mut();
         let count = keys.entry((routed.service.clone(), key)).or_default();
         *count = count.saturating_add(1);
     }
-    let answer = send_with_retries(node, &routed).await;
+    let mut answer = send_with_retries(node, &routed).await;
+    due.set_answer(&answer);
+    answer.due = Some(due);
     let took = node.now().since(incoming.arrived);
     log_request(node, &config, &routed, &answer, took);
     node.metrics.count_answer(outcome_label(answer.status), took);
@@ -249,6 +276,7 @@
                     body: AnswerBody::Streamed(stream),
                     retry_after: None,
                     held: None,
+                    due: None,
                 };
             }
             AttemptOutcome::NotRun => (AttemptEnd::NotRun, Code::TargetRefused),
@@ -349,6 +377,18 @@
     kept.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
 
+/// Returns the answer to a request whose answer could not be sent in time over the link
+/// of this machine.
+fn refuse_for_link(node: &Node, routed: &RoutedRequest<'_>, wait: Span) -> Answer {
+    if node.log_limiter.allow(node.now(), "request refused for the link") {
+        let (id, route, wait_ms) = (&*routed.id, &*routed.route.name, wait.as_millis());
+        log::info!(id, route, wait_ms; "request refused for the link");
+    }
+    node.metrics.count_link_refusal();
+    node.metrics.count_answer("refused", node.now().since(routed.incoming.arrived));
+    answer_for_code(Code::QueueFull, spread(&routed.id, wait))
+}
+
 /// Forwards a target's complete answer to the caller.
 fn forward(reply: HttpAnswer) -> Answer {
     Answer {
@@ -357,6 +397,7 @@
         body: AnswerBody::Whole(reply.body),
         retry_after: None,
         held: Some(reply.held),
+        due: None,
     }
 }
 
--- a/crates/catkin-edge/tests/streaming.rs
+++ b/crates/catkin-edge/tests/streaming.rs
@@ -440,6 +440,43 @@
     assert_eq!(targets.count("post"), 1);
 }
 
+/// A download that the link can't carry in time next to those in progress must be refused
+/// at once, before it reaches a target; a short request must not, nor a download later.
+#[actix_rt::test]
+async fn downloads_beyond_the_link_are_refused_at_once() {
+    let fleet = start().await;
+    let targets =
+        Targets::start(&fleet, |_| Download::new(Form::Length, 1_000, 300, LARGE_BYTES - 1_000)).await;
+    let mut first = send(&fleet.edges[1], "/once/x", "first").await;
+    read_head(&mut first).await.unwrap();
+    assert_eq!(read_slowly(&mut first, LARGE_BYTES, 1 << 30).await, LARGE_BYTES);
+    sleep(1_200).await;
+    let mut reading = Vec::new();
+    for i in 0..8 {
+        let mut stream = send(&fleet.edges[1], "/once/x", &format!("open{i}")).await;
+        reading.push(actix_rt::spawn(async move {
+            read_head(&mut stream).await.unwrap();
+            read_slowly(&mut stream, LARGE_BYTES, 300_000).await
+        }));
+    }
+    sleep(1_000).await;
+    let start = Instant::now();
+    let mut refused = send(&fleet.edges[1], "/once/x", "refused").await;
+    let head = read_head(&mut refused).await.unwrap();
+    assert!(head.starts_with("http/1.1 503 ") && head.contains("retry-after: "), "{head}");
+    assert!(start.elapsed() < Duration::from_millis(100), "{:?}", start.elapsed());
+    assert_eq!(targets.count("refused"), 0);
+    let short = fleet.get(&fleet.edges[1], 1).await;
+    assert_eq!(short.map(|response| response.status), Some(200));
+    for reading in reading {
+        assert_eq!(reading.await.unwrap(), LARGE_BYTES);
+    }
+    sleep(1_200).await;
+    let mut later = send(&fleet.edges[1], "/once/x", "later").await;
+    let head = read_head(&mut later).await.unwrap();
+    assert!(head.starts_with("http/1.1 200 "), "{head}");
+}
+
 /// A caller that leaves during a download ends the work of its target.
 #[actix_rt::test]
 async fn leaving_caller_ends_its_download() {
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -33,6 +33,7 @@
 //! | [`backoff`] | when a store that could not be read is called again |
 //! | [`report_times`] | how old a state of the leader is when it arrives |
 //! | [`budget`] | whether a service has a retry left |
+//! | [`link_load`] | whether an answer can be sent over the own link in time |
 //! | [`streaming`] | how much of an answer is held or read ahead of its caller |
 //! | [`attempts`] | whether a request may get another attempt, and what its caller is told |
 
@@ -51,6 +52,7 @@
 pub mod evacuation;
 pub mod granter;
 pub mod level;
+pub mod link_load;
 pub mod load;
 pub mod owners;
 pub mod pace;
--- a/crates/catkin-route/src/rate.rs
+++ b/crates/catkin-route/src/rate.rs
@@ -55,6 +55,13 @@
 #[display("{} Mbit/s", _0 / 125_000.0)]
 pub struct LinkRate(f64);
 
+impl Default for LinkRate {
+    /// Returns 1,000 Mbit/s, which no machine of the first users exceeds.
+    fn default() -> Self {
+        Self(125_000_000.0)
+    }
+}
+
 impl LinkRate {
     /// Creates a rate from Mbit/s. Returns `None` unless the number is finite and
     /// above zero.
