--- a/crates/catkin-edge/src/accept.rs
+++ b/crates/catkin-edge/src/accept.rs
@@ -24,14 +24,7 @@
     catkin_net::{Held, limit_unsent, set_socket_options},
     futures_util::{StreamExt, stream::FuturesOrdered},
     read::{Decoded, Input, Reader, STALL_TIMEOUT, Shared},
-    std::{
-        collections::VecDeque,
-        convert::Infallible,
-        io,
-        pin::{Pin, pin},
-        rc::Rc,
-        time::Duration,
-    },
+    std::{collections::VecDeque, convert::Infallible, io, pin::Pin, rc::Rc, time::Duration},
     tokio::{
         io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
@@ -264,7 +257,8 @@
             let is_safe = open.is_safe && !close;
             let mut input = None;
             let last = {
-                let mut writing = pin!(self.writer().write_last(open, answer, close));
+                // A connection that waits for an answer needs no memory for writing it.
+                let mut writing = Box::pin(self.writer().write_last(open, answer, close));
                 loop {
                     let read = tokio::select! {
                         biased;
@@ -312,7 +306,7 @@
             let Some((open, close)) = self.take_first(false) else { return Ok(Step::Finish) };
             self.last = tokio::select! {
                 biased;
-                written = self.writer().write_last(open, answer, close) => written?,
+                written = Box::pin(self.writer().write_last(open, answer, close)) => written?,
                 never = answers.run_ahead() => match never {},
                 () = reader.closed(self.shared) => return Ok(Step::Closed),
             };
@@ -374,7 +368,7 @@
     /// with `is_last`.
     async fn answer(&mut self, answer: Answer, is_last: bool) -> io::Result<()> {
         if let Some((open, close)) = self.take_first(is_last) {
-            self.last = self.writer().write_last(open, answer, close).await?;
+            self.last = Box::pin(self.writer().write_last(open, answer, close)).await?;
         }
         Ok(())
     }
--- a/crates/catkin-edge/src/attempt.rs
+++ b/crates/catkin-edge/src/attempt.rs
@@ -293,11 +293,11 @@
     let Some(head) = build_head(routed, target, sent_at) else { return AttemptOutcome::Unreachable };
     let body = routed.incoming.body.clone();
     attempts.sent_on(conn.id());
-    let begin =
-        conn.begin(head, body, routed.incoming.chunked, |head| matches_request(head, &routed.id, reused));
     let left = routed.deadline.since(sent_at) + ANSWER_SLACK;
     let until = tokio::time::Instant::now() + left.as_duration();
-    let mut reply = match tokio::time::timeout_at(until, begin).await {
+    let is_own = |head: &ResponseHead| matches_request(head, &routed.id, reused);
+    let begin = tokio::time::timeout_at(until, conn.begin(head, body, routed.incoming.chunked, is_own));
+    let mut reply = match begin.await {
         Ok(Ok(reply)) => reply,
         Ok(Err(failure)) => return lost(node, routed, &failure, &mut guard),
         Err(_) => return late(node, &mut guard),
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -31,6 +31,10 @@
 /// requests.
 const EVACUATION_TIME: Duration = Duration::from_secs(5);
 
+/// Size of the answers to requests whose path ends with `/large`, in bytes, as that of
+/// the largest downloads.
+const LARGE_BYTES: usize = 540_000;
+
 /// Faults of a server. For those with a number n, 0 means off.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServerFaults {
@@ -493,7 +497,10 @@
             .insert_header(("x-request-id", id.clone()))
             .insert_header(("x-server-stamp", format!("{}.{fence}", inner.id)))
             .insert_header(("x-server-load", load))
-            .body(format!("{id} {} {}", inner.id, body.len()))
+            .body(match request.path().ends_with("/large") {
+                true => format!("{id} {} {}{} end", inner.id, body.len(), " ".repeat(LARGE_BYTES)),
+                false => format!("{id} {} {}", inner.id, body.len()),
+            })
             .map_into_boxed_body()
     }
 }
