--- a/crates/catkin-edge/src/main.rs
+++ b/crates/catkin-edge/src/main.rs
@@ -30,6 +30,7 @@
 mod admit;
 mod announcements;
 mod attempt;
+mod due;
 mod feed;
 mod lead;
 mod link;
@@ -42,6 +43,7 @@
 mod settings;
 mod shutdown;
 mod silence;
+mod stream;
 mod sync;
 mod wait_queue;
 
--- a/crates/catkin-edge/src/metrics.rs
+++ b/crates/catkin-edge/src/metrics.rs
@@ -45,6 +45,7 @@
     registry: Registry,
     answers: Family<EndLabel, Counter>,
     attempts: Family<EndLabel, Counter>,
+    streams: Family<EndLabel, Counter>,
     commands: Family<KindLabel, Counter>,
     probes: Family<EndLabel, Counter>,
     suspicions: Counter,
@@ -66,6 +67,7 @@
     slow_targets: Family<ServiceLabel, Gauge>,
     slowdown_max: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     slow_work_ratio: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    link_refusals: Counter,
 }
 
 impl Metrics {
@@ -76,6 +78,9 @@
         registry.register("answers", "Answers to callers by how they ended", answers.clone());
         let attempts = Family::default();
         registry.register("sends", "Sends to targets by how they ended", attempts.clone());
+        let streams = Family::default();
+        let help = "Answers that were forwarded while they arrived, by how they ended";
+        registry.register("streamed_answers", help, streams.clone());
         let commands = Family::default();
         registry.register("commands", "Commands to targets about keys", commands.clone());
         let probes = Family::default();
@@ -129,10 +134,14 @@
         let slow_work_ratio = Family::default();
         let help = "Requests of a target while it is slow, as a multiple of those of other targets";
         registry.register("slow_work_ratio", help, slow_work_ratio.clone());
+        let link_refusals = Counter::default();
+        let help = "Requests that were refused at once because the own link is too slow for their answers";
+        registry.register("link_refusals", help, link_refusals.clone());
         Self {
             registry,
             answers,
             attempts,
+            streams,
             commands,
             probes,
             suspicions,
@@ -154,6 +163,7 @@
             slow_targets,
             slowdown_max,
             slow_work_ratio,
+            link_refusals,
         }
     }
 
@@ -207,6 +217,11 @@
         }
     }
 
+    /// Counts a request that was refused at once because the own link is too slow.
+    pub(crate) fn count_link_refusal(&self) {
+        self.link_refusals.inc();
+    }
+
     /// Records the time from a report to the leader to its answer.
     pub(crate) fn record_link_delay(&self, delay: Span) {
         self.link_delay.observe(delay.as_secs_f64());
@@ -228,6 +243,11 @@
         self.attempts.get_or_create(&EndLabel { end }).inc();
     }
 
+    /// Counts an answer that was forwarded while it arrived.
+    pub(crate) fn count_stream(&self, end: &'static str) {
+        self.streams.get_or_create(&EndLabel { end }).inc();
+    }
+
     /// Counts a request that was sent to a cold target, or refused as all its
     /// targets are cold.
     pub(crate) fn count_cold(&self, end: &'static str) {
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -6,7 +6,7 @@
         sync::Source, wait_queue::WaitQueue,
     },
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
-    catkin::types::{Span, Time},
+    catkin::types::{Size, Span, Time},
     catkin_net::BootClock,
     catkin_platform::{bounds::Bounds, name, store::Store},
     catkin_route::{
@@ -16,12 +16,14 @@
         config::{self, Config},
         directory::{Directory, Incarnation},
         drain::Drain,
+        link_load::LinkLoad,
         load::{LocalLoads, SlowChange, SlowReport},
         owners::{Owners, ProcessId},
         peer_count::PeerCount,
-        rate::RequestRate,
+        rate::{LinkRate, RequestRate},
         silence::Silence,
         split::Split,
+        streaming,
         vacancy::{Vacancies, Vacancy},
     },
     std::{
@@ -108,6 +110,11 @@
     pub(crate) limited_services: RefCell<HashSet<Arc<str>>>,
     /// Retry budgets of the services.
     pub(crate) budget: RefCell<Budget>,
+    /// Size up to which answers are held that another attempt may replace, and by
+    /// which answers are read ahead of their callers.
+    pub(crate) hold_size: Size,
+    /// Answers that are to be sent over the link of this machine.
+    pub(crate) link_load: RefCell<LinkLoad>,
     /// Idle connections to targets.
     pub(crate) pool: Pool,
     /// Requests by service and key since the last report to the leader.
@@ -204,6 +211,8 @@
             window: bounds.retry_window,
             slack: bounds.retry_slack,
         };
+        let link = LinkRate::from_mbps(settings.bandwidth).unwrap_or_default();
+        let hold_size = streaming::hold_size(link, catkin_net::held_limit());
         Self {
             store: Store::new(settings.store, http.clone()),
             loads: RefCell::new(
@@ -235,6 +244,8 @@
             directory_read: Cell::new(false),
             owners: watch::Sender::new(None),
             earlier_owners: RefCell::default(),
+            hold_size,
+            link_load: RefCell::new(LinkLoad::new(link)),
             pool: Pool::default(),
             key_counts: RefCell::default(),
             waiters: WaitQueue::default(),
--- a/crates/catkin-edge/src/serve.rs
+++ b/crates/catkin-edge/src/serve.rs
@@ -4,10 +4,12 @@
     crate::{
         admit::{self, AdmitError},
         attempt::{self, AttemptOutcome},
+        due::DueAnswer,
         node::Node,
+        stream::BodyStream,
     },
     actix_http::{
-        HttpMessage, Request, StatusCode,
+        HttpMessage, Request, ResponseHead, StatusCode,
         header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING},
     },
     bytes::Bytes,
@@ -24,6 +26,7 @@
     },
     std::{
         hash::{DefaultHasher, Hash, Hasher},
+        net::SocketAddr,
         rc::Rc,
         sync::Arc,
     },
@@ -39,6 +42,16 @@
     pub(crate) chunked: bool,
     /// Time at which the head was read.
     pub(crate) arrived: Time,
+    /// Address of the caller.
+    pub(crate) caller: SocketAddr,
+}
+
+/// Body of an answer to a caller.
+pub(crate) enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// One that is forwarded while it arrives.
+    Streamed(BodyStream),
 }
 
 /// Answer to a caller.
@@ -48,17 +61,36 @@
     /// Headers of the target's answer; none in an answer of this process.
     pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
     /// Body; empty in an answer of this process.
-    pub(crate) body: Bytes,
+    pub(crate) body: AnswerBody,
     /// Time after which a refused caller should retry, if it is told one.
     pub(crate) retry_after: Option<Span>,
-    /// Counts the body as held.
+    /// Counts a whole body as held.
     pub(crate) held: Option<Held>,
+    /// Counts the answer as due on the link of this machine.
+    pub(crate) due: Option<DueAnswer>,
 }
 
 impl Answer {
     /// Creates an answer of this process, without headers and body.
     pub(crate) fn local(status: StatusCode, retry_after: Option<Span>) -> Self {
-        Self { status, headers: Vec::new(), body: Bytes::new(), retry_after, held: None }
+        Self {
+            status,
+            headers: Vec::new(),
+            body: AnswerBody::Whole(Bytes::new()),
+            retry_after,
+            held: None,
+            due: None,
+        }
+    }
+}
+
+impl Answer {
+    /// Returns the length of the body, if it is known.
+    pub(crate) fn length(&self) -> Option<u64> {
+        match &self.body {
+            AnswerBody::Whole(body) => Some(body.len() as u64),
+            AnswerBody::Streamed(stream) => stream.length(),
+        }
     }
 }
 
@@ -155,13 +187,20 @@
     if !may_take(node, routed.deadline) {
         return refuse(node, incoming, &routed.id, Code::Leaving);
     }
+    let wait = node.link_load.borrow().wait(node.now(), &routed.route.name, routed.deadline);
+    if let Some(wait) = wait {
+        return refuse_for_link(node, &routed, wait);
+    }
+    let mut due = DueAnswer::new(node, &routed.route.name);
     node.budget.borrow_mut().count_request(incoming.arrived, &routed.service);
     if let Some(key) = routed.key {
         let mut keys = node.key_counts.borrow_mut();
         let count = keys.entry((routed.service.clone(), key)).or_default();
         *count = count.saturating_add(1);
     }
-    let answer = send_with_retries(node, &routed).await;
+    let mut answer = send_with_retries(node, &routed).await;
+    due.set_answer(&answer);
+    answer.due = Some(due);
     let took = node.now().since(incoming.arrived);
     log_request(node, &config, &routed, &answer, took);
     node.metrics.count_answer(outcome_label(answer.status), took);
@@ -199,7 +238,7 @@
 
 /// Returns whether a status tells a caller that its request did not run and
 /// never will.
-fn says_not_run(status: StatusCode) -> bool {
+pub(crate) fn says_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
@@ -231,6 +270,16 @@
                 (AttemptEnd::Failed, Code::AnswerCut)
             }
             AttemptOutcome::Answered(reply) => return forward(reply),
+            AttemptOutcome::Streamed(head, stream) => {
+                return Answer {
+                    status: head.status,
+                    headers: forwarded_headers(&head),
+                    body: AnswerBody::Streamed(stream),
+                    retry_after: None,
+                    held: None,
+                    due: None,
+                };
+            }
             AttemptOutcome::NotRun => (AttemptEnd::NotRun, Code::TargetRefused),
             AttemptOutcome::Misdirected => (AttemptEnd::Misdirected, Code::FenceRefused),
             AttemptOutcome::Unreachable => (AttemptEnd::Unreachable, Code::ConnectFailed),
@@ -348,12 +397,35 @@
     answer_for_code(code, retry_delay(RETRY_AFTER_MAX))
 }
 
-/// Forwards a target's answer to the caller.
-fn forward(reply: HttpAnswer) -> Answer {
+/// Returns the headers of a target's answer that its caller gets.
+fn forwarded_headers(head: &ResponseHead) -> Vec<(HeaderName, HeaderValue)> {
     let removed = [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, name::KEEP_ALIVE, name::LOAD];
-    let kept = reply.head.headers().iter().filter(|(name, _)| !removed.contains(name));
-    let headers = kept.map(|(name, value)| (name.clone(), value.clone())).collect();
-    Answer { status: reply.head.status, headers, body: reply.body, retry_after: None, held: Some(reply.held) }
+    let kept = head.headers().iter().filter(|(name, _)| !removed.contains(name));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+/// Returns the answer to a request whose answer could not be sent in time over the link
+/// of this machine.
+fn refuse_for_link(node: &Node, routed: &RoutedRequest<'_>, wait: Span) -> Answer {
+    if node.log_limiter.allow(node.now(), "request refused for the link") {
+        let (id, route, wait_ms) = (&*routed.id, &*routed.route.name, wait.as_millis());
+        log::info!(id, route, wait_ms; "request refused for the link");
+    }
+    node.metrics.count_link_refusal();
+    node.metrics.count_answer("refused", node.now().since(routed.incoming.arrived));
+    answer_for_code(Code::QueueFull, spread(&routed.id, wait))
+}
+
+/// Forwards a target's complete answer to the caller.
+fn forward(reply: HttpAnswer) -> Answer {
+    Answer {
+        status: reply.head.status,
+        headers: forwarded_headers(&reply.head),
+        body: AnswerBody::Whole(reply.body),
+        retry_after: None,
+        held: Some(reply.held),
+        due: None,
+    }
 }
 
 impl AdmitError {
--- a/crates/catkin-edge/src/silence.rs
+++ b/crates/catkin-edge/src/silence.rs
@@ -1,7 +1,7 @@
 //! Notices targets that have stopped responding, see [`catkin_route::silence`].
 
 use {
-    crate::{attempt::InFlight, node::Node},
+    crate::{attempt::Awaited, node::Node},
     catkin::types::Time,
     catkin_route::{
         directory::Incarnation,
@@ -91,12 +91,12 @@
 
 /// Notices whether the target of a request stops responding. Returns once that is
 /// known and `claim` returns that the request goes to another target.
-pub(crate) async fn watch(node: &Node, in_flight: &InFlight<'_>, mut claim: impl FnMut() -> bool) {
-    let incarnation = in_flight.incarnation;
+pub(crate) async fn watch(node: &Node, awaited: &Awaited<'_>, mut claim: impl FnMut() -> bool) {
+    let incarnation = awaited.incarnation;
     let mut changes = node.silence_changes.subscribe();
-    let mut wait = Wait::new(in_flight.sent_at, in_flight.limit);
+    let mut wait = Wait::new(awaited.sent_at, awaited.limit);
     loop {
-        if !in_flight.has_received() && is_silent(node, incarnation) && claim() {
+        if !awaited.has_received() && is_silent(node, incarnation) && claim() {
             return;
         }
         let due = async {
@@ -108,7 +108,7 @@
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return pending().await },
             () = due => {
-                if in_flight.has_received() {
+                if awaited.has_received() {
                     wait.end();
                     note_heard(node, incarnation);
                     continue;
--- a/crates/catkin-edge/tests/common/mod.rs
+++ b/crates/catkin-edge/tests/common/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) admin: SocketAddr,
     peers: SocketAddr,
+    /// Memory that the process is told it has, in MB; the default if `None`.
+    pub(crate) memory_mb: Cell<Option<u32>>,
     file: PathBuf,
     child: RefCell<Option<Child>>,
     /// Processes that ended by themselves with an error.
@@ -70,8 +72,15 @@
             "vm: {name}\nzone: z\ncallers: {callers}\nadmin: {admin}\npeers: {peers}\nstore: {store}\nbounds: [\"graceS=5\"]\n{settings}"
         );
         fs::write(&file, text).unwrap();
-        let edge =
-            Self { callers, admin, peers, file, child: RefCell::default(), failures: RefCell::default() };
+        let edge = Self {
+            callers,
+            admin,
+            peers,
+            memory_mb: Cell::new(None),
+            file,
+            child: RefCell::default(),
+            failures: RefCell::default(),
+        };
         edge.restart();
         edge
     }
@@ -92,9 +101,11 @@
         if !self.has_ended() {
             return;
         }
+        let memory = self.memory_mb.get().map(|mb| ["--memory".to_owned(), mb.to_string()]);
         let child = Command::new(env!("CARGO_BIN_EXE_catkin-edge"))
             .arg("--settings")
             .arg(&self.file)
+            .args(memory.iter().flatten())
             .stdout(output)
             .stderr(errors)
             .spawn()
@@ -235,6 +246,8 @@
 pub(crate) struct Tally {
     pub(crate) served: Rc<Cell<u32>>,
     pub(crate) unserved: Rc<Cell<u32>>,
+    /// Served requests with large answers.
+    pub(crate) downloads: Rc<Cell<u32>>,
 }
 
 impl Tally {
@@ -243,6 +256,9 @@
         let is_served = response.is_some_and(|response| response.status == 200);
         let count = if is_served { &self.served } else { &self.unserved };
         count.set(count.get() + 1);
+        if response.is_some_and(|response| response.body.len() > 1_000) {
+            self.downloads.set(self.downloads.get() + 1);
+        }
     }
 
     /// Returns the share of the requests that were served.
@@ -397,7 +413,12 @@
                 self.checker.record_refusal(id, once);
             }
             if response.status == 200 && !response.body.starts_with(&format!("{id} ")) {
-                self.checker.add_violation(format!("request {id} got {:?}", response.body));
+                let begin: String = response.body.chars().take(100).collect();
+                self.checker.add_violation(format!("request {id} got {begin:?}"));
+            }
+            let length = response.body.len();
+            if response.status == 200 && length > 1_000 && !response.body.ends_with(" end") {
+                self.checker.add_violation(format!("request {id} got {length} bytes without the end"));
             }
         }
         response
--- a/crates/catkin-route/src/attempts.rs
+++ b/crates/catkin-route/src/attempts.rs
@@ -131,9 +131,9 @@
         is_safe && has_attempt_left && now < self.deadline
     }
 
-    /// Returns whether a request that waits for an answer may be sent to another
-    /// target instead.
-    pub fn may_abandon(&self, now: Time) -> bool {
+    /// Returns whether another attempt may still replace the answer of the current
+    /// one, which is not yet recorded and whose target has begun to answer.
+    pub fn may_replace(&self, now: Time) -> bool {
         self.idempotent && self.reached + 1 < self.max_attempts && now < self.deadline
     }
 
--- a/crates/catkin-route/src/lib.rs
+++ b/crates/catkin-route/src/lib.rs
@@ -39,6 +39,8 @@
 //! | [`backoff`] | when a store that could not be read is called again |
 //! | [`report_times`] | how old a state of the leader is when it arrives |
 //! | [`budget`] | whether a service has a retry left |
+//! | [`link_load`] | whether an answer can be sent over the own link in time |
+//! | [`streaming`] | how much of an answer is held or read ahead of its caller |
 //! | [`attempts`] | whether a request may get another attempt, and what its caller is told |
 
 pub mod admission;
@@ -56,6 +58,7 @@
 pub mod evacuation;
 pub mod granter;
 pub mod level;
+pub mod link_load;
 pub mod load;
 pub mod message;
 pub mod numbering;
@@ -73,6 +76,7 @@
 pub mod silence;
 pub mod spill;
 pub mod split;
+pub mod streaming;
 pub mod subset;
 pub mod succession;
 pub mod topic_copy;
--- a/crates/catkin-route/tests/promises.rs
+++ b/crates/catkin-route/tests/promises.rs
@@ -8,7 +8,7 @@
         directory::{Directory, Incarnation},
         level::Levels,
         load::{Completion, LocalLoads},
-        quotas::{Quotas, TargetQuota},
+        quotas::{Quotas, Room, TargetQuota},
         rank::FillFactor,
     },
     common::{SERVICE, at, entry, incarnation},
@@ -211,7 +211,7 @@
         let vm: Arc<str> = vm.into();
         self.quotas.report(now, &vm, process.loads.in_flight(), process.loads.queue_lengths());
         let promised = self.quotas.report_promised(&vm, process.loads.promised(now));
-        let allotted = self.quotas.allot(&vm, |_| Some(SLOTS as u32));
+        let allotted = self.quotas.allot(&vm, |_| Some(Room::new(SLOTS as u32)));
         let targets: Vec<_> = self.directory.of_service(SERVICE).collect();
         let levels = Levels::new(SERVICE.into(), &targets, |id| self.quotas.load(id));
         let mut quotas = Vec::new();
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -33,6 +33,9 @@
 
 /// Least time after which the connection of an unanswered command is reset.
 const COMMAND_TIMEOUT_MIN: Duration = Duration::from_millis(400);
+/// Size of the answers to requests whose path ends with `/large`, in bytes, as that of
+/// the largest downloads.
+const LARGE_BYTES: usize = 540_000;
 
 /// Faults of a server. For those with a number n, 0 means off.
 #[derive(Clone, Copy, Debug, Default)]
@@ -557,7 +560,10 @@
             .insert_header(("x-request-id", id.clone()))
             .insert_header(("x-server-stamp", format!("{}.{fence}", inner.id)))
             .insert_header(("x-server-load", load))
-            .body(format!("{id} {} {}", inner.id, body.len()))
+            .body(match request.path().ends_with("/large") {
+                true => format!("{id} {} {}{} end", inner.id, body.len(), " ".repeat(LARGE_BYTES)),
+                false => format!("{id} {} {}", inner.id, body.len()),
+            })
             .map_into_boxed_body()
     }
 }
