--- a/crates/catkin-edge/src/silence.rs
+++ b/crates/catkin-edge/src/silence.rs
@@ -59,16 +59,21 @@
     if changed.is_empty() {
         return;
     }
+    let now = node.now();
     for incarnation in &changed {
-        let count = silent.len();
+        let (id, started, count) = (&*incarnation.id, incarnation.started, silent.len());
         if silent.contains(incarnation) {
-            log::info!(target_id = &*incarnation.id, started = incarnation.started, count; "target has stopped responding");
-        } else {
-            let has_answered = node.silence.borrow().has_answered(incarnation);
-            if has_answered && directory.current(incarnation).is_some() {
-                node.loads.borrow_mut().forgive(incarnation);
+            if node.log_limiter.allow(now, "target has stopped responding") {
+                log::info!(target_id = id, started, count; "target has stopped responding");
             }
-            log::info!(target_id = &*incarnation.id, started = incarnation.started, has_answered, count; "target counts as responding");
+            continue;
+        }
+        let has_answered = node.silence.borrow().has_answered(incarnation);
+        if has_answered && directory.current(incarnation).is_some() {
+            node.loads.borrow_mut().forgive(incarnation);
+        }
+        if node.log_limiter.allow(now, "target counts as responding") {
+            log::info!(target_id = id, started, has_answered, count; "target counts as responding");
         }
     }
     node.metrics.set_silent(&directory);
