--- a/crates/catkin-edge/src/lead.rs
+++ b/crates/catkin-edge/src/lead.rs
@@ -23,6 +23,7 @@
         balance::{self, FleetLoads},
         granter::{Action, Command, Granter, LeaseTimes, Outcome, Step},
         owners::Owners,
+        vacancy::Vacancy,
     },
     claim::Claim,
     command::{CommandConns, GRANT_TIMEOUT},
@@ -198,7 +199,9 @@
         self.granter.note_store_contact(joined_at.max(read_at));
         let directory = self.node.directory.borrow();
         let steps = with_loads(|loads| self.granter.tick(now, &services, &directory, loads));
+        let vacancies = self.granter.vacancies(now, &directory);
         drop(directory);
+        self.set_vacancies(vacancies);
         for step in steps {
             match step {
                 Step::Send(command) => self.send(command),
@@ -215,6 +218,22 @@
         }
     }
 
+    /// Sets which keys have no owner. All processes hear at once of further ones.
+    fn set_vacancies(&self, vacancies: Vec<Vacancy>) {
+        let last = self.node.own_vacancies.replace(vacancies);
+        for Vacancy { service, from, to, .. } in &*self.node.own_vacancies.borrow() {
+            if !last.iter().any(|v| v.service == *service && v.from <= *from && *to <= v.to) {
+                self.node.silence_changed.set(true);
+            }
+        }
+        let count = self.node.own_vacancies.borrow().len();
+        if (count > 0) != last.is_empty() {
+            return;
+        }
+        let rest_ms = self.node.own_vacancies.borrow().iter().map(|v| v.rest().as_millis()).max();
+        log::info!(count, rest_ms; "ranges of keys without an owner");
+    }
+
     fn decay(&mut self, now: Time) {
         if now.since(self.last_decay) < balance::DECAY_INTERVAL {
             return;
--- a/crates/catkin-edge/src/node.rs
+++ b/crates/catkin-edge/src/node.rs
@@ -6,7 +6,7 @@
         sync::Source, wait_queue::WaitQueue,
     },
     actix_http::{KeepAlive, ServiceConfig, ServiceConfigBuilder},
-    catkin::types::{Span, Time},
+    catkin::types::{Size, Span, Time},
     catkin_net::BootClock,
     catkin_platform::{bounds::Bounds, name, store::Store},
     catkin_route::{
@@ -14,17 +14,21 @@
         backoff::Backoff,
         budget::{self, Budget},
         config::{self, Config},
-        directory::Directory,
+        directory::{Directory, Incarnation},
         drain::Drain,
-        load::LocalLoads,
+        link_load::LinkLoad,
+        load::{LocalLoads, SlowChange, SlowReport},
         owners::{Owners, ProcessId},
         peer_count::PeerCount,
-        rate::RequestRate,
+        rate::{LinkRate, RequestRate},
+        silence::Silence,
         split::Split,
+        streaming,
+        vacancy::{Vacancies, Vacancy},
     },
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, HashSet},
+        collections::{HashMap, HashSet, VecDeque},
         rc::Rc,
         sync::Arc,
         time::{SystemTime, UNIX_EPOCH},
@@ -84,24 +88,43 @@
     pub(crate) directory_read: Cell<bool>,
     /// Newest known table of owners.
     pub(crate) owners: watch::Sender<Option<VersionedOwners>>,
+    /// Tables of owners before the newest one, the oldest first; empty unless this process
+    /// leads.
+    pub(crate) earlier_owners: RefCell<VecDeque<VersionedOwners>>,
     /// Loads of targets as seen by this process.
     pub(crate) loads: RefCell<LocalLoads>,
+    /// Targets that have stopped responding.
+    pub(crate) silence: RefCell<Silence>,
+    /// Ranges of keys that have no owner for a while, as the leader last told.
+    pub(crate) vacancies: RefCell<Vacancies>,
+    /// The same as this process knows it as the leader.
+    pub(crate) own_vacancies: RefCell<Vec<Vacancy>>,
+    /// Whether the targets that count as silent have changed since that was last
+    /// signalled.
+    pub(crate) silence_changed: Cell<bool>,
+    /// Signals changes of the targets that count as silent.
+    pub(crate) silence_changes: watch::Sender<u64>,
     /// Admission of requests under overload.
     pub(crate) admission: RefCell<Admission>,
     /// Services of which not all requests were admitted when that was last logged.
     pub(crate) limited_services: RefCell<HashSet<Arc<str>>>,
     /// Retry budgets of the services.
     pub(crate) budget: RefCell<Budget>,
+    /// Size up to which answers are held that another attempt may replace, and by
+    /// which answers are read ahead of their callers.
+    pub(crate) hold_size: Size,
+    /// Answers that are to be sent over the link of this machine.
+    pub(crate) link_load: RefCell<LinkLoad>,
     /// Idle connections to targets.
     pub(crate) pool: Pool,
     /// Requests by service and key since the last report to the leader.
     pub(crate) key_counts: RefCell<HashMap<(Arc<str>, u16), u16>>,
     /// Requests that wait for capacity or for an owner.
     pub(crate) waiters: WaitQueue,
-    /// Whether a request waits for a quota that was not yet requested from the
-    /// leader.
+    /// Whether the leader should hear of something at once: a request waits for a
+    /// quota that was not yet requested, or a target has stopped responding.
     pub(crate) quota_wanted: Cell<bool>,
-    /// Wakes the task that sends reports when a quota is needed.
+    /// Wakes the task that sends reports.
     pub(crate) quota_requested: Notify,
     /// Stage of the graceful shutdown; each change is signalled.
     pub(crate) stage: watch::Sender<Stage>,
@@ -166,6 +189,11 @@
     heartbeat.scale(MISSED_HEARTBEATS) + REMOVAL_DELAY_MAX
 }
 
+/// Earlier tables of owners that a leader keeps. Processes read its claim in the store
+/// and report it on their first link, up to a second later; a leader writes a table every
+/// 60 ms at most.
+const EARLIER_TABLES_MAX: usize = 16;
+
 /// Number of edge processes that is assumed before the leader has counted them.
 const PEERS_DEFAULT: u32 = 12;
 
@@ -183,6 +211,8 @@
             window: bounds.retry_window,
             slack: bounds.retry_slack,
         };
+        let link = LinkRate::from_mbps(settings.bandwidth).unwrap_or_default();
+        let hold_size = streaming::hold_size(link, catkin_net::held_limit());
         Self {
             store: Store::new(settings.store, http.clone()),
             loads: RefCell::new(
@@ -190,6 +220,11 @@
                     .with_vm(identity.vm.clone())
                     .with_crossing_cost(settings.crossing_cost()),
             ),
+            silence: RefCell::default(),
+            vacancies: RefCell::default(),
+            own_vacancies: RefCell::default(),
+            silence_changed: Cell::new(false),
+            silence_changes: watch::Sender::new(0),
             admission: RefCell::default(),
             limited_services: RefCell::default(),
             budget: RefCell::new(Budget::new(limits)),
@@ -208,6 +243,9 @@
             ),
             directory_read: Cell::new(false),
             owners: watch::Sender::new(None),
+            earlier_owners: RefCell::default(),
+            hold_size,
+            link_load: RefCell::new(LinkLoad::new(link)),
             pool: Pool::default(),
             key_counts: RefCell::default(),
             waiters: WaitQueue::default(),
@@ -271,8 +309,17 @@
         }
         log::info!(version = offset, leader = &*table.leader.vm; "table of owners changed");
         self.directory.borrow_mut().learn_owners(self.now(), &table);
-        self.owners.send_replace(Some(VersionedOwners { offset, table }));
+        let earlier = self.owners.send_replace(Some(VersionedOwners { offset, table }));
         self.waiters.notify_all();
+        let mut earlier_owners = self.earlier_owners.borrow_mut();
+        if !self.is_leader.get() {
+            earlier_owners.clear();
+            return;
+        }
+        earlier_owners.extend(earlier);
+        if earlier_owners.len() > EARLIER_TABLES_MAX {
+            earlier_owners.pop_front();
+        }
     }
 
     /// Replaces the configuration unless a newer one is known. Returns whether
@@ -380,6 +427,29 @@
         }
     }
 
+    /// Sets the metrics of slow targets, and logs which of them stay slow.
+    fn report_slow(&self, now: Time, directory: &Directory) {
+        let SlowReport { services, changes } = self.loads.borrow_mut().watch_slow(now, directory);
+        self.metrics.set_slow(services);
+        for (Incarnation { id, .. }, change) in changes {
+            match change {
+                SlowChange::Began(slowdown) if self.log_limiter.allow(now, "target is slow") => {
+                    log::info!(target_id = &*id, slowdown; "target is slow");
+                }
+                SlowChange::Ended(span) if self.log_limiter.allow(now, "target is no longer slow") => {
+                    log::info!(target_id = &*id, slow_ms = span.as_millis(); "target is no longer slow");
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Reports to the leader as soon as the least interval between reports allows.
+    pub(crate) fn request_report(&self) {
+        self.quota_wanted.set(true);
+        self.quota_requested.notify_one();
+    }
+
     /// Does the work that is due every second: expires entries and idle
     /// connections.
     pub(crate) fn sweep(&self) {
@@ -387,8 +457,10 @@
         let mut directory = self.directory.borrow_mut();
         directory.tick(now);
         self.loads.borrow_mut().retain(&directory);
+        self.silence.borrow_mut().retain(now, &directory);
         self.pool.sweep(now, &directory);
         self.report_admission(now);
+        self.report_slow(now, &directory);
         self.metrics.set_config_age(now.since(self.config_feed.checked_at()));
         self.metrics.set_held(catkin_net::held());
         drop(directory);
--- a/crates/catkin-route/src/delta.rs
+++ b/crates/catkin-route/src/delta.rs
@@ -1,7 +1,7 @@
 //! Deltas between two tables of owners.
 //!
 //! A table of a few hundred targets takes kilobytes, and most records move a
-//! few ranges. Processes that have the previous table get the delta only.
+//! few ranges. Processes that have an earlier table get the delta only.
 
 use {
     crate::owners::{Owners, ProcessId, Row},
@@ -10,12 +10,27 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
-/// The delta from one table to a newer one.
+/// Fields of a table beside its rows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Delta {
+struct Head {
     leader: ProcessId,
     earlier_leaders: Vec<ProcessId>,
     lease_duration: Span,
+}
+
+impl Head {
+    fn new(table: &Owners) -> Self {
+        let Owners { leader, earlier_leaders, lease_duration, .. } = table;
+        let (leader, earlier_leaders) = (leader.clone(), earlier_leaders.clone());
+        Self { leader, earlier_leaders, lease_duration: *lease_duration }
+    }
+}
+
+/// The delta from one table to a newer one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Fields beside the rows, if any of them has changed.
+    head: Option<Head>,
     /// New rows of each service in the order of their keys. They replace the
     /// rows of the older table for the same keys.
     services: BTreeMap<Arc<str>, Vec<Row>>,
@@ -33,8 +48,8 @@
                 services.insert(name.clone(), new_rows);
             }
         }
-        let Owners { leader, earlier_leaders, lease_duration, .. } = new.clone();
-        let delta = Self { leader, earlier_leaders, lease_duration, services };
+        let head = Head::new(new);
+        let delta = Self { head: (head != Head::new(old)).then_some(head), services };
         // A row can't express that a key has lost its owner.
         (delta.apply(old) == *new).then_some(delta)
     }
@@ -47,7 +62,8 @@
             let rows = services.remove(name).unwrap_or_default();
             services.insert(name.clone(), replace_rows(rows, new_rows));
         }
-        let Self { leader, earlier_leaders, lease_duration, .. } = self.clone();
+        let Head { leader, earlier_leaders, lease_duration } =
+            self.head.clone().unwrap_or_else(|| Head::new(old));
         Owners { leader, earlier_leaders, lease_duration, services }
     }
 }
--- a/crates/catkin-route/src/load.rs
+++ b/crates/catkin-route/src/load.rs
@@ -1,10 +1,12 @@
 //! Chooses the target of a request, from what this process knows of the
 //! targets' load.
 
+mod promises;
 mod slowdown;
 mod state;
+mod watch;
 
-pub use state::Denial;
+pub use {state::Denial, watch::SlowChange};
 
 use {
     crate::{
@@ -21,7 +23,11 @@
     },
     catkin::types::{Span, Time},
     state::{QuotaState, TargetState},
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+    watch::WorkSplit,
 };
 
 /// Weight of a new measurement in the mean service time of a target.
@@ -93,6 +99,28 @@
     }
 }
 
+/// Slow targets of a service, as one process has heard of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SlowTargets {
+    /// Number of targets that are slow now.
+    pub count: usize,
+    /// Largest slowdown of them; 1 if there is none.
+    pub slowdown_max: f64,
+    /// Requests that a target gets while it is slow, as a multiple of those that
+    /// targets get at other times, over about the last 10 s; `None` if no target was
+    /// slow.
+    pub work_ratio: Option<f64>,
+}
+
+/// Slow targets as one process has heard of them.
+#[derive(Clone, Debug, Default)]
+pub struct SlowReport {
+    /// By service, those with known targets.
+    pub services: BTreeMap<Arc<str>, SlowTargets>,
+    /// Targets whose slowness has lasted, or has ended, since the last report.
+    pub changes: Vec<(Incarnation, SlowChange)>,
+}
+
 /// A search for a target.
 #[derive(Clone, Copy)]
 struct Query<'a> {
@@ -158,8 +186,8 @@
             .entry(incarnation.id.clone())
             .or_insert_with(|| TargetState::new(incarnation.clone()));
         if state.incarnation != *incarnation {
-            let TargetState { in_flight, queued, .. } = *state;
-            *state = TargetState { in_flight, queued, ..TargetState::new(incarnation.clone()) };
+            let TargetState { in_flight, queued, urgent, .. } = *state;
+            *state = TargetState { in_flight, queued, urgent, ..TargetState::new(incarnation.clone()) };
         }
         state
     }
@@ -179,7 +207,7 @@
         peers: u32,
         fill: FillFactor,
     ) -> Result<(), Denial> {
-        if target.is_doubted {
+        if target.is_doubted || target.is_silent {
             return Err(Denial::Doubted);
         }
         let serves = if has_key { target.serves_keys(now) } else { target.is_open() };
@@ -352,14 +380,20 @@
         fill: FillFactor,
     ) -> Option<Denial> {
         let mut first: Option<(Span, Denial)> = None;
+        let mut silent = None;
         for target in directory.of_service(service) {
+            if target.is_silent {
+                // Others say when a request should return.
+                silent = Some(Denial::Doubted);
+                continue;
+            }
             let Err(denial) = self.check(now, target, false, peers, fill) else { continue };
             let Some(rest) = denial.rest() else { return Some(denial) };
             if first.is_none_or(|(least, _)| rest < least) {
                 first = Some((rest, denial));
             }
         }
-        first.map(|(_, denial)| denial)
+        first.map(|(_, denial)| denial).or(silent)
     }
 
     fn choose_among<'a>(
@@ -395,6 +429,7 @@
     pub fn begin(&mut self, now: Time, incarnation: &Incarnation, peers: u32) -> bool {
         let state = self.state(incarnation);
         state.in_flight += 1;
+        state.watch.count_request(now);
         state.announced.begin(now, peers);
         let is_cold = state.cold.begin();
         if let Some(quota) = self.quotas.get_mut(&incarnation.id) {
@@ -441,15 +476,43 @@
         }
     }
 
-    /// Returns whether a request queued for a target would hardly be sent
-    /// within `wait_max`, since the queue is too long.
-    pub fn is_queue_too_long(&mut self, now: Time, target: &Target, wait_max: Span) -> bool {
+    /// Returns the time after which a refused request should return, if one that
+    /// is queued for a target now would hardly be sent within `wait_max`, since
+    /// the queue is too long. The queue has drained by then, also of the requests
+    /// that were refused before.
+    pub fn queue_drain_time(&mut self, now: Time, target: &Target, wait_max: Span) -> Option<Span> {
         let slots = f64::from(target.entry.slots.max(1));
         let incarnation = &target.entry.incarnation;
-        let Some(quota) = self.quota(now, incarnation) else { return false };
+        let quota = self.quota(now, incarnation)?;
         let state = self.state(incarnation);
-        let wait = f64::from(quota.queue_length) * state.service_time * state.slowdown.mean() / slots;
-        quota.left == 0 && wait > wait_max.as_secs_f64()
+        let per_request = state.service_time * state.slowdown.mean() / slots;
+        let wait = Span::from_micros((f64::from(quota.queue_length) * per_request * 1e6) as u64);
+        let promised = state.promises.count(now).max(state.promises.told(now));
+        let drained = wait + Span::from_micros((f64::from(promised) * per_request * 1e6) as u64);
+        (quota.left == 0 && wait > wait_max).then_some(drained)
+    }
+
+    /// Records that a request that was refused returns after a time.
+    pub fn promise(&mut self, now: Time, incarnation: &Incarnation, after: Span) {
+        self.state(incarnation).promises.add(now.after(after));
+    }
+
+    /// Returns the refused requests that will return, for each target that has some.
+    pub fn promised(&mut self, now: Time) -> Vec<(Arc<str>, u32)> {
+        let count = |(id, state): (&Arc<str>, &mut TargetState)| {
+            let count = state.promises.count(now);
+            (count > 0).then(|| (id.clone(), count))
+        };
+        self.targets.iter_mut().filter_map(count).collect()
+    }
+
+    /// Applies how many refused requests of all processes will return, as the leader
+    /// told.
+    pub fn learn_promised(&mut self, now: Time, promised: &Counts) {
+        for (id, state) in &mut self.targets {
+            let count = promised.iter().find(|(other, _)| other == id).map_or(0, |(_, count)| *count);
+            state.promises.learn(now, count);
+        }
     }
 
     /// Counts a request that enters or leaves the queue for a target.
@@ -458,6 +521,20 @@
         state.queued = if enters { state.queued + 1 } else { state.queued.saturating_sub(1) };
     }
 
+    /// Counts a request of the most urgent rank that enters or leaves the queue for a
+    /// target, beside [`LocalLoads::count_queued`].
+    pub fn count_urgent(&mut self, incarnation: &Incarnation, enters: bool) {
+        let state = self.state(incarnation);
+        state.urgent = if enters { state.urgent + 1 } else { state.urgent.saturating_sub(1) };
+    }
+
+    /// Returns how many of the queued requests for each target have the most urgent
+    /// rank.
+    pub fn urgent_lengths(&self) -> Vec<(Arc<str>, u32)> {
+        let some = self.targets.iter().filter(|(_, state)| state.urgent > 0);
+        some.map(|(id, state)| (id.clone(), state.urgent)).collect()
+    }
+
     /// Returns the queue length of this process for each target that has one.
     pub fn queue_lengths(&self) -> Vec<(Arc<str>, u32)> {
         let some = self.targets.iter().filter(|(_, state)| state.queued > 0);
@@ -474,7 +551,8 @@
     }
 
     /// Records the end of an attempt at a target and the time that it took.
-    /// `slots` are the target's slots.
+    /// `slots` are the target's slots. Returns the time at the usual speed and without
+    /// queueing of an attempt that ended well.
     pub fn end(
         &mut self,
         now: Time,
@@ -482,13 +560,14 @@
         completion: Completion,
         took: Span,
         slots: u32,
-    ) {
+    ) -> Option<Span> {
         let slots = f64::from(slots);
-        let Some(state) = self.targets.get_mut(&incarnation.id) else { return };
+        let state = self.targets.get_mut(&incarnation.id)?;
         state.in_flight = state.in_flight.saturating_sub(1);
         if state.incarnation != *incarnation {
-            return;
+            return None;
         }
+        let mut usual_time = None;
         let failed = match completion {
             Completion::Good => 0.0,
             Completion::Refused | Completion::Failed | Completion::Unreachable => 1.0,
@@ -501,6 +580,7 @@
                 let fill = state.fill(slots);
                 let taken = took.as_secs_f64() / fill.max(1.0);
                 let time = taken / state.slowdown.at(now);
+                usual_time = Some(Span::from_micros((time * 1e6) as u64));
                 state.service_time += (time - state.service_time) * SERVICE_TIME_WEIGHT;
                 state.times.add(taken as f32);
                 state.backoff = Span::ZERO;
@@ -518,6 +598,24 @@
             Completion::Refused | Completion::Failed => {}
         }
         state.reported_load = 0.0;
+        usual_time
+    }
+
+    /// Forgets failed attempts at a target that had stopped responding and answers
+    /// again. It would get no requests otherwise while others have room, and so
+    /// never show that it serves them.
+    pub fn forgive(&mut self, incarnation: &Incarnation) {
+        let state = self.state(incarnation);
+        (state.failure_rate, state.backoff, state.backoff_end) = (0.0, Span::ZERO, Time::default());
+    }
+
+    /// Returns the expected time of the last request that was sent to a target, as
+    /// a multiple of the usual time, for its slowness and its queue.
+    pub fn time_factor(&mut self, now: Time, target: &Entry, peers: u32) -> f64 {
+        let slots = f64::from(target.slots.max(1));
+        let state = self.state(&target.incarnation);
+        let waiting = (state.requests(now, peers) - slots).max(0.0);
+        (1.0 + waiting / slots) * state.slowdown.at(now).max(state.slowdown.mean()).max(1.0)
     }
 
     /// Records a target's own report: the number of requests that run or wait
@@ -525,6 +623,7 @@
     pub fn record_report(&mut self, now: Time, incarnation: &Incarnation, requests: u32, slowdown: f64) {
         let state = self.state(incarnation);
         state.slowdown.record(now, slowdown);
+        state.watch.record(now, slowdown);
         state.reported_load = f64::from(requests);
         state.others_reported = f64::from(requests.saturating_sub(state.in_flight));
         state.reported_at = now;
@@ -614,6 +713,26 @@
         self.targets.iter_mut().filter_map(times).collect()
     }
 
+    /// Returns the slow targets, and changes since the last call. It must be called
+    /// every second.
+    pub fn watch_slow(&mut self, now: Time, directory: &Directory) -> SlowReport {
+        let (mut services, mut changes) = (BTreeMap::<_, (SlowTargets, WorkSplit)>::new(), Vec::new());
+        for state in self.targets.values_mut() {
+            let Some(target) = directory.current(&state.incarnation) else { continue };
+            let (is_slow, work, change) = state.watch.take(now, state.slowdown);
+            changes.extend(change.map(|change| (state.incarnation.clone(), change)));
+            let (slow, sum) = services.entry(target.entry.service.clone()).or_default();
+            slow.count += usize::from(is_slow);
+            let slowdown = if is_slow { state.slowdown.reported() } else { 1.0 };
+            slow.slowdown_max = slow.slowdown_max.max(slowdown);
+            sum.add(work);
+        }
+        let with_ratio = |(service, (slow, work)): (Arc<str>, (SlowTargets, WorkSplit))| {
+            (service, SlowTargets { work_ratio: work.ratio(), ..slow })
+        };
+        SlowReport { services: services.into_iter().map(with_ratio).collect(), changes }
+    }
+
     /// Removes targets that the directory does not have and for which no
     /// request is in flight or queued.
     pub fn retain(&mut self, directory: &Directory) {
--- a/crates/catkin-route/src/load/state.rs
+++ b/crates/catkin-route/src/load/state.rs
@@ -1,7 +1,7 @@
 //! What a process knows of one target, and whether it sends it a request.
 
 use {
-    super::slowdown::Slowdown,
+    super::{promises::Promises, slowdown::Slowdown, watch::SlowWatch},
     crate::{
         announced::Announced,
         cold::{ColdState, ColdTerms},
@@ -35,7 +35,8 @@
 pub enum Denial {
     /// It leaves.
     Leaving,
-    /// It may be leaving, which is being found out.
+    /// It may be leaving or may have stopped responding, which is being found
+    /// out.
     Doubted,
     /// It wants no request of this process for the span.
     Paused(Span),
@@ -73,6 +74,7 @@
     /// Mean service time at the usual speed, without queueing, in seconds.
     pub(super) service_time: f64,
     pub(super) slowdown: Slowdown,
+    pub(super) watch: SlowWatch,
     pub(super) others_reported: f64,
     pub(super) reported_at: Time,
     /// Requests that the target reported with the last answer.
@@ -84,8 +86,11 @@
     pub(super) backoff_end: Time,
     /// Requests of this process that are queued for the target.
     pub(super) queued: u32,
+    /// Those of the most urgent rank among them.
+    pub(super) urgent: u32,
     pub(super) announced: Announced,
     pub(super) cold: ColdState,
+    pub(super) promises: Promises,
 }
 
 /// This process's quota at a target.
@@ -106,6 +111,7 @@
             in_flight: 0,
             service_time: SERVICE_TIME_DEFAULT_S,
             slowdown: Slowdown::default(),
+            watch: SlowWatch::default(),
             others_reported: 0.0,
             reported_at: zero,
             reported_load: 0.0,
@@ -114,8 +120,10 @@
             backoff: Span::ZERO,
             backoff_end: zero,
             queued: 0,
+            urgent: 0,
             announced: Announced::default(),
             cold: ColdState::default(),
+            promises: Promises::default(),
         }
     }
 
--- a/crates/catkin-route/tests/delta.rs
+++ b/crates/catkin-route/tests/delta.rs
@@ -38,7 +38,14 @@
 fn any_table() -> impl Strategy<Value = Owners> {
     let bounds = prop::collection::vec(any::<u16>(), 0..12);
     let owners = prop::collection::vec(prop::option::weighted(0.9, 0_u8..4), 1..12);
-    (bounds, owners).prop_map(|(bounds, owners)| table(rows(bounds, &owners)))
+    (bounds, owners, any::<bool>(), 1_u64..3).prop_map(|(bounds, owners, is_other, fence)| {
+        let mut rows = rows(bounds, &owners);
+        for row in rows.iter_mut().skip(1) {
+            row.fence = fence;
+        }
+        let leader = leader(if is_other { "y" } else { "x" });
+        Owners { leader, ..table(rows) }
+    })
 }
 
 proptest! {
@@ -84,3 +91,15 @@
     let new = table(vec![row(0, 9, "a", 1)]);
     assert_eq!(Delta::new(&old, &new), None);
 }
+
+/// A move is told to every process at once. The leader and its address are as before, and
+/// took more bytes than the row.
+#[test]
+fn same_leader_is_not_named_again() {
+    let old = table(vec![row(0, 9, "a", 1), row(10, 19, "b", 1)]);
+    let new = table(vec![row(0, 9, "a", 1), row(10, 19, "c", 2)]);
+    let other = Owners { leader: leader("another"), ..new.clone() };
+    let size = |new| postcard::to_stdvec(&Delta::new(&old, new).unwrap()).unwrap().len();
+    assert!(size(&new) < 20, "{} bytes for one move", size(&new));
+    assert_eq!(Delta::new(&old, &other).unwrap().apply(&old), other);
+}
--- a/crates/catkin-standin/src/users/server.rs
+++ b/crates/catkin-standin/src/users/server.rs
@@ -31,6 +31,12 @@
 /// requests.
 const EVACUATION_TIME: Duration = Duration::from_secs(5);
 
+/// Least time after which the connection of an unanswered command is reset.
+const COMMAND_TIMEOUT_MIN: Duration = Duration::from_millis(400);
+/// Size of the answers to requests whose path ends with `/large`, in bytes, as that of
+/// the largest downloads.
+const LARGE_BYTES: usize = 540_000;
+
 /// Faults of a server. For those with a number n, 0 means off.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServerFaults {
@@ -67,12 +73,18 @@
     incarnation: Cell<u64>,
     draining: Cell<bool>,
     stopped: Cell<bool>,
+    /// Whether the process is paused, and the number of requests and health checks
+    /// that arrived meanwhile.
+    paused: Cell<bool>,
+    paused_requests: Cell<(u32, u32)>,
     running: Cell<u32>,
     /// Slots, if requests beyond them wait in a queue.
     slots: RefCell<Option<Rc<Semaphore>>>,
     received: Cell<u32>,
     health_checks: Cell<u32>,
     faults: Cell<ServerFaults>,
+    /// Time that work takes, as a multiple of the usual time.
+    slowdown: Cell<f64>,
     grants: RefCell<Vec<Grant>>,
     announcements: RefCell<Announcements>,
     cold: RefCell<Option<ColdTime>>,
@@ -147,11 +159,14 @@
             incarnation: Cell::new(1),
             draining: Cell::new(false),
             stopped: Cell::new(false),
+            paused: Cell::new(false),
+            paused_requests: Cell::default(),
             running: Cell::new(0),
             slots: RefCell::default(),
             received: Cell::new(0),
             health_checks: Cell::new(0),
             faults: Cell::default(),
+            slowdown: Cell::new(1.0),
             grants: RefCell::default(),
             announcements: RefCell::default(),
             cold: RefCell::default(),
@@ -192,6 +207,17 @@
         self.inner.faults.set(faults);
     }
 
+    /// Sets the time that work takes, as a multiple of the usual time, which all
+    /// further answers report.
+    pub fn set_slowdown(&self, slowdown: f64) {
+        self.inner.slowdown.set(slowdown);
+    }
+
+    /// Returns the number of requests so far.
+    pub fn received(&self) -> u32 {
+        self.inner.received.get()
+    }
+
     /// Lets requests beyond the slots wait in a queue from now on. Otherwise all run
     /// at once.
     pub fn use_slots(&self) {
@@ -243,6 +269,43 @@
         self.inner.announcements.borrow().late_requests()
     }
 
+    /// Stops responding, as a process that is paused: connections stay open and new
+    /// ones are accepted. What arrives meanwhile is handled when the pause ends.
+    pub fn set_paused(&self, is_paused: bool) {
+        self.inner.paused.set(is_paused);
+        if is_paused {
+            self.inner.paused_requests.take();
+        }
+    }
+
+    /// Returns the number of requests and of health checks that arrived in the last
+    /// pause.
+    pub fn paused_requests(&self) -> (u32, u32) {
+        self.inner.paused_requests.get()
+    }
+
+    /// Waits until the server is not paused. Returns whether the request still
+    /// arrives: the connection of a command is reset before the pause ends if that
+    /// lasts for longer, so that the process never reads the command.
+    async fn await_continue(&self, request: &Request) -> bool {
+        let inner = &self.inner;
+        if !inner.paused.get() {
+            return true;
+        }
+        let (requests, checks) = inner.paused_requests.get();
+        let is_command = matches!(request.path(), "/v1/grant" | "/v1/release");
+        if request.path() == "/health" {
+            inner.paused_requests.set((requests, checks + 1));
+        } else if !is_command {
+            inner.paused_requests.set((requests + 1, checks));
+        }
+        let arrived = Instant::now();
+        while inner.paused.get() {
+            actix_rt::time::sleep(Duration::from_millis(2)).await;
+        }
+        !is_command || arrived.elapsed() < COMMAND_TIMEOUT_MIN
+    }
+
     /// Announces that the server leaves, by the state `draining` in its entry.
     /// It still accepts requests.
     pub fn drain(&self) {
@@ -343,6 +406,9 @@
         if self.inner.stopped.get() {
             return pending().await;
         }
+        if !self.await_continue(&request).await {
+            return pending().await;
+        }
         match request.path() {
             "/v1/grant" | "/v1/release" => self.command(request).await,
             "/health" => self.report_health(),
@@ -473,9 +539,10 @@
             Some(slots) => slots.acquire().await.ok(),
             None => None,
         };
-        actix_rt::time::sleep(inner.work_time).await;
+        actix_rt::time::sleep(inner.work_time.mul_f64(inner.slowdown.get())).await;
         let queued = if slot.is_some() { inner.running.get().saturating_sub(SLOTS) } else { 0 };
-        let load = format!("{},{queued},{SLOTS}", inner.running.get() - queued);
+        let percent = (inner.slowdown.get() * 100.0).round();
+        let load = format!("{},{queued},{SLOTS},{percent}", inner.running.get() - queued);
         drop((guard, slot));
         if every(faults.unanswered_every) {
             return pending().await;
@@ -493,7 +560,10 @@
             .insert_header(("x-request-id", id.clone()))
             .insert_header(("x-server-stamp", format!("{}.{fence}", inner.id)))
             .insert_header(("x-server-load", load))
-            .body(format!("{id} {} {}", inner.id, body.len()))
+            .body(match request.path().ends_with("/large") {
+                true => format!("{id} {} {}{} end", inner.id, body.len(), " ".repeat(LARGE_BYTES)),
+                false => format!("{id} {} {}", inner.id, body.len()),
+            })
             .map_into_boxed_body()
     }
 }
