Move keys less often: longer means of service times, and a higher usage

Cause: with the real speeds of targets the leader saw more differences between them, and a mean over 60 answers followed single slow periods. Requests for keys that move are refused until the running work at the old owner has ended.

Change: means over 200 answers, and keys stay up to a usage of 0.7, as service times include slow periods now.

--- a/crates/catkin-route/src/balance.rs
+++ b/crates/catkin-route/src/balance.rs
@@ -29,8 +29,9 @@
 
 /// Usage of a target's slots up to which its keys stay: requests hardly wait
 /// there, and keys that move can't be served until their running work has
-/// ended.
-const MOVE_USAGE_MIN: f32 = 0.55;
+/// ended. Service times include the slow periods of targets, so that the usage is
+/// above the share of the slots that are taken in between.
+const MOVE_USAGE_MIN: f32 = 0.7;
 
 /// The same bound as a multiple of the mean usage.
 const MOVE_MEAN_FACTOR: f32 = 1.25;
--- a/crates/catkin-route/src/service_time.rs
+++ b/crates/catkin-route/src/service_time.rs
@@ -17,9 +17,10 @@
 /// Service time of a target before any of its service was measured, in seconds.
 pub const SERVICE_TIME_DEFAULT_S: f32 = 0.1;
 
-/// Answers of a target over which the leader's mean reaches. Single times differ
-/// by the kind of request, so a mean of fewer would move keys without need.
-const FLEET_COUNT_MAX: f32 = 60.0;
+/// Answers of a target over which the leader's mean reaches. Single times differ by
+/// the kind of request, and slow periods make several answers longer, so a mean of
+/// fewer would move keys without need.
+const FLEET_COUNT_MAX: f32 = 200.0;
 
 /// Answers of a target that a process remembers for a new leader.
 const OWN_COUNT_MAX: f32 = 8.0;
