--- a/review/standin-2/endless.rs
+++ b/review/standin-2/endless.rs
@@ -61,7 +61,7 @@
                 let body: &[u8] = if method == "POST" { b"print" } else { b"" };
                 let deadline_ms = CLIENT_WAIT.as_millis() as u64;
                 let key = (i * 1_000) as u16;
-                let call = Call { method, path, id, deadline_ms, key: Some(key), body };
+                let call = Call { method, path, id, deadline_ms, key: Some(key), headers: &[], body };
                 record.write(&format!("sent {}", call.id));
                 let sent_at = Instant::now();
                 let answer = call.send(addr, CLIENT_WAIT);
--- a/review/standin-2/framing.rs
+++ b/review/standin-2/framing.rs
@@ -66,7 +66,7 @@
     for i in 0..REQUESTS {
         let id = format!("order-{i}");
         let call =
-            Call { method: "POST", path: "/orders/1", id: id.clone(), deadline_ms: 1_200, key: None, body: b"print" };
+            Call { method: "POST", path: "/orders/1", id: id.clone(), deadline_ms: 1_200, key: None, headers: &[], body: b"print" };
         record.write(&format!("sent {id}"));
         let answer = call.send(fleet.edges[i % 2].callers, Duration::from_secs(3));
         let Some(answer) = answer else {
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -155,8 +155,9 @@
     }
 
     /// Reads an answer until it is complete, the connection ends or `until`. Returns
-    /// `None` if not even its head has arrived.
-    pub fn answer(&mut self, until: Instant) -> Option<Answer> {
+    /// `None` if not even its head has arrived. `has_body` is whether answers to the
+    /// method have bodies.
+    pub fn answer(&mut self, until: Instant, has_body: bool) -> Option<Answer> {
         let mut answer = loop {
             self.limit(until)?;
             let (first, headers) = self.head().ok()??;
@@ -165,6 +166,10 @@
                 break Answer { status, headers, body: Vec::new(), is_complete: false };
             }
         };
+        if !has_body || matches!(answer.status, 204 | 304) {
+            answer.is_complete = true;
+            return Some(answer);
+        }
         let mut body = Vec::new();
         let headers = answer.headers.clone();
         let mut stepped = Stepped { conn: self, until };
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod framing;
 mod http;
+mod no_body;
 mod probe;
 mod record;
 mod store;
@@ -71,11 +72,11 @@
             if !edge.await_ready(Duration::from_secs(20)) {
                 return None;
             }
-            loop {
+            for tries in 0.. {
                 let paths = ["/sheets/0", "/orders/0"];
                 let served = paths.iter().filter(|path| {
                     let method = if path.starts_with("/orders") { "POST" } else { "GET" };
-                    let call = Call { method, path, id: format!("warm-{i}"), deadline_ms: 1_000, key: None, body: b"" };
+                    let call = Call { method, path, id: format!("warm-{i}-{tries}"), deadline_ms: 1_000, key: None, headers: &[], body: b"" };
                     call.send(edge.callers, Duration::from_secs(2)).is_some_and(|a| a.status == 200)
                 });
                 if served.count() == paths.len() {
@@ -105,6 +106,8 @@
     pub deadline_ms: u64,
     /// Key of a request to a sharded service.
     pub key: Option<u16>,
+    /// Further headers.
+    pub headers: &'a [(&'a str, &'a str)],
     pub body: &'a [u8],
 }
 
@@ -122,8 +125,9 @@
         if self.key.is_some() {
             headers.push(("X-Shard-Key", &key));
         }
+        headers.extend_from_slice(self.headers);
         http::write(&mut conn.stream, &format!("{} {} HTTP/1.1", self.method, self.path), &headers, self.body).ok()?;
-        conn.answer(until)
+        conn.answer(until, self.method != "HEAD")
     }
 }
 
@@ -144,6 +148,7 @@
     let outcome = match case.as_str() {
         "endless" => endless::run(&scratch, &record),
         "framing" => framing::run(&scratch, &record),
+        "no-body" => no_body::run(&scratch, &record),
         "serve" => probe::serve(&scratch, &record),
         "probe" => probe::run(&scratch, &record),
         _ => {
--- a/review/standin-2/probe.rs
+++ b/review/standin-2/probe.rs
@@ -57,7 +57,7 @@
                 Special::Raw(format!("HTTP/1.1 {status}{nl}x-request-id: {}{nl}{text}", request.header("x-request-id")).into_bytes())
             });
         }
-        let call = Call { method, path, id: format!("p-{}", name.replace(' ', "-")), deadline_ms: 1_000, key: None, body: b"" };
+        let call = Call { method, path, id: format!("p-{}", name.replace(' ', "-")), deadline_ms: 1_000, key: None, headers: &[], body: b"" };
         let t = Instant::now();
         let a = call.send(fleet.edges[0].callers, Duration::from_secs(8));
         println!("{status} {method} {name}: {:?} {:?}", a.map(|a| (a.status, a.is_complete, String::from_utf8_lossy(&a.body).into_owned(), a.header("content-length").to_owned())), t.elapsed());
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -22,6 +22,8 @@
     Usual,
     /// Bytes that are written as they are; the connection is closed after them.
     Raw(Vec<u8>),
+    /// Bytes that are written as they are; the connection stays open.
+    Keep(Vec<u8>),
     /// A head, then chunks of a body without end, at intervals, until the caller
     /// closes the connection.
     Endless { head: String, chunk: usize, interval: Duration },
@@ -132,7 +134,8 @@
             return answer(stream, "421 Misdirected Request", &[("x-not-run", "1")], b"");
         }
         state.record.write(&format!("run {id} at {}", state.id));
-        thread::sleep(state.work);
+        let extra = request.path.split("/w").nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+        thread::sleep(state.work + Duration::from_millis(extra));
         let special = state.script.lock().expect("lock")(request);
         match special {
             Special::Usual => {
@@ -143,6 +146,7 @@
                 let _ = stream.write_all(&bytes);
                 None
             }
+            Special::Keep(bytes) => stream.write_all(&bytes).ok(),
             Special::Endless { head, chunk, interval } => {
                 stream.write_all(head.as_bytes()).ok()?;
                 let chunk = [format!("{chunk:x}\r\n").into_bytes(), vec![b'x'; chunk], b"\r\n".to_vec()].concat();
