--- a/review/standin-2/no_body.rs
+++ b/review/standin-2/allowed.rs
@@ -1,5 +1,5 @@
-//! Requests whose answers have no body: HEAD, and lookups that name a version which the
-//! client has already.
+//! Lookups that HTTP/1.1 allows beside the plain ones: HEAD, those that name a version
+//! which the client has already, and those of clients that offer another protocol.
 
 use {
     crate::{Call, Fleet, Outcome, has_trouble, record::Record, target::Special},
@@ -48,18 +48,20 @@
     // The machines are in touch after this time without a disruption.
     thread::sleep(Duration::from_millis(3_500));
     let tag = [("If-None-Match", TAG)];
-    let mut kinds = vec![("GET", &[][..])];
+    let offer = [("Connection", "upgrade"), ("Upgrade", "websocket")];
+    let mut kinds = vec![("plain", "GET", &[][..])];
     if has_trouble() {
-        kinds = vec![("GET", &[][..]), ("HEAD", &[][..]), ("GET", &tag[..])];
+        kinds.push(("head", "HEAD", &[][..]));
+        kinds.push(("conditional", "GET", &tag[..]));
+        kinds.push(("offer", "GET", &offer[..]));
     }
     let mut clients = Vec::new();
     for i in 0..REQUESTS {
-        for &(method, headers) in &kinds {
+        for &(kind, method, headers) in &kinds {
             let (addr, record) = (fleet.edges[i % 2].callers, record.clone());
             let headers: Vec<(&'static str, &'static str)> = headers.to_vec();
             clients.push(thread::spawn(move || {
-                let kind = if headers.is_empty() { method } else { "conditional GET" };
-                let id = format!("{}-{i}", kind.to_lowercase().replace(' ', "-"));
+                let id = format!("{kind}-{i}");
                 let deadline_ms = CLIENT_WAIT.as_millis() as u64;
                 let key = Some((i * 3_000) as u16);
                 let call = Call { method, path: "/sheets/1", id, deadline_ms, key, headers: &headers, body: b"" };
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,7 +6,7 @@
 mod endless;
 mod framing;
 mod http;
-mod no_body;
+mod allowed;
 mod probe;
 mod record;
 mod store;
@@ -148,7 +148,7 @@
     let outcome = match case.as_str() {
         "endless" => endless::run(&scratch, &record),
         "framing" => framing::run(&scratch, &record),
-        "no-body" => no_body::run(&scratch, &record),
+        "allowed" => allowed::run(&scratch, &record),
         "serve" => probe::serve(&scratch, &record),
         "probe" => probe::run(&scratch, &record),
         _ => {
