--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,8 @@
 mod allowed;
 mod probe;
 mod record;
+mod silence;
+mod slow_reader;
 mod store;
 mod target;
 
@@ -34,12 +36,14 @@
     NotRun,
 }
 
-/// Configuration of a small deployment: lookups of a sharded service, orders and
-/// uploads.
+/// Configuration of a small deployment: lookups of a sharded service, orders, uploads,
+/// and requests that may take long.
 const CONFIG: &str = r#"{"configVersion":"00000007","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"listeners":[{"hostname":"hulo84.example","rules":[
 {"name":"r-sheets","kind":"idempotent","targetLatencyMs":400,"priority":2,"match":{"pathPrefix":"/sheets/"},"action":{"service":"planoteca","timeoutMs":1000,"maxAttempts":2}},
 {"name":"r-orders","kind":"non_idempotent","targetLatencyMs":500,"priority":1,"match":{"pathPrefix":"/orders/"},"action":{"service":"pedidos","timeoutMs":1200,"maxAttempts":2}},
-{"name":"r-scans","kind":"upload","targetLatencyMs":500,"priority":1,"match":{"pathPrefix":"/scans/"},"action":{"service":"recepcion","timeoutMs":1200,"maxAttempts":2}}]}],
+{"name":"r-scans","kind":"upload","targetLatencyMs":500,"priority":1,"match":{"pathPrefix":"/scans/"},"action":{"service":"recepcion","timeoutMs":1200,"maxAttempts":2}},
+{"name":"r-exports","kind":"idempotent","targetLatencyMs":1500,"priority":2,"match":{"pathPrefix":"/exports/"},"action":{"service":"recepcion","timeoutMs":8000,"maxAttempts":2}},
+{"name":"r-ledgers","kind":"non_idempotent","targetLatencyMs":1500,"priority":1,"match":{"pathPrefix":"/ledgers/"},"action":{"service":"recepcion","timeoutMs":8000,"maxAttempts":2}}]}],
 "clusters":[{"name":"planoteca","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false,"sharded":true,"warmS":5.0,"grants":"invocation"},{"name":"pedidos","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false},{"name":"recepcion","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}]}"#;
 
 /// Store, servers and machines of a case.
@@ -149,6 +153,8 @@
         "endless" => endless::run(&scratch, &record),
         "framing" => framing::run(&scratch, &record),
         "allowed" => allowed::run(&scratch, &record),
+        "slow-reader" => slow_reader::run(&scratch, &record),
+        "silence" => silence::run(&scratch, &record),
         "serve" => probe::serve(&scratch, &record),
         "probe" => probe::run(&scratch, &record),
         _ => {
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -24,6 +24,8 @@
     Raw(Vec<u8>),
     /// Bytes that are written as they are; the connection stays open.
     Keep(Vec<u8>),
+    /// Bytes that are written before and after some work; the connection stays open.
+    Parts { first: Vec<u8>, work: Duration, rest: Vec<u8> },
     /// A head, then chunks of a body without end, at intervals, until the caller
     /// closes the connection.
     Endless { head: String, chunk: usize, interval: Duration },
@@ -54,6 +56,13 @@
 #[derive(Clone)]
 pub struct Target(Arc<State>);
 
+/// Returns the number after a mark in the path of a request, which sets its work in
+/// milliseconds (`/w`) or the size of its answer (`/b`).
+fn path_number(request: &Request, mark: &str) -> u64 {
+    let rest = request.path.split(mark).nth(1).unwrap_or("");
+    rest.split('/').next().and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
 fn unix_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
 }
@@ -134,12 +143,13 @@
             return answer(stream, "421 Misdirected Request", &[("x-not-run", "1")], b"");
         }
         state.record.write(&format!("run {id} at {}", state.id));
-        let extra = request.path.split("/w").nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
-        thread::sleep(state.work + Duration::from_millis(extra));
+        thread::sleep(state.work + Duration::from_millis(path_number(request, "/w")));
         let special = state.script.lock().expect("lock")(request);
         match special {
             Special::Usual => {
-                let body = format!("{id} {}", request.body.len());
+                let mut body = format!("{id} {}", request.body.len());
+                let size = path_number(request, "/b") as usize;
+                body += &"x".repeat(size.saturating_sub(body.len()));
                 answer(stream, "200 OK", &[("x-server-stamp", "s")], body.as_bytes())
             }
             Special::Raw(bytes) => {
@@ -147,6 +157,12 @@
                 None
             }
             Special::Keep(bytes) => stream.write_all(&bytes).ok(),
+            Special::Parts { first, work, rest } => {
+                stream.write_all(&first).ok()?;
+                thread::sleep(work);
+                state.record.write(&format!("done {id} at {}", state.id));
+                stream.write_all(&rest).ok()
+            }
             Special::Endless { head, chunk, interval } => {
                 stream.write_all(head.as_bytes()).ok()?;
                 let chunk = [format!("{chunk:x}\r\n").into_bytes(), vec![b'x'; chunk], b"\r\n".to_vec()].concat();
