--- a/review/standin-2/edge.rs
+++ b/review/standin-2/edge.rs
@@ -21,33 +21,56 @@
     settings: PathBuf,
 }
 
+/// Starts a process with the command of the deploy file.
+fn spawn(settings: &Path, log: File) -> Child {
+    Command::new("target/release/catkin-edge")
+        .args(["--settings-from", "CATKINHUB_CONFIG"])
+        .env("CATKINHUB_CONFIG", settings)
+        .env("CATKIN_MEMORY_MB", MEMORY_MB.to_string())
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().expect("log can be written"))
+        .stderr(log)
+        .spawn()
+        .expect("catkin-edge starts")
+}
+
 fn free_addr() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
     listener.local_addr().expect("bound socket")
 }
 
 impl Edge {
-    /// Starts a process. Its logs go to a file in the folder.
+    /// Starts a process of a system that starts for the first time. Its logs go to a file
+    /// in the folder.
     pub fn start(folder: &Path, name: &str, store: SocketAddr) -> Self {
+        Self::start_with(folder, name, store, true)
+    }
+
+    /// Starts a process. Its logs go to a file in the folder.
+    pub fn start_with(folder: &Path, name: &str, store: SocketAddr, bootstrap: bool) -> Self {
         let (callers, admin, metrics, peers) = (free_addr(), free_addr(), free_addr(), free_addr());
         let settings = folder.join(format!("{name}.yaml"));
         let text = format!(
-            "vm: {name}\nzone: sur-a\ncallers: {callers}\nadmin: {admin}\nmetrics: {metrics}\npeers: {peers}\nstore: {store}\ncores: 0.2\nbandwidth: 1000.0\nbootstrap: true\nheartbeat_ms: 870\nbounds: [\"drainMs=2000\",\"graceS=6\",\"lossSlackMs=200\",\"configApplyMs=2000\",\"retryBudgetRatio=0.2\",\"budgetWindowS=10\",\"retryBudgetSlack=56\",\"holdMaxMs=10000\"]\nlogs: json\n"
+            "vm: {name}\nzone: sur-a\ncallers: {callers}\nadmin: {admin}\nmetrics: {metrics}\npeers: {peers}\nstore: {store}\ncores: 0.2\nbandwidth: 1000.0\nbootstrap: {bootstrap}\nheartbeat_ms: 870\nbounds: [\"drainMs=2000\",\"graceS=6\",\"lossSlackMs=200\",\"configApplyMs=2000\",\"retryBudgetRatio=0.2\",\"budgetWindowS=10\",\"retryBudgetSlack=56\",\"holdMaxMs=10000\"]\nlogs: json\n"
         );
         fs::write(&settings, text).expect("settings can be written");
         let log = File::create(folder.join(format!("{name}.log"))).expect("log can be written");
-        let child = Command::new("target/release/catkin-edge")
-            .args(["--settings-from", "CATKINHUB_CONFIG"])
-            .env("CATKINHUB_CONFIG", &settings)
-            .env("CATKIN_MEMORY_MB", MEMORY_MB.to_string())
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("log can be written"))
-            .stderr(log)
-            .spawn()
-            .expect("catkin-edge starts");
+        let child = spawn(&settings, log);
         Self { callers, admin, child, settings }
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again after its end.
+    pub fn restart(&mut self) {
+        let log = File::options().append(true).open(self.settings.with_extension("log"));
+        self.child = spawn(&self.settings, log.expect("log can be written"));
+    }
+
     /// Returns whether the process says that it is ready.
     pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect_timeout(&self.admin, Duration::from_millis(300)) else {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
 mod silence;
 mod slow_reader;
 mod store;
+mod table;
 mod target;
 
 use {
@@ -154,6 +155,7 @@
         "framing" => framing::run(&scratch, &record),
         "allowed" => allowed::run(&scratch, &record),
         "slow-reader" => slow_reader::run(&scratch, &record),
+        "table" => table::run(&scratch, &record),
         "silence" => silence::run(&scratch, &record),
         "serve" => probe::serve(&scratch, &record),
         "probe" => probe::run(&scratch, &record),
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -12,13 +12,31 @@
     },
 };
 
+/// Largest record, as the settings of the deployments name it (`recordBytes`).
+const RECORD_BYTES_MAX: usize = 262_144;
+
 /// Partitions of a topic over which a group's members are spread.
 const PARTS: usize = 8;
 
+/// Partition 0 of a topic.
+#[derive(Default)]
+struct Topic {
+    /// Offset of the oldest kept record; earlier ones have expired.
+    first: usize,
+    records: Vec<Vec<u8>>,
+}
+
+impl Topic {
+    fn end(&self) -> usize {
+        self.first + self.records.len()
+    }
+}
+
 #[derive(Default)]
 struct State {
-    /// Records of partition 0, by topic.
-    topics: BTreeMap<String, Vec<Vec<u8>>>,
+    topics: BTreeMap<String, Topic>,
+    /// Appends that were refused, as a record was too large.
+    refused: usize,
     generation: u64,
     /// Expiry by member.
     members: BTreeMap<String, Instant>,
@@ -81,20 +99,29 @@
         addr
     }
 
+    /// Sets the offset of the first record of a topic, as if the ones before had
+    /// expired.
+    pub fn set_first(&self, topic: &str, first: usize) {
+        self.0.0.lock().expect("lock").topics.entry(topic.to_owned()).or_default().first = first;
+    }
+
+    /// Returns the number of appends that were refused, as a record was too large, and
+    /// the size of the newest record of a topic.
+    pub fn refused(&self, topic: &str) -> (usize, usize) {
+        let state = self.0.0.lock().expect("lock");
+        let newest = state.topics.get(topic).and_then(|topic| topic.records.last()).map_or(0, Vec::len);
+        (state.refused, newest)
+    }
+
     /// Appends a keyed record. An empty value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![u8::try_from(key.len()).expect("short key")];
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value);
-        self.0.0.lock().expect("lock").topics.entry(topic.to_owned()).or_default().push(record);
+        self.0.0.lock().expect("lock").topics.entry(topic.to_owned()).or_default().records.push(record);
         self.0.1.notify_all();
     }
 
-    /// Returns the number of records of a topic.
-    pub fn end(&self, topic: &str) -> usize {
-        self.0.0.lock().expect("lock").topics.get(topic).map_or(0, Vec::len)
-    }
-
     fn serve(&self, stream: TcpStream) {
         let mut conn = Conn::new(stream);
         while let Ok(Some(request)) = conn.request() {
@@ -121,17 +148,24 @@
     fn append(&self, request: &Request) -> (u16, Vec<u8>) {
         let mut state = self.0.0.lock().expect("lock");
         let topic = state.topics.entry(request.param("topic").to_owned()).or_default();
-        let end = topic.len();
+        let end = topic.end();
         if request.param("asOf").parse().is_ok_and(|as_of: usize| as_of != end) {
             return (412, format!("{{\"end\":{end}}}").into_bytes());
         }
+        let mut records = Vec::new();
         let mut rest = &request.body[..];
         while let Some((length, content)) = rest.split_first_chunk::<4>() {
             let (record, next) = content.split_at(u32::from_be_bytes(*length) as usize);
-            topic.push(record.to_vec());
+            records.push(record.to_vec());
             rest = next;
         }
-        let reply = format!("{{\"offset\":{end},\"end\":{}}}", topic.len());
+        // All or nothing.
+        if records.iter().any(|record| record.len() > RECORD_BYTES_MAX) {
+            state.refused += 1;
+            return (413, Vec::new());
+        }
+        topic.records.extend(records);
+        let reply = format!("{{\"offset\":{end},\"end\":{}}}", topic.end());
         self.0.1.notify_all();
         (200, reply.into_bytes())
     }
@@ -141,13 +175,16 @@
         let (from, until) = (number("from"), Instant::now() + Duration::from_millis(number("waitMs") as u64));
         let mut state = self.0.0.lock().expect("lock");
         loop {
-            let records = state.topics.entry(request.param("topic").to_owned()).or_default();
+            let topic = state.topics.entry(request.param("topic").to_owned()).or_default();
             let left = until.saturating_duration_since(Instant::now());
-            if from < records.len() || left.is_zero() {
+            if from < topic.first {
+                return (410, format!("{{\"first\":{}}}", topic.first).into_bytes());
+            }
+            if from < topic.end() || left.is_zero() {
                 let mut body = Vec::new();
-                body.extend_from_slice(&(records.len() as u64).to_be_bytes());
-                body.extend_from_slice(&0_u64.to_be_bytes());
-                for record in records.iter().skip(from) {
+                body.extend_from_slice(&(topic.end() as u64).to_be_bytes());
+                body.extend_from_slice(&(topic.first as u64).to_be_bytes());
+                for record in topic.records.iter().skip(from - topic.first) {
                     body.extend_from_slice(&(record.len() as u32).to_be_bytes());
                     body.extend_from_slice(record);
                 }
@@ -159,12 +196,12 @@
 
     fn newest(&self, request: &Request) -> (u16, Vec<u8>) {
         let mut state = self.0.0.lock().expect("lock");
-        let records = state.topics.entry(request.param("topic").to_owned()).or_default();
-        let newest: BTreeMap<String, &[u8]> = records.iter().map(|record| decode(record)).collect();
+        let topic = state.topics.entry(request.param("topic").to_owned()).or_default();
+        let newest: BTreeMap<String, &[u8]> = topic.records.iter().map(|record| decode(record)).collect();
         let items = newest.into_iter().filter(|(_, value)| !value.is_empty());
         let items = items.map(|(key, value)| format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":0}}", base64(value)));
         let items: Vec<String> = items.collect();
-        let end = records.len();
+        let end = topic.end();
         (200, format!("{{\"items\":[{}],\"truncated\":false,\"end\":{end}}}", items.join(",")).into_bytes())
     }
 
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -49,7 +49,15 @@
     is_sharded: bool,
     holds: Mutex<Vec<Hold>>,
     script: Mutex<Script>,
-    record: Record,
+    record: Option<Record>,
+}
+
+impl State {
+    fn note(&self, line: &str) {
+        if let Some(record) = &self.record {
+            record.write(line);
+        }
+    }
 }
 
 /// A server. Clones share its state.
@@ -68,8 +76,22 @@
 }
 
 impl Target {
-    /// Starts a server and registers it in the store.
+    /// Starts a server that has just been born and registers it in the store.
     pub fn start(store: &Store, record: &Record, id: &str, service: &str, is_sharded: bool, work: Duration) -> Self {
+        Self::start_born(store, Some(record), id, service, is_sharded, work, (6, unix_ms()))
+    }
+
+    /// Starts a server with a number of slots that was born at a time, and registers it
+    /// in the store. Without a record it writes down nothing.
+    pub fn start_born(
+        store: &Store,
+        record: Option<&Record>,
+        id: &str,
+        service: &str,
+        is_sharded: bool,
+        work: Duration,
+        (slots, born): (u32, u128),
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
         let addr = listener.local_addr().expect("bound socket");
         let target = Self(Arc::new(State {
@@ -80,7 +102,7 @@
             is_sharded,
             holds: Mutex::default(),
             script: Mutex::new(Box::new(|_| Special::Usual)),
-            record: record.clone(),
+            record: record.cloned(),
         }));
         let accepting = target.clone();
         thread::spawn(move || {
@@ -90,8 +112,7 @@
             }
         });
         let entry = format!(
-            "{{\"address\":\"{addr}\",\"info\":{{\"service\":\"{service}\",\"configVersion\":\"v1\",\"zone\":\"sur-a\",\"slots\":6}},\"status\":{{\"state\":\"ready\",\"seq\":1,\"coldLeftMs\":0}},\"born\":{}}}",
-            unix_ms()
+            "{{\"address\":\"{addr}\",\"info\":{{\"service\":\"{service}\",\"configVersion\":\"v1\",\"zone\":\"sur-a\",\"slots\":{slots}}},\"status\":{{\"state\":\"ready\",\"seq\":1,\"coldLeftMs\":0}},\"born\":{born}}}"
         );
         store.put("keyed.servers", id, entry.as_bytes());
         target
@@ -142,7 +163,7 @@
         if state.is_sharded && !self.holds(request.header("x-shard-key").parse().unwrap_or(0)) {
             return answer(stream, "421 Misdirected Request", &[("x-not-run", "1")], b"");
         }
-        state.record.write(&format!("run {id} at {}", state.id));
+        state.note(&format!("run {id} at {}", state.id));
         thread::sleep(state.work + Duration::from_millis(path_number(request, "/w")));
         let special = state.script.lock().expect("lock")(request);
         match special {
@@ -160,7 +181,7 @@
             Special::Parts { first, work, rest } => {
                 stream.write_all(&first).ok()?;
                 thread::sleep(work);
-                state.record.write(&format!("done {id} at {}", state.id));
+                state.note(&format!("done {id} at {}", state.id));
                 stream.write_all(&rest).ok()
             }
             Special::Endless { head, chunk, interval } => {
@@ -169,7 +190,7 @@
                 while stream.write_all(&chunk).is_ok() {
                     thread::sleep(interval);
                 }
-                state.record.write(&format!("cut {id} at {}: the caller has closed", state.id));
+                state.note(&format!("cut {id} at {}: the caller has closed", state.id));
                 None
             }
         }
