--- a/review/standin-2/allowed.rs
+++ b/review/standin-2/allowed.rs
@@ -64,7 +64,8 @@
                 let id = format!("{kind}-{i}");
                 let deadline_ms = CLIENT_WAIT.as_millis() as u64;
                 let key = Some((i * 3_000) as u16);
-                let call = Call { method, path: "/sheets/1", id, deadline_ms, key, headers: &headers, body: b"" };
+                let call =
+                    Call { method, path: "/sheets/1", id, deadline_ms, key, headers: &headers, body: b"" };
                 record.write(&format!("sent {}", call.id));
                 let sent_at = Instant::now();
                 let answer = call.send(addr, CLIENT_WAIT);
@@ -80,6 +81,8 @@
     let long = times.iter().filter(|took| **took >= TIMEOUT).count();
     let late = times.iter().filter(|took| **took >= TIMEOUT + SLACK).count();
     let sent = times.len();
-    record.tell(&format!("{sent} requests; {long} longer than timeoutMs; {late} of these without an answer 0.5 s after it"));
+    record.tell(&format!(
+        "{sent} requests; {long} longer than timeoutMs; {late} of these without an answer 0.5 s after it"
+    ));
     if late >= 8 && late * 4 > long { Outcome::Broken } else { Outcome::Held }
 }
--- a/review/standin-2/framing.rs
+++ b/review/standin-2/framing.rs
@@ -65,8 +65,15 @@
     let mut cut = 0;
     for i in 0..REQUESTS {
         let id = format!("order-{i}");
-        let call =
-            Call { method: "POST", path: "/orders/1", id: id.clone(), deadline_ms: 1_200, key: None, headers: &[], body: b"print" };
+        let call = Call {
+            method: "POST",
+            path: "/orders/1",
+            id: id.clone(),
+            deadline_ms: 1_200,
+            key: None,
+            headers: &[],
+            body: b"print",
+        };
         record.write(&format!("sent {id}"));
         let answer = call.send(fleet.edges[i % 2].callers, Duration::from_secs(3));
         let Some(answer) = answer else {
@@ -80,6 +87,8 @@
         cut += usize::from(is_success && complete && !is_whole);
         thread::sleep(Duration::from_millis(2));
     }
-    record.tell(&format!("{REQUESTS} requests; {cut} successes with a body that isn't the server's whole body"));
+    record.tell(&format!(
+        "{REQUESTS} requests; {cut} successes with a body that isn't the server's whole body"
+    ));
     if cut > 0 { Outcome::Broken } else { Outcome::Held }
 }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -89,7 +89,8 @@
         let text = String::from_utf8_lossy(&head).into_owned();
         let mut lines = text.split("\r\n").filter(|line| !line.is_empty());
         let first = lines.next().unwrap_or("").to_owned();
-        let header = |line: &str| line.split_once(':').map(|(k, v)| (k.trim().to_owned(), v.trim().to_owned()));
+        let header =
+            |line: &str| line.split_once(':').map(|(k, v)| (k.trim().to_owned(), v.trim().to_owned()));
         Ok(Some((first, lines.filter_map(header).collect())))
     }
 
--- a/review/standin-2/silence.rs
+++ b/review/standin-2/silence.rs
@@ -2,7 +2,12 @@
 //! rest when they are done.
 
 use {
-    crate::{Fleet, Outcome, has_trouble, http::{self, Conn}, record::Record, target::Special},
+    crate::{
+        Fleet, Outcome, has_trouble,
+        http::{self, Conn},
+        record::Record,
+        target::Special,
+    },
     std::{
         net::{SocketAddr, TcpStream},
         path::Path,
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -64,7 +64,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
-        let bits = part.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte)) << (8 * (3 - part.len()));
+        let bits =
+            part.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte)) << (8 * (3 - part.len()));
         for i in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * i)) as usize & 63];
             text.push(if i <= part.len() { char::from(digit) } else { '=' });
@@ -127,7 +128,8 @@
         while let Ok(Some(request)) = conn.request() {
             let (status, body) = self.handle(&request);
             let first = format!("HTTP/1.1 {status} X");
-            if http::write(&mut conn.stream, &first, &[("content-type", "application/json")], &body).is_err() {
+            if http::write(&mut conn.stream, &first, &[("content-type", "application/json")], &body).is_err()
+            {
                 return;
             }
         }
@@ -199,7 +201,9 @@
         let topic = state.topics.entry(request.param("topic").to_owned()).or_default();
         let newest: BTreeMap<String, &[u8]> = topic.records.iter().map(|record| decode(record)).collect();
         let items = newest.into_iter().filter(|(_, value)| !value.is_empty());
-        let items = items.map(|(key, value)| format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":0}}", base64(value)));
+        let items = items.map(|(key, value)| {
+            format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":0}}", base64(value))
+        });
         let items: Vec<String> = items.collect();
         let end = topic.end();
         (200, format!("{{\"items\":[{}],\"truncated\":false,\"end\":{end}}}", items.join(",")).into_bytes())
@@ -210,7 +214,8 @@
         let ttl = json_field(&request.body, "ttlMs").parse().unwrap_or(1_000);
         let mut state = self.0.0.lock().expect("lock");
         state.expire();
-        let is_new = state.members.insert(member.clone(), Instant::now() + Duration::from_millis(ttl)).is_none();
+        let is_new =
+            state.members.insert(member.clone(), Instant::now() + Duration::from_millis(ttl)).is_none();
         state.generation += u64::from(is_new);
         let index = state.members.keys().position(|other| *other == member).unwrap_or(0);
         let count = state.members.len();
