--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -107,11 +107,12 @@
     }
 
     /// Returns the number of appends that were refused, as a record was too large, and
-    /// the size of the newest record of a topic.
-    pub fn refused(&self, topic: &str) -> (usize, usize) {
+    /// the end and the size of the newest record of a topic.
+    pub fn sizes(&self, topic: &str) -> (usize, usize, usize) {
         let state = self.0.0.lock().expect("lock");
-        let newest = state.topics.get(topic).and_then(|topic| topic.records.last()).map_or(0, Vec::len);
-        (state.refused, newest)
+        let topic = state.topics.get(topic);
+        let newest = topic.and_then(|topic| topic.records.last()).map_or(0, Vec::len);
+        (state.refused, topic.map_or(0, Topic::end), newest)
     }
 
     /// Appends a keyed record. An empty value removes the key.
